--- /dev/null
+++ b/cmd/pimentoyard/main.go
@@ -0,0 +1,4 @@
+// Command pimentoyard runs one VM of the load balancer and the operator's tools.
+package main
+
+func main() {}
--- /dev/null
+++ b/internal/protocol/pimedge/reply.go
@@ -0,0 +1,53 @@
+package pimedge
+
+import "time"
+
+// Outcome is what a caller is told about its request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// OutcomeAnswered means that the backend server answered.
+	OutcomeAnswered Outcome = "answered"
+	// OutcomeNotRun means that no backend server ran the request.
+	OutcomeNotRun Outcome = "not_run"
+	// OutcomeUnknown means that a backend server may have run the request.
+	OutcomeUnknown Outcome = "unknown"
+	// OutcomeFailed means that the backend server answered with an error.
+	OutcomeFailed Outcome = "failed"
+)
+
+// Reason says why a packet was refused.
+type Reason string
+
+// The reasons of a refusal.
+const (
+	ReasonNone        Reason = ""
+	ReasonNoToken     Reason = "no_token"
+	ReasonRateLimit   Reason = "rate_limit"
+	ReasonNoSlot      Reason = "no_slot"
+	ReasonFlowLimit   Reason = "flow_limit"
+	ReasonBackendGone Reason = "backend_gone"
+	ReasonViewBehind  Reason = "view_behind"
+	ReasonDraining    Reason = "draining"
+	ReasonBadToken    Reason = "bad_token"
+	ReasonNoContract  Reason = "no_contract"
+	ReasonDeadline    Reason = "deadline"
+	ReasonOverload    Reason = "overload"
+	ReasonExpired     Reason = "permit_expired"
+	ReasonHomeLost    Reason = "home_lost"
+	ReasonNoAnswer    Reason = "no_answer"
+)
+
+// Reply is what a VM tells a caller.
+type Reply struct {
+	Outcome Outcome
+	Reason  Reason
+	// RetryAfter is when a refused caller may try again; zero means no advice.
+	RetryAfter time.Duration
+	// Status is the HTTP status of the backend server; zero if none answered.
+	Status int
+	Body   []byte
+	// Token is a fresh sealed token for later packets; empty if the caller keeps its own.
+	Token []byte
+}
--- /dev/null
+++ b/internal/protocol/pimpb/doc.go
@@ -0,0 +1,2 @@
+// Package pimpb holds the generated messages and drpc services that VMs exchange.
+package pimpb
--- /dev/null
+++ b/internal/state/pimclock/doc.go
@@ -0,0 +1,2 @@
+// Package pimclock gives the time since boot, including pauses, and a manual clock for tests.
+package pimclock
