feat: add request execution, slot scheduling and choice of hosts

Ruled out: one map of outcomes per entry VM, since duplicates arrive at any VM; integer splits of slots, since an owner may have only two slots. Change: add pimonce (records, duplicates, handover, executor, retry budget), pimslot (core and blocking owner) and pimpick (hosts and owners).

--- /dev/null
+++ b/internal/coordination/pimonce/handover.go
@@ -0,0 +1,182 @@
+package pimonce
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// overloadRetry is the retry time of refusals that need a new token or a drained store.
+const overloadRetry = time.Second
+
+// maxBatchRecords and maxBatchBytes bound one handover message.
+const (
+	maxBatchRecords = 512
+	maxBatchBytes   = 256 << 10
+)
+
+// adoption is the state of a predecessor's transfer.
+type adoption struct {
+	// complete is set when all records have arrived; only then may new requests of the origin run.
+	complete bool
+	// until is when the last permit of the origin has surely ended.
+	until pimclock.Instant
+}
+
+// permitEnd returns the end of the request's permit and whether this home may run requests of its origin.
+func (h *Home) permitEnd(now pimclock.Instant, req Request) (end pimclock.Instant, known bool) {
+	end = h.unix.Instant(req.IssuedAt).Add(PermitLifetime)
+	if req.Home == h.self {
+		return end, true
+	}
+	a := h.adopted[req.Home]
+	if a == nil || !a.complete {
+		return end, false
+	}
+	if !now.Before(a.until) {
+		delete(h.adopted, req.Home)
+		return end, false
+	}
+	return min(end.Add(-h.store.cfg.MaxSkew), a.until), true
+}
+
+// Stop permanently ends the acceptance of new requests.
+func (h *Home) Stop() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.stopped = true
+}
+
+// Drain waits until no request is running or ctx ends.
+func (h *Home) Drain(ctx context.Context) (err error) {
+	defer func() { err = oops.In("pimonce").Wrapf(err, "drain requests") }()
+	idle := h.idleChannel()
+	if idle == nil {
+		return nil
+	}
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return context.Cause(ctx)
+	}
+}
+
+func (h *Home) idleChannel() chan struct{} {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.running == 0 {
+		return nil
+	}
+	if h.idle == nil {
+		h.idle = make(chan struct{})
+	}
+	return h.idle
+}
+
+// Export returns all records for one successor. Requests that still run can no longer be handed over; it fails with
+// ErrOtherSuccessor for a second successor, since two of them could run the same request.
+func (h *Home) Export(successor Origin) (batches []Batch, err error) {
+	defer func() { err = oops.In("pimonce").Wrapf(err, "export records") }()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case !h.stopped:
+		return nil, ErrNotStopped
+	case h.sealed && h.successor != successor:
+		return nil, ErrOtherSuccessor
+	}
+	h.sealed, h.successor = true, successor
+	now := h.clock.Now()
+	h.store.sweep(now)
+	return h.batches(now), nil
+}
+
+// batches splits the records by origin and size; the lock is held.
+func (h *Home) batches(now pimclock.Instant) (batches []Batch) {
+	open := map[Origin]*batchWriter{h.self: {origin: h.self}}
+	for o, a := range h.adopted {
+		if a.complete && now.Before(a.until) {
+			open[o] = &batchWriter{origin: o}
+		}
+	}
+	for k, r := range h.store.records {
+		if r.phase != phaseDone {
+			h.conclude(r, unsettled(r.phase))
+		}
+		if w := open[k.origin]; w != nil {
+			w.add(Record{Key: k.key, Reply: r.reply, Keep: r.expires.Sub(now)}, r.size())
+		}
+	}
+	for _, w := range open {
+		batches = append(batches, w.finish()...)
+	}
+	return batches
+}
+
+// batchWriter collects the batches of one origin.
+type batchWriter struct {
+	origin  Origin
+	done    []Batch
+	records []Record
+	bytes   int
+}
+
+func (w *batchWriter) add(r Record, size int) {
+	if len(w.records) > 0 && (len(w.records) == maxBatchRecords || w.bytes+size > maxBatchBytes) {
+		w.done = append(w.done, Batch{Origin: w.origin, Records: w.records})
+		w.records, w.bytes = nil, 0
+	}
+	w.records = append(w.records, r)
+	w.bytes += size
+}
+
+func (w *batchWriter) finish() []Batch {
+	return append(w.done, Batch{Origin: w.origin, Records: w.records, Last: true})
+}
+
+// Import takes over records of a predecessor; the sender sends the last batch after all others were accepted.
+func (h *Home) Import(b Batch) (err error) {
+	defer func() { err = oops.In("pimonce").Wrapf(err, "import records") }()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	switch {
+	case b.Origin == h.self:
+		return ErrOwnRecords
+	case h.stopped:
+		return ErrStopped
+	}
+	now := h.clock.Now()
+	h.store.sweep(now)
+	a := h.adopted[b.Origin]
+	if a == nil {
+		a = &adoption{until: now.Add(PermitLifetime)}
+		h.adopted[b.Origin] = a
+	}
+	for _, r := range b.Records {
+		if !h.importRecord(now, b.Origin, r) {
+			return ErrStore
+		}
+	}
+	a.complete = a.complete || b.Last
+	return nil
+}
+
+// importRecord stores one record; it returns false if the memory limits are exceeded. The lock is held.
+func (h *Home) importRecord(now pimclock.Instant, o Origin, r Record) bool {
+	k := recordKey{origin: o, key: r.Key}
+	if h.store.records[k] != nil {
+		return true
+	}
+	rec := &record{phase: phaseDone, expires: now.Add(r.Keep), reply: r.Reply}
+	rec.refusal = r.Reply.Outcome == pimedge.OutcomeNotRun && len(r.Reply.Body) == 0
+	if rec.refusal && !h.store.hasRefusalRoom() || !rec.refusal && !h.store.hasRoom() {
+		return false
+	}
+	h.store.add(k, rec)
+	return true
+}
--- /dev/null
+++ b/internal/coordination/pimonce/record.go
@@ -0,0 +1,58 @@
+package pimonce
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+type phase uint8
+
+const (
+	// phaseWaiting: no attempt has reached a backend server.
+	phaseWaiting phase = iota
+	// phaseHandedOver: an attempt may have reached a backend server.
+	phaseHandedOver
+	// phaseDone: the reply is final.
+	phaseDone
+)
+
+// recordKey identifies a request over all origins.
+type recordKey struct {
+	origin Origin
+	key    Key
+}
+
+// record is the state of one request.
+type record struct {
+	phase   phase
+	refusal bool
+	expires pimclock.Instant
+	reply   pimedge.Reply
+	// done is closed when the reply is final; it is nil for refusals and imported records.
+	done chan struct{}
+}
+
+// recordBytes is the approximate memory of a record without its answer.
+const recordBytes = 256
+
+func (r *record) size() int { return recordBytes + len(r.reply.Body) + len(r.reply.Token) }
+
+// settle makes a reply consistent with what happened: a request that was handed over and not retracted is never
+// reported as not run.
+func settle(p phase, reply pimedge.Reply) pimedge.Reply {
+	if p == phaseHandedOver && reply.Outcome == pimedge.OutcomeNotRun {
+		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}
+	}
+	if reply.Outcome == "" {
+		return unsettled(p)
+	}
+	return reply
+}
+
+// unsettled is the reply of a request whose execution ended without one.
+func unsettled(p phase) pimedge.Reply {
+	if p == phaseWaiting {
+		return pimedge.Reply{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonDraining}
+	}
+	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}
+}
--- /dev/null
+++ b/internal/coordination/pimonce/types.go
@@ -0,0 +1,64 @@
+package pimonce
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// PermitLifetime is how long requests may run under a token; it exceeds the CoAP EXCHANGE_LIFETIME of 247 s.
+const PermitLifetime = 300 * time.Second
+
+// Origin is the run of a VM that a token names as home.
+type Origin struct {
+	Node        pimid.NodeID
+	Incarnation pimid.Incarnation
+}
+
+// Key identifies a request under the tokens of one flow.
+type Key struct {
+	Flow pimid.FlowID
+	Tag  pimid.RequestTag
+}
+
+// Request is one non-idempotent request as its token describes it.
+type Request struct {
+	Key
+	// Home is the VM run that the token names.
+	Home     Origin
+	Service  pimid.ServiceID
+	Contract pimid.ContractID
+	// IssuedAt is the issue time of the token in unix seconds.
+	IssuedAt uint32
+	// Deadline is the caller's deadline on the clock of this VM.
+	Deadline pimclock.Instant
+}
+
+// Handoff is told when a request reaches a backend server.
+type Handoff interface {
+	// Commit marks the request as handed over; the request must not be sent after an error.
+	Commit() error
+	// Retract declares that the backend server said it did not run the request.
+	Retract()
+}
+
+// Exec runs a request; it calls Commit immediately before each send.
+type Exec func(ctx context.Context, h Handoff) pimedge.Reply
+
+// Record is the outcome of one request, as handed over to a successor.
+type Record struct {
+	Key
+	Reply pimedge.Reply
+	// Keep is the remaining time for which the record must be kept.
+	Keep time.Duration
+}
+
+// Batch holds the records of one origin; the successor may run new requests of the origin after the last batch.
+type Batch struct {
+	Origin  Origin
+	Records []Record
+	Last    bool
+}
--- /dev/null
+++ b/internal/coordination/pimpick/host.go
@@ -0,0 +1,90 @@
+package pimpick
+
+import (
+	"math"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Host describes one backend server of this data centre.
+type Host struct {
+	ID             pimid.BackendID
+	Generation     pimid.Generation
+	Service        pimid.ServiceID
+	MaxConnections pimid.Connections
+	// Leaving excludes the host because the platform has announced its end.
+	Leaving bool
+	// Cold starts the host with a small part of the new flows.
+	Cold bool
+}
+
+// host is the observed state of one backend server.
+type host struct {
+	Host
+	// draining and failed come from gossip of the host's owner.
+	draining, failed bool
+	coldSince        pimclock.Instant
+	cold             bool
+	// placed is the decayed count of flows that this VM placed; sinceReport counts those after the last report.
+	placed      float64
+	placedAt    pimclock.Instant
+	sinceReport float64
+	reported    float64
+	reportedAt  pimclock.Instant
+	hasReport   bool
+	failures    int
+	ejections   int
+	ejectedTill pimclock.Instant
+}
+
+// restart applies another generation, whose connections and faults are its own.
+func restart(now pimclock.Instant, d Host, cold bool) *host {
+	return &host{Host: d, cold: cold, coldSince: now, placedAt: now}
+}
+
+func (h *host) ejected(now pimclock.Instant) bool { return now.Before(h.ejectedTill) }
+
+func (h *host) usable(now pimclock.Instant) bool {
+	return !h.Leaving && !h.draining && !h.failed && !h.ejected(now)
+}
+
+// decay halves the count of placed flows every half-life.
+func (h *host) decay(now pimclock.Instant, halfLife time.Duration) {
+	age := now.Sub(h.placedAt)
+	if age <= 0 {
+		return
+	}
+	h.placed *= math.Exp2(-float64(age) / float64(halfLife))
+	h.placedAt = now
+}
+
+// estimate returns the expected number of connections. A reported count loses weight with its age in favour of the
+// mean of the service, so that a host without a report is not taken for an empty one. Flows placed since the report
+// count once for every VM, since the others place at the same rate. The count of own placed flows is a lower bound, so
+// that a report that is too low cannot attract all new flows.
+func (h *host) estimate(now pimclock.Instant, mean float64, cfg *Config) float64 {
+	h.decay(now, cfg.PlacedAge)
+	known := mean
+	if h.hasReport {
+		weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(cfg.ReportAge))
+		known = weight*h.reported + (1-weight)*mean
+	}
+	peers := float64(cfg.Peers)
+	return math.Max(known+h.sinceReport*peers, h.placed*peers)
+}
+
+// warmth returns the part of the normal load that a host may receive during its slow start.
+func (h *host) warmth(now pimclock.Instant, cfg *Config) float64 {
+	const least = 0.1
+	if !h.cold {
+		return 1
+	}
+	part := float64(now.Sub(h.coldSince)) / float64(cfg.SlowStart)
+	if part >= 1 {
+		h.cold = false
+		return 1
+	}
+	return math.Max(part, least)
+}
--- /dev/null
+++ b/internal/coordination/pimpick/hosts.go
@@ -0,0 +1,152 @@
+package pimpick
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Hosts chooses backend servers for new flows; it is safe for concurrent use.
+type Hosts struct {
+	mu       sync.Mutex
+	cfg      Config
+	policy   Policy
+	hosts    map[pimid.BackendID]*host
+	services map[pimid.ServiceID]*group
+}
+
+// group holds the hosts of one service.
+type group struct {
+	hosts []*host
+	// usable is rebuilt by each pick.
+	usable []*host
+	mean   float64
+	meanAt pimclock.Instant
+}
+
+// NewHosts returns an empty table with the given policy.
+func NewHosts(cfg Config, policy Policy) *Hosts {
+	return &Hosts{
+		cfg: cfg, policy: policy,
+		hosts: map[pimid.BackendID]*host{}, services: map[pimid.ServiceID]*group{},
+	}
+}
+
+// SetHosts replaces the known backend servers of the data centre and keeps the observations about the same generation.
+func (t *Hosts) SetHosts(now pimclock.Instant, hosts []Host) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	old := t.hosts
+	t.hosts = make(map[pimid.BackendID]*host, len(hosts))
+	t.services = map[pimid.ServiceID]*group{}
+	for _, d := range hosts {
+		h := old[d.ID]
+		switch {
+		case h == nil:
+			h = restart(now, d, d.Cold)
+		case h.Generation != d.Generation || h.Service != d.Service:
+			h = restart(now, d, true)
+		default:
+			h.Host = d
+		}
+		t.add(h)
+	}
+}
+
+func (t *Hosts) add(h *host) {
+	t.hosts[h.ID] = h
+	g := t.services[h.Service]
+	if g == nil {
+		g = &group{}
+		t.services[h.Service] = g
+	}
+	g.hosts = append(g.hosts, h)
+}
+
+// Pick chooses a backend server for a new flow and counts the flow; the error is ErrNoHost if none may receive it.
+func (t *Hosts) Pick(now pimclock.Instant, service pimid.ServiceID, rnd *rand.Rand) (id pimid.BackendID, gen pimid.Generation, err error) {
+	defer func() { err = oops.In("pimpick").Wrapf(err, "pick backend server") }()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	g := t.services[service]
+	if g == nil {
+		return 0, 0, ErrNoHost
+	}
+	mean := g.reportedMean(now)
+	g.usable = g.usable[:0]
+	for _, h := range g.hosts {
+		if h.usable(now) && h.estimate(now, mean, &t.cfg) < float64(h.MaxConnections) {
+			g.usable = append(g.usable, h)
+		}
+	}
+	if len(g.usable) == 0 {
+		return 0, 0, ErrNoHost
+	}
+	h := g.usable[t.policy.Choose(rnd, len(g.usable), func(i int) float64 { return t.load(now, g.usable[i], mean) })]
+	h.placed++
+	h.sinceReport++
+	return h.ID, h.Generation, nil
+}
+
+// load is the used part of the connection limit, raised during a slow start.
+func (t *Hosts) load(now pimclock.Instant, h *host, mean float64) float64 {
+	return (h.estimate(now, mean, &t.cfg) + 1) / (float64(h.MaxConnections) * h.warmth(now, &t.cfg))
+}
+
+// reportedMean returns the mean reported count, recomputed at most once per instant.
+func (g *group) reportedMean(now pimclock.Instant) float64 {
+	if g.meanAt == now && now != 0 {
+		return g.mean
+	}
+	sum, n := 0.0, 0
+	for _, h := range g.hosts {
+		if h.hasReport {
+			sum += h.reported
+			n++
+		}
+	}
+	g.mean, g.meanAt = sum/float64(max(n, 1)), now
+	return g.mean
+}
+
+// Report records a connection count that was read at the given instant; an older report is ignored.
+func (t *Hosts) Report(id pimid.BackendID, gen pimid.Generation, connections pimid.Connections, at pimclock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[id]
+	if h == nil || h.Generation != gen || (h.hasReport && at.Before(h.reportedAt)) {
+		return
+	}
+	h.reported, h.reportedAt, h.hasReport, h.sinceReport = max(0, float64(connections)), at, true, 0
+}
+
+// SetStatus records the draining and failed state that the host's owner announced.
+func (t *Hosts) SetStatus(id pimid.BackendID, gen pimid.Generation, draining, failed bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if h := t.hosts[id]; h != nil && h.Generation == gen {
+		// A drain never ends within one generation.
+		h.draining = h.draining || draining
+		h.failed = failed
+	}
+}
+
+// Usable returns the backend servers of a service that may receive new flows.
+func (t *Hosts) Usable(now pimclock.Instant, service pimid.ServiceID) (ids []pimid.BackendID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if g := t.services[service]; g != nil {
+		for _, h := range g.hosts {
+			if h.usable(now) {
+				ids = append(ids, h.ID)
+			}
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
--- /dev/null
+++ b/internal/coordination/pimpick/outlier.go
@@ -0,0 +1,47 @@
+package pimpick
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Observe records whether an exchange with the host succeeded; consecutive failures eject it with exponential
+// back-off, and at most half of a service's hosts are excluded by observations.
+func (t *Hosts) Observe(now pimclock.Instant, id pimid.BackendID, ok bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	h := t.hosts[id]
+	switch {
+	case h == nil:
+	case ok:
+		h.failures, h.ejections, h.ejectedTill = 0, 0, 0
+	default:
+		t.fail(now, h)
+	}
+}
+
+func (t *Hosts) fail(now pimclock.Instant, h *host) {
+	h.failures++
+	// A host that fails again after its ejection is ejected at once, for twice the time.
+	if h.failures < t.cfg.FailuresToEject && h.ejections == 0 || h.ejected(now) {
+		return
+	}
+	if !t.services[h.Service].mayEject(now) {
+		return
+	}
+	const maxDoublings = 16
+	h.ejectedTill = now.Add(min(t.cfg.EjectBase<<min(h.ejections, maxDoublings), t.cfg.EjectMax))
+	h.ejections++
+	h.failures = 0
+}
+
+// mayEject keeps at least half of the hosts in use.
+func (g *group) mayEject(now pimclock.Instant) bool {
+	excluded := 0
+	for _, h := range g.hosts {
+		if h.ejected(now) || h.failed {
+			excluded++
+		}
+	}
+	return 2*(excluded+1) <= len(g.hosts)
+}
--- /dev/null
+++ b/internal/coordination/pimslot/errors.go
@@ -0,0 +1,9 @@
+package pimslot
+
+import "errors"
+
+// ErrUnknownGrant means that the grant does not exist or has expired.
+var ErrUnknownGrant = errors.New("unknown grant")
+
+// ErrClosed means that the owner has been closed.
+var ErrClosed = errors.New("slot owner closed")
--- /dev/null
+++ b/internal/coordination/pimslot/health.go
@@ -0,0 +1,85 @@
+package pimslot
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// health is the owner's own assessment of one host.
+type health struct {
+	failures  int
+	sheds     int
+	ejections int
+	until     pimclock.Instant
+	// probing limits a host to one slot after its ejection until a request succeeds.
+	probing bool
+}
+
+func (s *health) ejected(now pimclock.Instant) bool { return now.Before(s.until) }
+
+// succeed clears all counters.
+func (s *health) succeed() { *s = health{} }
+
+// fail counts one failure and reports whether the host should be ejected.
+func (s *health) fail(noProgress bool, cfg *Config) (eject bool) {
+	s.failures++
+	if noProgress {
+		// A silent connection costs a whole progress timeout, so it counts double.
+		s.failures++
+	}
+	return s.probing || s.failures >= cfg.FailuresToEject
+}
+
+// eject excludes the host; each ejection in a row doubles the time.
+func (s *health) eject(now pimclock.Instant, cfg *Config) {
+	s.until = now.Add(backOff(cfg.EjectBase, cfg.EjectMax, s.ejections))
+	s.ejections++
+	s.failures = 0
+	s.probing = true
+}
+
+// shed counts one 503 and returns how long it occupies a slot.
+func (s *health) shed(retryAfter time.Duration, cfg *Config) time.Duration {
+	hold := max(retryAfter, backOff(cfg.ShedHold, cfg.EjectMax, s.sheds))
+	s.sheds++
+	return min(hold, cfg.EjectMax)
+}
+
+// backOff doubles base n times, up to limit.
+func backOff(base, limit time.Duration, n int) time.Duration {
+	const maxDoublings = 16
+	return min(base<<min(n, maxDoublings), limit)
+}
+
+// observeResult updates the host's health with the result of one request.
+func (s *service) observeResult(now pimclock.Instant, h *host, r Result) {
+	switch {
+	case r.Shed:
+		h.occupy(now, h.health.shed(r.ShedFor, s.cfg))
+	case r.Outcome == pimedge.OutcomeAnswered:
+		h.health.succeed()
+	case r.Outcome == pimedge.OutcomeFailed, r.Outcome == pimedge.OutcomeUnknown, r.NoProgress:
+		if h.health.fail(r.NoProgress, s.cfg) && s.mayEject(now) {
+			h.health.eject(now, s.cfg)
+		}
+	}
+}
+
+// mayEject keeps at least half of the service's hosts in use, since a fault that all hosts share is better met by
+// trying than by refusing everything.
+func (s *service) mayEject(now pimclock.Instant) bool {
+	total, failed := 0, s.policy.DataCentreFailed
+	for _, h := range s.hosts {
+		if h.gone {
+			continue
+		}
+		total++
+		if h.health.ejected(now) {
+			failed++
+		}
+	}
+	total = max(total, s.policy.DataCentreHosts)
+	return 2*(failed+1) <= total
+}
--- /dev/null
+++ b/internal/coordination/pimslot/host.go
@@ -0,0 +1,102 @@
+package pimslot
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// host is one owned backend server with the slots that this owner knows to be occupied.
+type host struct {
+	Host
+	// gone marks a host that this VM no longer owns; it is forgotten when its last request ends.
+	gone     bool
+	inFlight int
+	// foreign counts slots that a previous owner granted; held counts slots that the host declared busy by a 503.
+	foreign, held           int
+	foreignUntil, heldUntil pimclock.Instant
+	coldSince               pimclock.Instant
+	warm                    bool
+	lastGrant               GrantID
+	health                  health
+}
+
+func newHost(now pimclock.Instant, h Host, cfg *Config) *host {
+	n := &host{Host: h, warm: !h.Cold, coldSince: now}
+	n.foreign = min(max(h.InFlight, 0), int(h.Slots))
+	n.foreignUntil = now.Add(cfg.ForeignHold)
+	return n
+}
+
+// update applies a new description; another generation is a restart of the host.
+func (h *host) update(now pimclock.Instant, d Host, cfg *Config) {
+	if d.Generation != h.Generation {
+		inFlight := h.inFlight
+		*h = *newHost(now, d, cfg)
+		h.inFlight = inFlight
+		h.warm = false
+		return
+	}
+	if d.Cold && h.warm && !h.Cold {
+		h.warm, h.coldSince = false, now
+	}
+	h.Host, h.gone = d, false
+}
+
+// usable reports whether the host may receive new work.
+func (h *host) usable(now pimclock.Instant) bool {
+	return !h.gone && !h.Draining && !h.health.ejected(now)
+}
+
+// capacity returns the slots in use at full load; a cold host starts with one slot and gains the others linearly.
+func (h *host) capacity(now pimclock.Instant, cfg *Config) int {
+	if !h.usable(now) {
+		return 0
+	}
+	slots := int(h.Slots)
+	if h.health.probing {
+		return min(1, slots)
+	}
+	if h.warm {
+		return slots
+	}
+	age := now.Sub(h.coldSince)
+	if age >= cfg.SlowStart {
+		h.warm = true
+		return slots
+	}
+	return max(1, int(float64(slots)*float64(age)/float64(cfg.SlowStart)))
+}
+
+// free returns the number of slots that can be granted now.
+func (h *host) free(now pimclock.Instant, cfg *Config) int {
+	if h.foreign > 0 && !now.Before(h.foreignUntil) {
+		h.foreign = 0
+	}
+	if h.held > 0 && !now.Before(h.heldUntil) {
+		h.held = 0
+	}
+	return h.capacity(now, cfg) - h.inFlight - h.foreign - h.held
+}
+
+// observeLoad lowers the foreign slots to what the host still reports; a report never adds occupied slots, because
+// load endpoints may lag or be wrong.
+func (h *host) observeLoad(reported int) {
+	h.foreign = min(h.foreign, max(reported-h.inFlight, 0))
+}
+
+// occupy treats a 503 as one occupied slot for the given time.
+func (h *host) occupy(now pimclock.Instant, d time.Duration) {
+	h.held = min(h.held+1, int(h.Slots))
+	h.heldUntil = max(h.heldUntil, now.Add(d))
+}
+
+func excluded(id pimid.BackendID, list []pimid.BackendID) bool {
+	for _, e := range list {
+		if e == id {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/coordination/pimslot/service.go
@@ -0,0 +1,124 @@
+package pimslot
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// service is the scheduling state of one service at one owner.
+type service struct {
+	cfg       *Config
+	policy    Policy
+	hosts     []*host
+	contracts map[pimid.ContractID]*contract
+	// active lists the contracts with waiting requests.
+	active []*contract
+	// reserving lists the contracts that do not lend all of their guaranteed slots.
+	reserving []*contract
+	// lending paces the use of a fractional unreserved slot.
+	lending pacer
+	// virtual is the start tag last served, by priority.
+	virtual map[int]float64
+	// running counts the granted slots of all contracts.
+	running  int
+	capacity int
+	duration time.Duration
+}
+
+func newService(cfg *Config, id pimid.ServiceID) *service {
+	return &service{
+		cfg:       cfg,
+		policy:    Policy{Service: id},
+		contracts: map[pimid.ContractID]*contract{},
+		virtual:   map[int]float64{},
+		duration:  cfg.InitialDuration,
+	}
+}
+
+// setPolicy replaces the terms; contracts that are no longer named keep only their running requests.
+func (s *service) setPolicy(p Policy) (dropped []*entry) {
+	s.policy = p
+	named := make(map[pimid.ContractID]bool, len(p.Contracts))
+	for _, t := range p.Contracts {
+		named[t.ID] = true
+		c := s.contracts[t.ID]
+		if c == nil {
+			c = &contract{id: t.ID}
+			s.contracts[t.ID] = c
+		}
+		c.terms = t.Terms
+	}
+	for id, c := range s.contracts {
+		if !named[id] {
+			dropped = append(dropped, c.queue...)
+			c.queue = nil
+			delete(s.contracts, id)
+		}
+	}
+	s.active = slices.DeleteFunc(s.active, func(c *contract) bool { return len(c.queue) == 0 })
+	s.rescale()
+	return dropped
+}
+
+// refresh recomputes the capacity, which changes with ownership, drain, ejection and slow start.
+func (s *service) refresh(now pimclock.Instant) {
+	capacity := 0
+	for _, h := range s.hosts {
+		capacity += h.capacity(now, s.cfg)
+	}
+	if capacity != s.capacity {
+		s.capacity = capacity
+		s.rescale()
+	}
+}
+
+// rescale divides the owner's slots; guarantees that exceed the service are reduced in proportion.
+func (s *service) rescale() {
+	total, guaranteed := float64(s.policy.TotalSlots), 0.0
+	if total <= 0 {
+		total = float64(s.capacity)
+	}
+	for _, c := range s.contracts {
+		guaranteed += float64(c.terms.GuaranteedSlots)
+	}
+	total = max(total, guaranteed, 1)
+	s.reserving = s.reserving[:0]
+	for _, c := range s.contracts {
+		c.scale(float64(s.capacity), total)
+		if c.lend+slotEpsilon < c.guarantee.limit {
+			s.reserving = append(s.reserving, c)
+		}
+	}
+}
+
+// enqueue appends a request to the queue of its contract.
+func (s *service) enqueue(now pimclock.Instant, e *entry) {
+	c := e.contract
+	if len(c.queue) == 0 {
+		c.activate(now, s.virtual[c.terms.Priority], s.duration)
+		s.active = append(s.active, c)
+	}
+	c.push(e)
+}
+
+// dequeue removes the entry at index i of the contract's queue.
+func (s *service) dequeue(c *contract, i int) {
+	c.remove(i)
+	if len(c.queue) > 0 {
+		return
+	}
+	if i := slices.Index(s.active, c); i >= 0 {
+		s.active = slices.Delete(s.active, i, i+1)
+	}
+}
+
+// observeDuration updates the moving average of request durations.
+func (s *service) observeDuration(d time.Duration) {
+	const weight = 16
+	if d > 0 {
+		s.duration += (d - s.duration) / weight
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimslot/wait.go
@@ -0,0 +1,94 @@
+package pimslot
+
+import (
+	"math"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// noWait is the estimate for a request that cannot start in the foreseeable time.
+const noWait = time.Duration(math.MaxInt64 / 4)
+
+// wait estimates when a new request of the contract would start: the sooner of its guaranteed slots and the pool.
+func (s *service) wait(now pimclock.Instant, c *contract) time.Duration {
+	if s.capacity == 0 {
+		return s.untilHost(now)
+	}
+	if len(c.queue) == 0 && s.freeSlot(now) && s.admissible(now, c) {
+		return 0
+	}
+	return min(s.guaranteedWait(now, c), s.poolWait(c))
+}
+
+func (s *service) admissible(now pimclock.Instant, c *contract) bool {
+	return c.guarantee.allows(now, c.running) || (len(s.active) == 0 && c.borrow.allows(now, c.borrowed) && s.poolAllows(now))
+}
+
+func (s *service) freeSlot(now pimclock.Instant) bool {
+	for _, h := range s.hosts {
+		if h.free(now, s.cfg) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// untilHost returns the time until the first ejected host is tried again.
+func (s *service) untilHost(now pimclock.Instant) time.Duration {
+	until := noWait
+	for _, h := range s.hosts {
+		if !h.gone && !h.Draining && h.health.ejected(now) {
+			until = min(until, h.health.until.Sub(now))
+		}
+	}
+	return until
+}
+
+func (s *service) guaranteedWait(now pimclock.Instant, c *contract) time.Duration {
+	g := &c.guarantee
+	if g.limit < minFraction {
+		return noWait
+	}
+	first := s.inSlots(1, float64(s.capacity))
+	switch {
+	case c.running < g.whole():
+	case g.fraction() >= minFraction && c.running == g.whole():
+		first = max(first, g.tag.Sub(now))
+	default:
+		first = s.inSlots(1, g.limit)
+	}
+	return first + s.inSlots(float64(len(c.queue)), g.limit)
+}
+
+// poolWait counts the waiting requests that precede a new one in the pool and divides them by the slots of the pool.
+func (s *service) poolWait(c *contract) time.Duration {
+	slots, ahead := float64(s.capacity), float64(len(c.queue))
+	for _, o := range s.active {
+		slots -= math.Min(o.guarantee.limit, float64(o.running+len(o.queue)))
+		ahead += s.precedes(o, c)
+	}
+	slots = math.Min(slots, c.borrow.limit)
+	if slots < minFraction {
+		return noWait
+	}
+	return s.inSlots(ahead+1, slots)
+}
+
+// precedes returns how many waiting requests of o use the pool before a new request of c.
+func (s *service) precedes(o, c *contract) float64 {
+	waiting := float64(len(o.queue))
+	switch {
+	case o == c || o.borrow.limit < minFraction || o.terms.Priority > c.terms.Priority:
+		return 0
+	case o.terms.Priority < c.terms.Priority:
+		return waiting
+	default:
+		return math.Min(waiting, float64(len(c.queue)+1)*o.weight()/c.weight())
+	}
+}
+
+// inSlots returns the time in which the given number of slots run n requests.
+func (s *service) inSlots(n, slots float64) time.Duration {
+	return time.Duration(n / slots * float64(s.duration))
+}
