feat: add the token ring and the per-packet router

Cause: other packages need the exported API of pimtoken and pimroute. Ruled out: issuing an admitted flow token on the first packet, since a forged source address would use up the flow limit of its contract; the flow opens with a second challenge instead.

--- /dev/null
+++ b/internal/coordination/pimroute/action.go
@@ -0,0 +1,48 @@
+package pimroute
+
+import (
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
+)
+
+// ActionKind is what a VM does with a packet.
+type ActionKind uint8
+
+// The kinds of actions.
+const (
+	// Forward sends the datagram unchanged to the flow address of a backend server.
+	Forward ActionKind = iota + 1
+	// Execute runs the request at this VM; a POST goes through pimonce, a GET does not.
+	Execute
+	// Relay hands the packet to another VM with the hop count increased by one.
+	Relay
+	// Reply answers the caller.
+	Reply
+)
+
+// Action is the decision about one packet. The caller owns it and reuses it for the next packet. It must not be copied
+// while Reply.Token is in use, since that refers to memory inside the Action.
+type Action struct {
+	Kind ActionKind
+	// Rule is the rule that decided.
+	Rule Rule
+	// Contract is the contract of the source; zero if there is none.
+	Contract pimid.ContractID
+	// Revision is the revision of the view that was used.
+	Revision pimid.Revision
+	// Token is the opened token of the packet; zero if it has none or a bad one.
+	Token pimtoken.Token
+	// Backend, Generation and Address name the backend server of a Forward.
+	Backend    pimid.BackendID
+	Generation pimid.Generation
+	Address    netip.AddrPort
+	// Node is the target of a Relay.
+	Node pimid.NodeID
+	// Reply is the answer of a Reply. For Execute only Reply.Token is set, if the answer must carry a new token.
+	Reply pimedge.Reply
+
+	fresh [pimtoken.Size]byte
+}
--- /dev/null
+++ b/internal/coordination/pimroute/decide.go
@@ -0,0 +1,111 @@
+package pimroute
+
+import (
+	"errors"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
+)
+
+const (
+	// viewBehindRetry is the retry time of a caller whose token is newer than the view of this VM.
+	viewBehindRetry = time.Second
+	// overloadRetry is the retry time of a caller for whose flow no backend server was found.
+	overloadRetry = time.Second
+)
+
+// decision is the work on one packet.
+type decision struct {
+	r       *Router
+	s       *snapshot
+	now     pimclock.Instant
+	unixNow int64
+	p       *pimedge.Packet
+	a       *Action
+}
+
+func (d *decision) decide() {
+	d.a.Revision = d.s.view.Revision
+	if !d.findContract() {
+		refuse(d.a, d.p, RuleNoContract, pimedge.ReasonNoContract, 0)
+		return
+	}
+	if len(d.p.Token) == 0 {
+		d.challenge(RuleNoToken)
+		return
+	}
+	if err := d.s.ring.Open(d.unixNow, d.p.Token, &d.a.Token); err != nil {
+		d.rejectFault(err)
+		return
+	}
+	if d.a.Token.Service != d.p.Service {
+		d.reject(RuleOtherService)
+		return
+	}
+	if d.a.Token.Contract != d.a.Contract {
+		d.reject(RuleOtherContract)
+		return
+	}
+	switch d.p.Kind {
+	case pimedge.KindFlow:
+		d.decideFlow()
+	case pimedge.KindPost:
+		d.decidePost()
+	default:
+		d.decideGet()
+	}
+}
+
+// findContract reports whether a contract covers the source. The relaying VM has looked up the source of a relayed
+// packet, and its token proves the contract.
+func (d *decision) findContract() bool {
+	if d.p.Hops > 0 {
+		d.a.Contract = d.p.Contract
+		return true
+	}
+	id, ok := d.s.index.lookup(d.p.Service, d.p.Source.Addr())
+	d.a.Contract = id
+	return ok
+}
+
+// rejectFault answers a token that does not open.
+func (d *decision) rejectFault(err error) {
+	switch {
+	case errors.Is(err, pimtoken.ErrSize):
+		d.reject(RuleTokenSize)
+	case errors.Is(err, pimtoken.ErrBadMAC):
+		d.reject(RuleBadMAC)
+	case errors.Is(err, pimtoken.ErrRetiredKey):
+		d.reject(RuleRetiredKey)
+	default:
+		d.rejectUnknownKey()
+	}
+}
+
+// rejectUnknownKey tells the caller to keep its token if this VM knows that its view is not the newest.
+func (d *decision) rejectUnknownKey() {
+	if _, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision); ok {
+		refuse(d.a, d.p, RuleUnknownKeyBehind, pimedge.ReasonViewBehind, viewBehindRetry)
+		return
+	}
+	d.reject(RuleUnknownKey)
+}
+
+// reject answers a token that must not be used and offers a new one for later requests.
+func (d *decision) reject(rule Rule) {
+	d.a.Token = pimtoken.Token{}
+	refuse(d.a, d.p, rule, pimedge.ReasonBadToken, 0)
+	d.issueRequestToken()
+}
+
+// decideGet runs an idempotent request here; a token older than its lifetime is replaced first.
+func (d *decision) decideGet() {
+	if d.a.Token.CheckFlow(d.unixNow) != nil {
+		d.challenge(RuleFlowExpired)
+		return
+	}
+	d.a.Kind, d.a.Rule = Execute, RuleGet
+	d.renewPermit()
+}
--- /dev/null
+++ b/internal/coordination/pimroute/flow.go
@@ -0,0 +1,139 @@
+package pimroute
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
+)
+
+const (
+	// propagationBound is the time within which a change reaches every VM (R8), in seconds.
+	propagationBound = int64(15)
+	// openWindow is the age up to which an observe packet belongs to the opening of its flow, which the admission has
+	// counted; refreshes come every 30 s.
+	openWindow = 15 * time.Second
+)
+
+func (d *decision) decideFlow() {
+	t := &d.a.Token
+	if t.CheckFlow(d.unixNow) != nil {
+		d.challenge(RuleFlowExpired)
+		return
+	}
+	if t.Flags&pimtoken.FlagFlow == 0 {
+		d.openFlow()
+		return
+	}
+	b, ok := d.s.view.Backends[t.Backend]
+	switch {
+	case !ok:
+		d.unknownBackend()
+	case b.Generation != t.Generation:
+		d.otherGeneration(&b)
+	case b.Service != t.Service:
+		d.reject(RuleBackendOther)
+	case d.r.cfg.Hosts != nil && d.r.cfg.Hosts.Gone(t.Backend, t.Generation):
+		d.backendGone()
+	case t.FlowReissueDue(d.unixNow):
+		d.reissueFlow()
+	default:
+		d.forward(&b)
+	}
+}
+
+// forward sends the packet of an established flow to its backend server, whether that is leaving or not.
+func (d *decision) forward(b *pimview.Backend) {
+	t := &d.a.Token
+	d.a.Kind, d.a.Rule = Forward, RuleEstablished
+	d.a.Backend, d.a.Generation, d.a.Address = t.Backend, t.Generation, b.FlowAddress
+	if d.p.Observe && t.Age(d.unixNow) >= openWindow {
+		d.r.cfg.Admitter.RefreshFlow(d.now, t.Contract)
+	}
+}
+
+// reissueFlow answers one packet with a new token for the same flow; standard clients repeat the packet with it.
+func (d *decision) reissueFlow() {
+	refuse(d.a, d.p, RuleFlowReissue, pimedge.ReasonNoToken, 0)
+	t := d.a.Token
+	d.issue(&t)
+}
+
+// openFlow admits and places a flow and answers with its token; the caller repeats the packet with it. A first token
+// comes before this step, so a forged source address costs neither admission nor placement.
+func (d *decision) openFlow() {
+	if ok, retry := d.r.cfg.Admitter.AdmitFlow(d.now, d.a.Contract); !ok {
+		refuse(d.a, d.p, RuleFlowLimit, pimedge.ReasonFlowLimit, retry)
+		return
+	}
+	b, ok := d.place()
+	if !ok {
+		refuse(d.a, d.p, RuleNoBackend, pimedge.ReasonOverload, overloadRetry)
+		return
+	}
+	refuse(d.a, d.p, RuleFlowOpened, pimedge.ReasonNoToken, 0)
+	t := d.a.Token
+	t.Flags |= pimtoken.FlagFlow
+	t.Backend, t.Generation = b.ID, b.Generation
+	d.issue(&t)
+}
+
+// place returns the placed backend server as this view has it; the placer may use a newer view.
+func (d *decision) place() (b pimview.Backend, ok bool) {
+	id, ok := d.r.cfg.Placer.Place(d.now, d.p.Service)
+	if !ok {
+		return b, false
+	}
+	b, ok = d.s.view.Backends[id]
+	return b, ok && b.Service == d.p.Service
+}
+
+// otherGeneration handles a token for an earlier or later run of the backend server.
+func (d *decision) otherGeneration(b *pimview.Backend) {
+	if isNewer(d.a.Token.Generation, b.Generation) {
+		d.viewBehind()
+		return
+	}
+	d.backendGone()
+}
+
+// isNewer compares generations as serial numbers, since they wrap around.
+func isNewer(a, b pimid.Generation) bool { return int16(a-b) > 0 }
+
+// unknownBackend tells a backend server that is gone from one that this view does not have yet. The platform assigns no
+// id twice, so a backend server that an earlier view had is gone. If this view was confirmed long after the token was
+// issued, the view would have the backend server, and it is gone too.
+func (d *decision) unknownBackend() {
+	if _, removed := d.s.removed[d.a.Token.Backend]; removed {
+		d.backendGone()
+		return
+	}
+	if int64(d.a.Token.IssuedAt)+propagationBound < d.s.confirmedAt && !d.isBehind() {
+		d.backendGone()
+		return
+	}
+	d.viewBehind()
+}
+
+func (d *decision) isBehind() bool {
+	_, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision)
+	return ok
+}
+
+func (d *decision) backendGone() {
+	refuse(d.a, d.p, RuleBackendGone, pimedge.ReasonBackendGone, 0)
+	d.issueRequestToken()
+}
+
+// viewBehind relays the packet once to a peer with a newer view; without one, the caller tries again.
+func (d *decision) viewBehind() {
+	if d.p.Hops == 0 {
+		if node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision); ok {
+			d.a.Kind, d.a.Rule, d.a.Node = Relay, RuleViewBehindRelay, node
+			return
+		}
+	}
+	refuse(d.a, d.p, RuleViewBehind, pimedge.ReasonViewBehind, viewBehindRetry)
+}
--- /dev/null
+++ b/internal/coordination/pimroute/post.go
@@ -0,0 +1,82 @@
+package pimroute
+
+import "github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+
+const (
+	// maxHops is the number of relays of one request: to the home VM, and from there to its successor.
+	maxHops = 2
+	// maxSuccessors bounds the chain of planned stops that is followed; a token permits POST requests for 300 s, which
+	// few restarts of the same work can fall into.
+	maxSuccessors = 8
+)
+
+// decidePost finds the one VM that may run a POST.
+func (d *decision) decidePost() {
+	switch {
+	case !d.p.HasTag:
+		refuse(d.a, d.p, RuleNoTag, pimedge.ReasonNoTag, 0)
+	case d.a.Token.CheckPermit(d.unixNow) != nil:
+		refuse(d.a, d.p, RulePermitExpired, pimedge.ReasonExpired, 0)
+		d.renewToken()
+	default:
+		d.routePost()
+	}
+}
+
+func (d *decision) routePost() {
+	home := Home{Node: d.a.Token.Home, Incarnation: d.a.Token.HomeIncarnation}
+	target, ok := d.r.acceptor(home)
+	switch {
+	case ok && target == d.r.cfg.Self:
+		d.a.Kind, d.a.Rule = Execute, RuleHome
+		d.renewPermit()
+	case ok && d.p.Hops < maxHops:
+		d.a.Kind, d.a.Rule, d.a.Node = Relay, RuleHomeRelay, target.Node
+		if target != home {
+			d.a.Rule = RuleSuccessorRelay
+		}
+	default:
+		refuse(d.a, d.p, RuleHomeLost, pimedge.ReasonHomeLost, 0)
+		d.renewToken()
+	}
+}
+
+// acceptor follows planned stops from a home VM to the VM that accepts its tokens now.
+func (r *Router) acceptor(home Home) (target Home, ok bool) {
+	for range maxSuccessors {
+		if home == r.cfg.Self {
+			s := r.successor.Load()
+			if s == nil {
+				return home, true
+			}
+			home = *s
+			continue
+		}
+		status, successor := r.cfg.Members.HomeState(home)
+		switch status {
+		case HomeLive:
+			return home, true
+		case HomeLeft:
+			home = successor
+		default:
+			return home, false
+		}
+	}
+	return home, false
+}
+
+// renewPermit adds a new token to the answer once half of the permit has passed, so that a busy caller never sends a
+// request under an expired one.
+func (d *decision) renewPermit() {
+	if d.a.Token.PermitReissueDue(d.unixNow) {
+		d.renewToken()
+	}
+}
+
+// renewToken adds a token with this VM as home and a new flow id, since request tags are unique per flow id and the
+// caller may number its requests anew. It keeps the flow of the old token.
+func (d *decision) renewToken() {
+	t := d.a.Token
+	t.Flow = d.newFlow()
+	d.issue(&t)
+}
--- /dev/null
+++ b/internal/coordination/pimroute/router.go
@@ -0,0 +1,107 @@
+package pimroute
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/samber/oops"
+)
+
+// Router decides about the packets of one VM.
+type Router struct {
+	cfg Config
+	// current is replaced as a whole, so one packet sees one view and its keys.
+	current atomic.Pointer[snapshot]
+	// successor is set once this VM has stopped accepting requests.
+	successor atomic.Pointer[Home]
+	// nextFlow numbers the flows of this run, so that no two tokens of one home share request records.
+	nextFlow atomic.Uint64
+	counts   [ruleCount]atomic.Uint64
+	// update serialises Update and Confirm.
+	update sync.Mutex
+}
+
+// New returns a router without a view; it refuses all packets until the first Update.
+func New(cfg Config) *Router {
+	r := &Router{cfg: cfg}
+	r.nextFlow.Store(cfg.Rand.Uint64())
+	return r
+}
+
+// Update replaces the view at unixNow in unix seconds. It returns an error and keeps the old view if a key is invalid,
+// and ignores a view whose revision is below the current one.
+func (r *Router) Update(unixNow int64, v *pimview.View) (err error) {
+	defer func() { err = oops.In("pimroute").With("revision", v.Revision).Wrapf(err, "update the view") }()
+
+	r.update.Lock()
+	defer r.update.Unlock()
+	old := r.current.Load()
+	if old != nil && v.Revision < old.view.Revision {
+		return nil
+	}
+	s, err := newSnapshot(r.cfg.Keys, old, v, unixNow)
+	if err != nil {
+		return err
+	}
+	r.current.Store(s)
+	return nil
+}
+
+// Confirm records that the current view was still the newest one at unixNow in unix seconds. Without it, a token that
+// names an unknown backend server and was issued after the last Update is answered `view_behind`, never `backend_gone`.
+func (r *Router) Confirm(unixNow int64) {
+	r.update.Lock()
+	defer r.update.Unlock()
+	old := r.current.Load()
+	if old == nil || unixNow <= old.confirmedAt {
+		return
+	}
+	s := *old
+	s.confirmedAt = unixNow
+	r.current.Store(&s)
+}
+
+// Stop makes the router issue tokens for the successor and relay the POST requests of this VM to it. It is called once
+// this VM has permanently stopped accepting requests and has handed over its records.
+func (r *Router) Stop(successor Home) { r.successor.Store(&successor) }
+
+// Revision returns the revision of the current view; zero if there is none.
+func (r *Router) Revision() pimid.Revision {
+	if s := r.current.Load(); s != nil {
+		return s.view.Revision
+	}
+	return 0
+}
+
+// Count returns the number of packets that a rule decided. RuleEstablished is not counted here, since a counter shared
+// by all cores would slow down the path of established flows; the transport counts forwarded packets.
+func (r *Router) Count(rule Rule) uint64 { return r.counts[rule].Load() }
+
+// Rules returns all rules, for metrics.
+func Rules() []Rule {
+	rules := make([]Rule, ruleCount)
+	for i := range rules {
+		rules[i] = Rule(i)
+	}
+	return rules
+}
+
+// Route decides about one packet at the instant now and the wall clock unixNow in unix seconds, and writes the decision
+// to a.
+func (r *Router) Route(now pimclock.Instant, unixNow int64, p *pimedge.Packet, a *Action) {
+	a.reset()
+	s := r.current.Load()
+	if s == nil {
+		refuse(a, p, RuleNoView, pimedge.ReasonViewBehind, viewBehindRetry)
+	} else {
+		d := decision{r: r, s: s, now: now, unixNow: unixNow, p: p, a: a}
+		d.decide()
+	}
+	if a.Rule != RuleEstablished {
+		r.counts[a.Rule].Add(1)
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimroute/rule.go
@@ -0,0 +1,105 @@
+package pimroute
+
+// Rule is the rule of the design that decided about a packet.
+type Rule uint8
+
+// The rules, in the order in which they are checked.
+const (
+	// RuleNoView means that this VM has no view yet.
+	RuleNoView Rule = iota
+	// RuleNoContract means that no contract of the service covers the source.
+	RuleNoContract
+	// RuleNoToken means that the packet has no token and receives one.
+	RuleNoToken
+	// RuleTokenSize means that the token has a wrong length.
+	RuleTokenSize
+	// RuleUnknownKey means that the key of the token is not published.
+	RuleUnknownKey
+	// RuleUnknownKeyBehind means that the key is unknown here while a peer has announced a newer revision.
+	RuleUnknownKeyBehind
+	// RuleRetiredKey means that the key of the token was retired too long ago.
+	RuleRetiredKey
+	// RuleBadMAC means that the token was not sealed with its key.
+	RuleBadMAC
+	// RuleOtherService means that the token was issued for another service.
+	RuleOtherService
+	// RuleOtherContract means that the token was issued under another contract.
+	RuleOtherContract
+	// RuleEstablished means that the flow was forwarded to the backend server of its token.
+	RuleEstablished
+	// RuleFlowReissue means that the flow receives a new token at half of its lifetime.
+	RuleFlowReissue
+	// RuleFlowExpired means that the flow token is older than its lifetime.
+	RuleFlowExpired
+	// RuleFlowOpened means that a new flow was admitted and placed.
+	RuleFlowOpened
+	// RuleFlowLimit means that the flow limit of the contract is reached.
+	RuleFlowLimit
+	// RuleNoBackend means that no backend server accepts a new flow.
+	RuleNoBackend
+	// RuleBackendOther means that the view assigns the backend server of the token to another service.
+	RuleBackendOther
+	// RuleBackendGone means that the backend server of the token no longer exists.
+	RuleBackendGone
+	// RuleViewBehindRelay means that the token is newer than the view and a peer with a newer view was found.
+	RuleViewBehindRelay
+	// RuleViewBehind means that the token is newer than the view and no peer with a newer view is known.
+	RuleViewBehind
+	// RuleGet means that an idempotent request runs at any VM.
+	RuleGet
+	// RuleNoTag means that a POST carries no request tag.
+	RuleNoTag
+	// RulePermitExpired means that the token no longer permits POST requests.
+	RulePermitExpired
+	// RuleHome means that a POST runs here, at its home VM or the successor.
+	RuleHome
+	// RuleHomeRelay means that a POST is relayed to its home VM.
+	RuleHomeRelay
+	// RuleSuccessorRelay means that a POST is relayed to the successor of its home VM.
+	RuleSuccessorRelay
+	// RuleHomeLost means that no VM may run the POST.
+	RuleHomeLost
+	// RuleNoSealingKey means that no key may seal a token yet.
+	RuleNoSealingKey
+
+	ruleCount
+)
+
+var ruleNames = [ruleCount]string{
+	RuleNoView:           "no_view",
+	RuleNoContract:       "no_contract",
+	RuleNoToken:          "no_token",
+	RuleTokenSize:        "token_size",
+	RuleUnknownKey:       "unknown_key",
+	RuleUnknownKeyBehind: "unknown_key_behind",
+	RuleRetiredKey:       "retired_key",
+	RuleBadMAC:           "bad_mac",
+	RuleOtherService:     "other_service",
+	RuleOtherContract:    "other_contract",
+	RuleEstablished:      "established",
+	RuleFlowReissue:      "flow_reissue",
+	RuleFlowExpired:      "flow_expired",
+	RuleFlowOpened:       "flow_opened",
+	RuleFlowLimit:        "flow_limit",
+	RuleNoBackend:        "no_backend",
+	RuleBackendOther:     "backend_other_service",
+	RuleBackendGone:      "backend_gone",
+	RuleViewBehindRelay:  "view_behind_relay",
+	RuleViewBehind:       "view_behind",
+	RuleGet:              "get",
+	RuleNoTag:            "no_tag",
+	RulePermitExpired:    "permit_expired",
+	RuleHome:             "home",
+	RuleHomeRelay:        "home_relay",
+	RuleSuccessorRelay:   "successor_relay",
+	RuleHomeLost:         "home_lost",
+	RuleNoSealingKey:     "no_sealing_key",
+}
+
+// String returns the name of the rule in traces and metrics.
+func (r Rule) String() string {
+	if r >= ruleCount {
+		return "unknown"
+	}
+	return ruleNames[r]
+}
--- a/internal/protocol/pimedge/packet.go
+++ b/internal/protocol/pimedge/packet.go
@@ -23,6 +23,12 @@
 // Packet is one decoded datagram of a caller.
 type Packet struct {
 	Kind Kind
+	// Observe reports whether a flow packet opens or refreshes the flow (GET with Observe) instead of feeding it (PUT).
+	Observe bool
+	// Hops is the number of relays between VMs so far; zero for a datagram that came from a caller.
+	Hops uint8
+	// Contract is the contract that the relaying VM found for the source; it is only read if Hops is not zero.
+	Contract pimid.ContractID
 	// Service is the service whose address the packet was sent to.
 	Service pimid.ServiceID
 	// Source is the caller's address.
--- /dev/null
+++ b/pkg/pimtoken/ring.go
@@ -0,0 +1,100 @@
+package pimtoken
+
+import (
+	"cmp"
+	"crypto/subtle"
+	"encoding/binary"
+	"fmt"
+	"slices"
+
+	"github.com/dchest/siphash"
+	"github.com/samber/oops"
+)
+
+// Ring is an immutable set of keys; a change of keys replaces the whole ring.
+type Ring struct {
+	// keys are ordered from the newest to the oldest.
+	keys []ringKey
+	// position is the index of a key id in keys plus one; zero means that the id is unknown.
+	position [1 << 8]uint16
+}
+
+// NewRing builds a ring of the published keys; it returns ErrKeySize or ErrDuplicateKey.
+func NewRing(keys []Key) (r *Ring, err error) {
+	defer func() { err = oops.In("pimtoken").Wrapf(err, "build the key ring") }()
+
+	r = &Ring{keys: make([]ringKey, 0, len(keys))}
+	for _, k := range keys {
+		if len(k.Secret) != KeySize {
+			return nil, fmt.Errorf("key %d: %w", k.ID, ErrKeySize)
+		}
+		r.keys = append(r.keys, newRingKey(k))
+	}
+	slices.SortFunc(r.keys, newestFirst)
+	for i, k := range r.keys {
+		if r.position[k.id] != 0 {
+			return nil, fmt.Errorf("key %d: %w", k.id, ErrDuplicateKey)
+		}
+		r.position[k.id] = uint16(i + 1)
+	}
+	return r, nil
+}
+
+// newestFirst orders keys of the same second by id, so that all VMs choose the same one.
+func newestFirst(a, b ringKey) int {
+	return cmp.Or(cmp.Compare(b.publishedAt, a.publishedAt), cmp.Compare(b.id, a.id))
+}
+
+// Seal writes the sealed token to dst at unixNow in unix seconds; it returns ErrNoSealingKey.
+func (r *Ring) Seal(unixNow int64, t *Token, dst *[Size]byte) error {
+	k := r.sealingKey(unixNow)
+	if k == nil {
+		return ErrNoSealingKey
+	}
+	t.encode(dst, k.id)
+	binary.BigEndian.PutUint64(dst[offsetMAC:], siphash.Hash(k.k0, k.k1, dst[:offsetMAC]))
+	return nil
+}
+
+// Open reads a sealed token into t at unixNow in unix seconds; it returns ErrSize, ErrUnknownKey, ErrRetiredKey or
+// ErrBadMAC and leaves t unchanged then. The caller checks the lifetime that applies to its kind of work.
+func (r *Ring) Open(unixNow int64, sealed []byte, t *Token) error {
+	if len(sealed) != Size {
+		return ErrSize
+	}
+	raw := (*[Size]byte)(sealed)
+	i := r.position[raw[offsetKey]]
+	if i == 0 {
+		return ErrUnknownKey
+	}
+	k := &r.keys[i-1]
+	var mac [Size - offsetMAC]byte
+	binary.BigEndian.PutUint64(mac[:], siphash.Hash(k.k0, k.k1, raw[:offsetMAC]))
+	if subtle.ConstantTimeCompare(mac[:], raw[offsetMAC:]) != 1 {
+		return ErrBadMAC
+	}
+	if k.isRetired(unixNow, KeyGrace) {
+		return ErrRetiredKey
+	}
+	t.decode(raw)
+	return nil
+}
+
+// sealingKey returns the newest key that has been public for KeyDelay and is not retired. A key that was retired at
+// the moment when its successor was published seals for KeyDelay longer, since the successor must not seal yet.
+func (r *Ring) sealingKey(unixNow int64) *ringKey {
+	var fallback *ringKey
+	for i := range r.keys {
+		k := &r.keys[i]
+		if !k.isPublic(unixNow) {
+			continue
+		}
+		if !k.isRetired(unixNow, 0) {
+			return k
+		}
+		if fallback == nil && !k.isRetired(unixNow, KeyDelay) {
+			fallback = k
+		}
+	}
+	return fallback
+}
--- a/pkg/pimtoken/token.go
+++ b/pkg/pimtoken/token.go
@@ -21,6 +21,7 @@
 	Home            pimid.NodeID
 	HomeIncarnation pimid.Incarnation
 	Flow            pimid.FlowID
+	// Flow uses only the low 48 bits.
 	// IssuedAt is the issue time in unix seconds.
 	IssuedAt uint32
 }
