feat: add membership and configuration store

Ruled out: nothing yet; this is the first version for integration. Change: add pimmember (detector, rings, backend status) and pimconfig (store, decoder, log, chunks, budget).

--- /dev/null
+++ b/internal/coordination/pimconfig/decoder.go
@@ -0,0 +1,64 @@
+package pimconfig
+
+import (
+	"maps"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// decoder turns changes into views. A change decodes only its own value and copies only the maps that it touches.
+type decoder struct {
+	view          *pimview.View
+	bad           map[string]*ValueError
+	checkContract func(pimcontract.Contract) error
+}
+
+func newDecoder(check func(pimcontract.Contract) error) *decoder {
+	if check == nil {
+		check = func(pimcontract.Contract) error { return nil }
+	}
+	return &decoder{checkContract: check, bad: map[string]*ValueError{}, view: &pimview.View{
+		Services:  map[pimid.ServiceID]pimview.Service{},
+		Backends:  map[pimid.BackendID]pimview.Backend{},
+		Contracts: map[pimid.ContractID]pimcontract.Contract{},
+		Nodes:     map[pimid.NodeID]pimview.Node{},
+	}}
+}
+
+// apply builds the view at revision to and returns the values that could not be decoded.
+func (d *decoder) apply(to pimid.Revision, changes []Event) (bad []*ValueError) {
+	next := *d.view
+	next.Revision = to
+	owned := copies{view: &next}
+	for _, e := range changes {
+		err := d.change(&owned, e)
+		if err == nil || e.Deleted {
+			// Nothing of a deleted key is in force, also if the key could never be decoded.
+			delete(d.bad, e.Key)
+			continue
+		}
+		v := &ValueError{Key: e.Key, Revision: e.Revision, Err: err}
+		d.bad[e.Key] = v
+		bad = append(bad, v)
+	}
+	d.view = &next
+	return bad
+}
+
+func (d *decoder) badValues() map[string]*ValueError { return maps.Clone(d.bad) }
+
+// copies copies each map of the view before its first change.
+type copies struct {
+	view                                 *pimview.View
+	services, backends, contracts, nodes bool
+}
+
+func own[K comparable, V any](m *map[K]V, done *bool) map[K]V {
+	if !*done {
+		*m = maps.Clone(*m)
+		*done = true
+	}
+	return *m
+}
--- /dev/null
+++ b/internal/coordination/pimconfig/hash.go
@@ -0,0 +1,45 @@
+package pimconfig
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/crypto/blake2b"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// HashSize is the length of digests and chunk hashes in bytes; 128 bits keep the hash list of a snapshot short.
+const HashSize = 16
+
+// buckets is the number of snapshot chunks. At 33,000 backend servers a chunk holds about 30 KB, so that one change
+// resends little, and the complete hash list has 8 KB.
+const buckets = 512
+
+func bucketOf(key string) int { return int(xxhash.Sum64String(key) % buckets) }
+
+// emptyHash stands for the chunk list of a state without keys.
+var emptyHash = contentHash(nil)
+
+func contentHash(p []byte) (h [HashSize]byte) {
+	sum := blake2b.Sum256(p)
+	copy(h[:], sum[:])
+	return h
+}
+
+// entryHash covers key, revision and value; the digest of a store is the XOR over its entries, so that one change
+// costs two hashes at any size.
+func entryHash(key string, revision pimid.Revision, value []byte) [HashSize]byte {
+	buf := make([]byte, 0, 12+len(key)+len(value))
+	buf = binary.BigEndian.AppendUint64(buf, uint64(revision))
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(key)))
+	buf = append(buf, key...)
+	buf = append(buf, value...)
+	return contentHash(buf)
+}
+
+func xorInto(dst *[HashSize]byte, src [HashSize]byte) {
+	for i := range dst {
+		dst[i] ^= src[i]
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimconfig/serve.go
@@ -0,0 +1,126 @@
+package pimconfig
+
+import (
+	"math/rand/v2"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// DefaultPullBytes bounds a pull reply if the request names no bound; it stays below the message limit of drpc.
+const DefaultPullBytes = 64_000
+
+// Server answers PullConfig requests from a store within a byte budget; it is safe for concurrent use.
+type Server struct {
+	store  *Store
+	budget *Budget
+}
+
+// NewServer returns a server for one store.
+func NewServer(store *Store, budget *Budget) *Server { return &Server{store: store, budget: budget} }
+
+// Pull answers with a batch if the log reaches back to the request's revision, else with snapshot chunks. A reply
+// that the budget does not allow is empty with More set, and the receiver tries another VM. Chunks start at a random
+// place, so that pulls from several VMs bring different chunks.
+func (s *Server) Pull(now pimclock.Instant, rng *rand.Rand, req *pimpb.PullConfigRequest) (
+	reply *pimpb.PullConfigReply, err error,
+) {
+	defer func() { err = oops.In("pimconfig").Wrapf(err, "answer pull") }()
+	limit := int(req.GetMaxBytes())
+	if limit <= 0 || limit > DefaultPullBytes {
+		limit = DefaultPullBytes
+	}
+	if limit = min(limit, s.budget.Available(now)); limit <= 0 {
+		return &pimpb.PullConfigReply{Revision: req.GetFromRevision(), More: true}, nil
+	}
+	if reply = s.batch(pimid.Revision(req.GetFromRevision()), limit); reply == nil {
+		if reply, err = s.snapshot(rng, req, limit); err != nil {
+			return nil, err
+		}
+	}
+	s.budget.Take(now, replySize(reply))
+	return reply, nil
+}
+
+func (s *Server) batch(from pimid.Revision, limit int) *pimpb.PullConfigReply {
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	if from >= s.store.digest.Revision {
+		return &pimpb.PullConfigReply{Revision: uint64(s.store.digest.Revision)}
+	}
+	b, ok := s.store.log.since(from, limit)
+	if !ok {
+		return nil
+	}
+	return &pimpb.PullConfigReply{
+		Revision: uint64(b.To), Events: toProto(b.Events), More: b.To < s.store.digest.Revision,
+	}
+}
+
+func (s *Server) snapshot(rng *rand.Rand, req *pimpb.PullConfigRequest, limit int) (*pimpb.PullConfigReply, error) {
+	have := map[string]bool{}
+	for _, h := range req.GetHaveChunks() {
+		have[string(h)] = true
+	}
+	s.store.mu.Lock()
+	defer s.store.mu.Unlock()
+	if err := s.store.rehash(); err != nil {
+		return nil, err
+	}
+	reply := &pimpb.PullConfigReply{Revision: uint64(s.store.digest.Revision)}
+	missing := s.missing(have, reply)
+	rng.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
+	size := HashSize * len(reply.GetChunkHashes())
+	for _, b := range missing {
+		if size >= limit {
+			break
+		}
+		p, err := s.store.chunk(b)
+		if err != nil {
+			return nil, err
+		}
+		if p, err = compress(p); err != nil {
+			return nil, err
+		}
+		if len(reply.Chunks) > 0 && size+len(p) > limit {
+			break
+		}
+		reply.Chunks = append(reply.Chunks, p)
+		size += len(p)
+	}
+	reply.More = len(reply.Chunks) < len(missing)
+	return reply, nil
+}
+
+// missing lists the hashes of all chunks in the reply and returns the buckets that the receiver lacks.
+func (s *Server) missing(have map[string]bool, reply *pimpb.PullConfigReply) (missing []*bucket) {
+	for i := range s.store.buckets {
+		b := &s.store.buckets[i]
+		if len(b.keys) == 0 {
+			continue
+		}
+		reply.ChunkHashes = append(reply.ChunkHashes, b.hash[:])
+		if !have[string(b.hash[:])] {
+			missing = append(missing, b)
+		}
+	}
+	if len(reply.ChunkHashes) == 0 {
+		// A list is never empty, since a reply without hashes is a batch.
+		reply.ChunkHashes = append(reply.ChunkHashes, emptyHash[:])
+	}
+	return missing
+}
+
+func replySize(r *pimpb.PullConfigReply) int {
+	size := HashSize * len(r.GetChunkHashes())
+	for _, c := range r.GetChunks() {
+		size += len(c)
+	}
+	for _, e := range r.GetEvents() {
+		size += len(e.GetKey()) + len(e.GetValue()) + 16
+	}
+	return size + 16
+}
--- /dev/null
+++ b/internal/coordination/pimmember/digest.go
@@ -0,0 +1,90 @@
+package pimmember
+
+import (
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// SetDigest announces the own configuration state; a higher revision is pushed like an update.
+func (m *Members) SetDigest(revision pimid.Revision, hash []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if uint64(revision) > m.digest.GetRevision() {
+		m.digestSends = sendLimit(len(m.peers))
+	}
+	m.digest = &pimpb.ConfigDigest{Revision: uint64(revision), Hash: slices.Clone(hash)}
+	m.self.Revision = revision
+}
+
+// Ahead returns the reachable VMs that announced a higher revision than the given one, the own data centre first.
+func (m *Members) Ahead(revision pimid.Revision) (ids []pimid.NodeID) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	var far []pimid.NodeID
+	for _, id := range m.sortedIDs() {
+		r := m.records[id]
+		if r == m.self || r.Revision <= revision || !r.reachable() {
+			continue
+		}
+		if r.DataCentre == m.cfg.DataCentre {
+			ids = append(ids, id)
+		} else {
+			far = append(far, id)
+		}
+	}
+	return append(ids, far...)
+}
+
+// digests exchanges digests and member updates with the other data centres if the own VM is a reader.
+func (m *Members) digests(now pimclock.Instant) (out []Message) {
+	if !slices.Contains(m.Top(m.cfg.DataCentre, ReaderKey, Readers), m.self.ID) {
+		return nil
+	}
+	for _, dc := range m.DataCentres() {
+		if dc == m.cfg.DataCentre {
+			continue
+		}
+		for _, id := range m.remoteTargets(now, dc) {
+			r := m.records[id]
+			if !r.Address.IsValid() {
+				continue
+			}
+			g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_DIGEST, 0)
+			g.Members = append(g.Members, m.self.update())
+			m.remote.fill(g, maxDatagram-headerBytes, m.remoteLimit())
+			out = append(out, m.message(r, g))
+		}
+	}
+	return out
+}
+
+// remoteTargets returns the readers of another data centre. If they have been silent, they may have failed without
+// this data centre knowing, and a random VM is added.
+func (m *Members) remoteTargets(now pimclock.Instant, dc pimid.DataCentre) []pimid.NodeID {
+	ids := m.Top(dc, ReaderKey, Readers)
+	if now.Sub(m.heard[dc]) < silentDataCentre {
+		return ids
+	}
+	live := m.Live(dc)
+	if id := live[m.rng.IntN(len(live))]; !slices.Contains(ids, id) {
+		ids = append(ids, id)
+	}
+	return ids
+}
+
+// remoteLimit lets each update reach every other data centre about three times.
+func (m *Members) remoteLimit() int { return limitFactor * Readers * len(m.DataCentres()) }
+
+// answerDigest answers a VM of another data centre that is behind, since it hears few VMs.
+func (m *Members) answerDigest(from *record, g *pimpb.Gossip) []Message {
+	if from.DataCentre == m.cfg.DataCentre || !from.Address.IsValid() {
+		return nil
+	}
+	if g.GetConfig().GetRevision() >= m.digest.GetRevision() {
+		return nil
+	}
+	return []Message{m.message(from, m.gossip(pimpb.GossipKind_GOSSIP_KIND_DIGEST, 0))}
+}
--- /dev/null
+++ b/internal/coordination/pimmember/leave.go
@@ -0,0 +1,70 @@
+package pimmember
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Successor returns the VM that should take over the tokens of the own VM: the rendezvous-next live VM of the data
+// centre, with its incarnation. It reports false if there is none.
+func (m *Members) Successor() (pimid.NodeID, pimid.Incarnation, bool) {
+	for _, id := range m.Top(m.cfg.DataCentre, uint64(m.cfg.Self), 2) {
+		if id == m.cfg.Self {
+			continue
+		}
+		r, _ := m.Member(id)
+		return id, r.Incarnation, true
+	}
+	return 0, 0, false
+}
+
+// SuccessorOf returns the VM that accepts the tokens of one incarnation of a VM that announced a planned stop.
+func (m *Members) SuccessorOf(id pimid.NodeID, inc pimid.Incarnation) (pimid.NodeID, pimid.Incarnation, bool) {
+	r, ok := m.Member(id)
+	if !ok || r.Incarnation != inc || r.Successor == 0 {
+		return 0, 0, false
+	}
+	return r.Successor, r.SuccessorIncarnation, true
+}
+
+// Leave announces a planned stop and the successor, or no successor if it is 0. The VM owns no keys from now on.
+func (m *Members) Leave(now pimclock.Instant, successor pimid.NodeID, inc pimid.Incarnation) []Message {
+	return m.announce(now, Leaving, func() {
+		m.self.Leaving = true
+		m.self.Successor, m.self.SuccessorIncarnation = successor, inc
+	})
+}
+
+// Left announces the end of a planned stop, so that no peer probes the VM any longer.
+func (m *Members) Left(now pimclock.Instant) []Message {
+	return m.announce(now, Left, func() { m.self.Leaving = true })
+}
+
+func (m *Members) announce(now pimclock.Instant, s State, change func()) []Message {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.settle()
+	change()
+	m.self.State = s
+	m.self.Counter++
+	m.touch(m.self)
+	m.spread(m.self)
+	return m.push(now)
+}
+
+// nextAbnormal returns a failed, leaving or draining state in turn; nil if there is none.
+func (m *Members) nextAbnormal() *item {
+	m.backends.mu.RLock()
+	abnormal := m.backends.abnormal
+	var u *pimpb.BackendUpdate
+	if len(abnormal) > 0 {
+		m.refillAt = (m.refillAt + 1) % len(abnormal)
+		u = m.backends.updates[abnormal[m.refillAt]]
+	}
+	m.backends.mu.RUnlock()
+	if u == nil {
+		return nil
+	}
+	return backendItem(u)
+}
--- /dev/null
+++ b/internal/coordination/pimmember/members.go
@@ -0,0 +1,191 @@
+package pimmember
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Message is one datagram to send; the caller seals it and adds the send time.
+type Message struct {
+	To      pimid.NodeID
+	Address netip.AddrPort
+	Gossip  *pimpb.Gossip
+}
+
+// Counters count what the detector observed; they only grow.
+type Counters struct {
+	Probes      uint64
+	Suspicions  uint64
+	Failures    uint64
+	Refutations uint64
+	// Conflicts counts updates that name another incarnation of the own VM than the running one, if it is newer.
+	Conflicts uint64
+	// Unlisted counts messages of VMs that are not listed and not in their grace period.
+	Unlisted uint64
+	// StaleLists counts published lists with a lower version than the current one.
+	StaleLists uint64
+	// Pauses counts gaps between ticks after which no conclusion was drawn from missing answers.
+	Pauses uint64
+}
+
+// Members is the table of VMs and the failure detector of one VM; it is safe for concurrent use.
+type Members struct {
+	cfg      Settings
+	rings    atomic.Pointer[map[pimid.DataCentre]*ring]
+	backends backendTable
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	records  map[pimid.NodeID]*record
+	self     *record
+	changed  map[pimid.DataCentre]bool
+	counts   Counters
+	listed   bool
+	version  uint64
+	peers    []pimid.NodeID
+	stale    bool
+	lastTick pimclock.Instant
+	digest   *pimpb.ConfigDigest
+
+	sequence  uint64
+	probe     probe
+	nextProbe pimclock.Instant
+	order     []pimid.NodeID
+	helping   map[uint64]help
+
+	queue    queue
+	remote   queue
+	nextPush pimclock.Instant
+	pushed   allowance
+	// digestSends is how often the current digest is still pushed.
+	digestSends int
+	nextDigest  pimclock.Instant
+	heard       map[pimid.DataCentre]pimclock.Instant
+	refillAt    int
+}
+
+// New returns the table of a VM that knows itself and its seeds.
+func New(cfg Settings, now pimclock.Instant, rng *rand.Rand) *Members {
+	cfg = cfg.withDefaults()
+	m := &Members{
+		cfg: cfg, rng: rng, records: map[pimid.NodeID]*record{}, changed: map[pimid.DataCentre]bool{},
+		helping: map[uint64]help{}, heard: map[pimid.DataCentre]pimclock.Instant{}, lastTick: now,
+		remote: queue{cap: remoteQueue}, pushed: allowance{level: pushBurst, last: now}, digest: &pimpb.ConfigDigest{},
+	}
+	m.rings.Store(&map[pimid.DataCentre]*ring{})
+	m.backends.init()
+	m.self = &record{Member: Member{
+		ID: cfg.Self, DataCentre: cfg.DataCentre, Address: cfg.Address, Incarnation: cfg.Incarnation, State: Alive,
+	}}
+	m.records[cfg.Self] = m.self
+	m.touch(m.self)
+	for _, n := range cfg.Seeds {
+		if n.ID != cfg.Self {
+			m.add(&record{Member: Member{ID: n.ID, DataCentre: n.DataCentre, Address: n.PeerAddress, State: Alive}, seen: now})
+		}
+	}
+	// The first probe starts at a random moment, so that VMs that start together do not probe together.
+	m.nextProbe = now.Add(jitter(rng, cfg.ProbeInterval))
+	m.nextPush = now.Add(jitter(rng, cfg.PushInterval))
+	m.nextDigest = now.Add(jitter(rng, cfg.DigestInterval))
+	m.spread(m.self)
+	m.settle()
+	return m
+}
+
+// SetPublished installs the platform's list of VMs, the upper bound on membership; lower versions are ignored.
+func (m *Members) SetPublished(now pimclock.Instant, version uint64, nodes []pimview.Node) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.settle()
+	if m.listed && version < m.version {
+		m.counts.StaleLists++
+		return
+	}
+	m.listed, m.version = true, version
+	on := make(map[pimid.NodeID]bool, len(nodes))
+	for _, n := range nodes {
+		on[n.ID] = true
+		m.list(now, n)
+	}
+	for id, r := range m.records {
+		if r.Listed && !on[id] {
+			r.Listed, r.expired, r.seen = false, id != m.self.ID, now
+			m.touch(r)
+		}
+	}
+}
+
+func (m *Members) list(now pimclock.Instant, n pimview.Node) {
+	r, ok := m.records[n.ID]
+	if !ok {
+		r = &record{Member: Member{ID: n.ID, State: Alive}, seen: now}
+		m.add(r)
+	}
+	m.touch(r)
+	r.Listed, r.expired = true, false
+	r.listedLeaving = n.State == pimview.NodeLeaving
+	r.DataCentre = n.DataCentre
+	if n.PeerAddress.IsValid() {
+		r.Address = n.PeerAddress
+	}
+	m.touch(r)
+}
+
+func (m *Members) add(r *record) {
+	m.records[r.ID] = r
+	m.touch(r)
+}
+
+// touch notes that the owners of a data centre may change.
+func (m *Members) touch(r *record) {
+	m.changed[r.DataCentre] = true
+	m.stale = true
+}
+
+// settle rebuilds the rings of the data centres that changed; the caller holds the lock.
+func (m *Members) settle() {
+	if !m.stale {
+		return
+	}
+	m.stale = false
+	m.rebuildPeers()
+	m.rebuildRings()
+	clear(m.changed)
+}
+
+// Counters returns the counts so far.
+func (m *Members) Counters() Counters {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.counts
+}
+
+// Member returns what is known about a VM.
+func (m *Members) Member(id pimid.NodeID) (Member, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	r, ok := m.records[id]
+	if !ok {
+		return Member{}, false
+	}
+	return r.Member, true
+}
+
+// All returns what is known about all VMs, in no particular order.
+func (m *Members) All() []Member {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := make([]Member, 0, len(m.records))
+	for _, r := range m.records {
+		out = append(out, r.Member)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/coordination/pimmember/probe.go
@@ -0,0 +1,140 @@
+package pimmember
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// probe is the probe of the current interval.
+type probe struct {
+	target   pimid.NodeID
+	sequence uint64
+	sent     pimclock.Instant
+	open     bool
+	indirect bool
+}
+
+// help is a probe on behalf of another VM.
+type help struct {
+	requester pimid.NodeID
+	sequence  uint64
+	target    pimid.NodeID
+	until     pimclock.Instant
+}
+
+// startProbe ends the previous interval and pings the next VM; a VM that gave no answer is suspected.
+func (m *Members) startProbe(now pimclock.Instant) (out []Message) {
+	m.nextProbe = now.Add(m.cfg.ProbeInterval)
+	if m.probe.open {
+		m.suspect(now, m.probe.target)
+	}
+	m.probe = probe{}
+	if id, ok := m.nextTarget(); ok {
+		m.sequence++
+		m.counts.Probes++
+		m.probe = probe{target: id, sequence: m.sequence, sent: now, open: true}
+		out = append(out, m.ping(m.records[id], m.sequence))
+	}
+	// A VM that was declared dead is tried again, so that the sides of a healed partition find each other.
+	if r := m.randomDead(); r != nil {
+		m.sequence++
+		out = append(out, m.ping(r, m.sequence))
+	}
+	return out
+}
+
+// nextTarget walks through all peers in a random order that changes with every round, so that the time until a
+// failed VM is probed is bounded.
+func (m *Members) nextTarget() (pimid.NodeID, bool) {
+	for range 2 {
+		for len(m.order) > 0 {
+			id := m.order[len(m.order)-1]
+			m.order = m.order[:len(m.order)-1]
+			if r, ok := m.records[id]; ok && r.reachable() && r.Address.IsValid() {
+				return id, true
+			}
+		}
+		m.order = append(m.order[:0], m.peers...)
+		m.rng.Shuffle(len(m.order), func(i, j int) { m.order[i], m.order[j] = m.order[j], m.order[i] })
+	}
+	return 0, false
+}
+
+func (m *Members) randomDead() *record {
+	var pick *record
+	n := 0
+	for _, id := range m.sortedIDs() {
+		r := m.records[id]
+		if r.State != Dead || r.expired || r.DataCentre != m.cfg.DataCentre || !r.Address.IsValid() {
+			continue
+		}
+		if n++; m.rng.IntN(n) == 0 {
+			pick = r
+		}
+	}
+	return pick
+}
+
+// askHelpers asks random peers to probe the target, since the path from this VM alone may be broken.
+func (m *Members) askHelpers() (out []Message) {
+	m.probe.indirect = true
+	for _, id := range m.randomPeers(m.cfg.IndirectProbes, m.probe.target) {
+		g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_PING_REQ, m.probe.sequence)
+		g.Target = uint32(m.probe.target)
+		out = append(out, m.message(m.records[id], g))
+	}
+	return out
+}
+
+func (m *Members) suspect(now pimclock.Instant, id pimid.NodeID) {
+	r, ok := m.records[id]
+	if !ok || rank(r.State) >= rank(Suspect) {
+		return
+	}
+	m.counts.Suspicions++
+	r.State = Suspect
+	r.suspectUntil = now.Add(m.cfg.SuspicionTimeout)
+	m.touch(r)
+	m.spread(r)
+}
+
+func (m *Members) expireSuspicions(now pimclock.Instant) {
+	for _, id := range m.sortedIDs() {
+		r := m.records[id]
+		if r.State != Suspect || now.Before(r.suspectUntil) {
+			continue
+		}
+		m.counts.Failures++
+		r.State = Dead
+		m.touch(r)
+		m.spread(r)
+	}
+}
+
+// randomPeers picks up to n peers other than the excluded one.
+func (m *Members) randomPeers(n int, exclude pimid.NodeID) (out []pimid.NodeID) {
+	if len(m.peers) <= n+1 {
+		for _, id := range m.peers {
+			if id != exclude && len(out) < n {
+				out = append(out, id)
+			}
+		}
+		return out
+	}
+	chosen := map[pimid.NodeID]bool{exclude: true}
+	for len(out) < n {
+		if id := m.peers[m.rng.IntN(len(m.peers))]; !chosen[id] {
+			chosen[id] = true
+			out = append(out, id)
+		}
+	}
+	return out
+}
+
+func jitter(rng *rand.Rand, d time.Duration) time.Duration {
+	return time.Duration(rng.Int64N(int64(d)))
+}
--- /dev/null
+++ b/internal/coordination/pimmember/receive.go
@@ -0,0 +1,120 @@
+package pimmember
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// headerBytes estimates the size of a datagram without piggybacked updates: seal, kind, ids and digest.
+const headerBytes = 100
+
+// Receive handles an authenticated message and returns the answers to send.
+func (m *Members) Receive(now pimclock.Instant, g *pimpb.Gossip) (out []Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.settle()
+	from, ok := m.heardFrom(now, g)
+	if !ok {
+		return nil
+	}
+	for _, u := range g.GetMembers() {
+		m.apply(now, u)
+	}
+	for _, u := range g.GetBackends() {
+		m.applyBackend(u)
+	}
+	switch g.GetKind() {
+	case pimpb.GossipKind_GOSSIP_KIND_PING:
+		return []Message{m.ack(from, g.GetSequence(), 0)}
+	case pimpb.GossipKind_GOSSIP_KIND_ACK:
+		return m.acked(from, g)
+	case pimpb.GossipKind_GOSSIP_KIND_PING_REQ:
+		return m.help(now, from, g)
+	case pimpb.GossipKind_GOSSIP_KIND_DIGEST:
+		return m.answerDigest(from, g)
+	}
+	return nil
+}
+
+func (m *Members) acked(from *record, g *pimpb.Gossip) []Message {
+	isTarget := from.ID == m.probe.target || pimid.NodeID(g.GetTarget()) == m.probe.target
+	if m.probe.open && g.GetSequence() == m.probe.sequence && isTarget {
+		m.probe.open = false
+		return nil
+	}
+	h, ok := m.helping[g.GetSequence()]
+	if !ok || h.target != from.ID {
+		return nil
+	}
+	delete(m.helping, g.GetSequence())
+	if r, ok := m.records[h.requester]; ok && r.Address.IsValid() {
+		return []Message{m.ack(r, h.sequence, h.target)}
+	}
+	return nil
+}
+
+func (m *Members) help(now pimclock.Instant, from *record, g *pimpb.Gossip) []Message {
+	target, ok := m.records[pimid.NodeID(g.GetTarget())]
+	if !ok || target == m.self || !target.Address.IsValid() {
+		return nil
+	}
+	m.sequence++
+	m.helping[m.sequence] = help{
+		requester: from.ID, sequence: g.GetSequence(), target: target.ID, until: now.Add(helpTimeout),
+	}
+	return []Message{m.ping(target, m.sequence)}
+}
+
+// ping carries the own state, so that a VM without the published list learns the sender, and the state of the
+// target unless it is alive, so that the target can refute it.
+func (m *Members) ping(to *record, sequence uint64) Message {
+	g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_PING, sequence)
+	g.Members = append(g.Members, m.self.update())
+	return m.loaded(to, g)
+}
+
+func (m *Members) ack(to *record, sequence uint64, target pimid.NodeID) Message {
+	g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_ACK, sequence)
+	g.Target = uint32(target)
+	return m.loaded(to, g)
+}
+
+// loaded fills a probe or answer with the receiver's own state, queued updates and a few older abnormal states.
+func (m *Members) loaded(to *record, g *pimpb.Gossip) Message {
+	room := maxDatagram - headerBytes
+	for _, u := range g.GetMembers() {
+		room -= memberItem(u).size
+	}
+	if to.State != Alive {
+		it := memberItem(to.update())
+		it.appendTo(g)
+		room -= it.size
+	}
+	room -= m.queue.fill(g, room, sendLimit(len(m.peers)))
+	m.refill(g, room)
+	return m.message(to, g)
+}
+
+// refill adds older abnormal states in turn.
+func (m *Members) refill(g *pimpb.Gossip, room int) {
+	for range refill {
+		it := m.nextAbnormal()
+		if it == nil || it.size > room {
+			return
+		}
+		it.appendTo(g)
+		room -= it.size
+	}
+}
+
+func (m *Members) gossip(kind pimpb.GossipKind, sequence uint64) *pimpb.Gossip {
+	return &pimpb.Gossip{
+		Kind: kind, Sender: uint32(m.self.ID), SenderIncarnation: uint64(m.self.Incarnation), Sequence: sequence,
+		Config: m.digest,
+	}
+}
+
+func (m *Members) message(to *record, g *pimpb.Gossip) Message {
+	return Message{To: to.ID, Address: to.Address, Gossip: g}
+}
--- /dev/null
+++ b/internal/coordination/pimmember/settings.go
@@ -0,0 +1,83 @@
+package pimmember
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Settings describe the own VM and the pace of detection; zero durations and counts take the defaults.
+type Settings struct {
+	Self        pimid.NodeID
+	Incarnation pimid.Incarnation
+	DataCentre  pimid.DataCentre
+	Address     netip.AddrPort
+	// Seeds are peers that are contacted before the first published list arrives.
+	Seeds []pimview.Node
+
+	ProbeInterval    time.Duration
+	ProbeTimeout     time.Duration
+	SuspicionTimeout time.Duration
+	PushInterval     time.Duration
+	DigestInterval   time.Duration
+	IndirectProbes   int
+	PushFanout       int
+}
+
+// The defaults of Settings. A probe timeout of 250 ms is 25 times the round trip between data centres 5 ms apart.
+const (
+	DefaultProbeInterval    = time.Second
+	DefaultProbeTimeout     = 250 * time.Millisecond
+	DefaultSuspicionTimeout = 3 * time.Second
+	DefaultPushInterval     = 200 * time.Millisecond
+	DefaultDigestInterval   = 2 * time.Second
+	DefaultIndirectProbes   = 3
+	DefaultPushFanout       = 3
+)
+
+const (
+	// Readers is the number of configuration readers of a data centre.
+	Readers = 2
+	// ReaderKey is the rendezvous key of the readers.
+	ReaderKey = 0x7265_6164_6572_7300
+
+	// unlistedGrace is how long a VM that is on no list yet may take part.
+	unlistedGrace = 60 * time.Second
+	// retention keeps the successor of a VM that left for longer than its permits are valid (300 s).
+	retention = 600 * time.Second
+	// maxUnlisted bounds the VMs that are known without being listed.
+	maxUnlisted = 1024
+	// maxDatagram keeps a sealed datagram below the usual MTU.
+	maxDatagram = 1200
+	// refill is the number of older abnormal states that each probe carries, so that a VM that missed an update or
+	// that joined later learns it.
+	refill = 3
+	// silentDataCentre is how long the readers of another data centre may be silent before random VMs of it are
+	// contacted as well.
+	silentDataCentre = 6 * time.Second
+	// pushRate and pushBurst bound the bytes of pushed updates per second and at once; probes come on top. Together
+	// they stay below 5 KB/s.
+	pushRate  = 2_000
+	pushBurst = 32_000
+)
+
+func (s Settings) withDefaults() Settings {
+	s.ProbeInterval = or(s.ProbeInterval, DefaultProbeInterval)
+	s.ProbeTimeout = or(s.ProbeTimeout, DefaultProbeTimeout)
+	s.SuspicionTimeout = or(s.SuspicionTimeout, DefaultSuspicionTimeout)
+	s.PushInterval = or(s.PushInterval, DefaultPushInterval)
+	s.DigestInterval = or(s.DigestInterval, DefaultDigestInterval)
+	s.IndirectProbes = or(s.IndirectProbes, DefaultIndirectProbes)
+	s.PushFanout = or(s.PushFanout, DefaultPushFanout)
+	return s
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
--- /dev/null
+++ b/internal/coordination/pimmember/tick.go
@@ -0,0 +1,117 @@
+package pimmember
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Tick does what is due at now and returns the messages to send; it should run at least every 100 ms.
+func (m *Members) Tick(now pimclock.Instant) (out []Message) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	defer m.settle()
+	m.forgivePause(now)
+	m.expireSuspicions(now)
+	m.expireUnlisted(now)
+	if m.probe.open && !m.probe.indirect && now.Sub(m.probe.sent) >= m.cfg.ProbeTimeout {
+		out = append(out, m.askHelpers()...)
+	}
+	if !now.Before(m.nextProbe) {
+		out = append(out, m.startProbe(now)...)
+	}
+	if !now.Before(m.nextPush) {
+		m.nextPush = now.Add(m.cfg.PushInterval)
+		out = append(out, m.push(now)...)
+	}
+	if !now.Before(m.nextDigest) {
+		m.nextDigest = now.Add(m.cfg.DigestInterval)
+		out = append(out, m.digests(now)...)
+	}
+	return out
+}
+
+// forgivePause drops conclusions that would be drawn from answers missed while the process was paused.
+func (m *Members) forgivePause(now pimclock.Instant) {
+	gap := now.Sub(m.lastTick)
+	m.lastTick = now
+	if gap < 2*m.cfg.ProbeInterval {
+		return
+	}
+	m.counts.Pauses++
+	m.probe.open = false
+	for _, r := range m.records {
+		if r.State == Suspect {
+			r.suspectUntil = r.suspectUntil.Add(gap)
+		}
+	}
+}
+
+func (m *Members) expireUnlisted(now pimclock.Instant) {
+	if !m.listed {
+		return
+	}
+	for id, r := range m.records {
+		if r.Listed || id == m.self.ID {
+			continue
+		}
+		if age := now.Sub(r.seen); age >= unlistedGrace && !r.expired {
+			r.expired = true
+			m.touch(r)
+		} else if age >= retention {
+			delete(m.records, id)
+		}
+	}
+	for seq, h := range m.helping {
+		if !now.Before(h.until) {
+			delete(m.helping, seq)
+		}
+	}
+}
+
+// push spreads queued updates to a few random peers between probes, so that urgent ones arrive within seconds.
+func (m *Members) push(now pimclock.Instant) (out []Message) {
+	if m.queue.len() == 0 && m.digestSends <= 0 {
+		return nil
+	}
+	for _, id := range m.randomPeers(m.cfg.PushFanout, m.self.ID) {
+		if m.queue.len() == 0 && m.digestSends <= 0 || !m.pushed.open(now) {
+			return out
+		}
+		m.digestSends--
+		g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_DIGEST, 0)
+		used := m.queue.fill(g, maxDatagram-headerBytes, sendLimit(len(m.peers)))
+		m.pushed.spend(used + headerBytes)
+		out = append(out, m.message(m.records[id], g))
+	}
+	return out
+}
+
+// allowance is a byte budget that may be overdrawn by one datagram.
+type allowance struct {
+	level float64
+	last  pimclock.Instant
+}
+
+func (a *allowance) open(now pimclock.Instant) bool {
+	a.level = min(pushBurst, a.level+pushRate*now.Sub(a.last).Seconds())
+	a.last = now
+	return a.level > 0
+}
+
+func (a *allowance) spend(n int) { a.level -= float64(n) }
+
+func (m *Members) sortedIDs() []pimid.NodeID {
+	ids := make([]pimid.NodeID, 0, len(m.records))
+	for id := range m.records {
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// helpTimeout is how long a probe on behalf of another VM is remembered.
+const helpTimeout = 2 * time.Second
--- /dev/null
+++ b/internal/coordination/pimmember/update.go
@@ -0,0 +1,144 @@
+package pimmember
+
+import (
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// remoteQueue bounds the updates that wait for other data centres.
+const remoteQueue = 256
+
+// apply merges one update about a VM.
+func (m *Members) apply(now pimclock.Instant, u *pimpb.MemberUpdate) {
+	if !valid(u) {
+		return
+	}
+	id := pimid.NodeID(u.GetNode())
+	if id == m.self.ID {
+		m.applySelf(u)
+		return
+	}
+	r, ok := m.records[id]
+	if !ok {
+		if r, ok = m.admit(now, u); !ok {
+			return
+		}
+	}
+	if r.expired || !r.supersedes(u) {
+		return
+	}
+	m.merge(now, r, u)
+	m.spread(r)
+}
+
+func valid(u *pimpb.MemberUpdate) bool {
+	return u.GetNode() <= maxNode && u.GetState() >= Alive && u.GetState() <= Left && u.GetSuccessor() <= maxNode
+}
+
+const maxNode = 1<<16 - 1
+
+// admit adds a VM that is not listed yet; only VMs that run are worth a record.
+func (m *Members) admit(now pimclock.Instant, u *pimpb.MemberUpdate) (*record, bool) {
+	if u.GetState() != Alive && u.GetState() != Suspect || u.GetDataCentre() == "" {
+		return nil, false
+	}
+	unlisted := 0
+	for _, r := range m.records {
+		if !r.Listed {
+			unlisted++
+		}
+	}
+	if unlisted > maxUnlisted {
+		m.counts.Unlisted++
+		return nil, false
+	}
+	r := &record{Member: Member{ID: pimid.NodeID(u.GetNode()), DataCentre: pimid.DataCentre(u.GetDataCentre()), State: Alive}}
+	r.seen = now
+	m.add(r)
+	return r, true
+}
+
+func (m *Members) merge(now pimclock.Instant, r *record, u *pimpb.MemberUpdate) {
+	inc := pimid.Incarnation(u.GetIncarnation())
+	if inc != r.Incarnation {
+		r.Leaving, r.Successor, r.SuccessorIncarnation, r.Revision = false, 0, 0, 0
+	}
+	r.Incarnation, r.Counter, r.State = inc, u.GetCounter(), u.GetState()
+	if r.State == Leaving || r.State == Left {
+		r.Leaving = true
+	}
+	if u.GetSuccessor() != 0 {
+		r.Successor = pimid.NodeID(u.GetSuccessor())
+		r.SuccessorIncarnation = pimid.Incarnation(u.GetSuccessorIncarnation())
+	}
+	if a, err := netip.ParseAddrPort(u.GetPeerAddress()); err == nil && !r.Listed {
+		r.Address = a
+	}
+	if r.State == Suspect {
+		r.suspectUntil = now.Add(m.cfg.SuspicionTimeout)
+	}
+	m.touch(r)
+}
+
+// applySelf refutes a false claim about the own VM by a higher counter.
+func (m *Members) applySelf(u *pimpb.MemberUpdate) {
+	inc := pimid.Incarnation(u.GetIncarnation())
+	if inc != m.self.Incarnation {
+		if inc > m.self.Incarnation {
+			m.counts.Conflicts++
+		}
+		return
+	}
+	if m.self.State == Left || rank(u.GetState()) <= rank(m.self.State) || u.GetCounter() < m.self.Counter {
+		return
+	}
+	m.self.Counter = u.GetCounter() + 1
+	m.counts.Refutations++
+	m.spread(m.self)
+}
+
+// spread queues the state of a VM for piggybacking.
+func (m *Members) spread(r *record) {
+	limit := sendLimit(len(m.peers))
+	sends := 0
+	if r.State == Alive && r.Counter == 0 {
+		// A VM that joins is less urgent than one that fails or leaves.
+		sends = limit / 2
+	}
+	u := r.update()
+	m.queue.add(memberItem(u), sends)
+	if r.DataCentre == m.cfg.DataCentre && r.State != Suspect {
+		m.remote.add(memberItem(u), 0)
+	}
+}
+
+// heardFrom notes a message of a VM and reports whether the VM may take part.
+func (m *Members) heardFrom(now pimclock.Instant, g *pimpb.Gossip) (*record, bool) {
+	if g.GetSender() > maxNode || pimid.NodeID(g.GetSender()) == m.self.ID {
+		return nil, false
+	}
+	for _, u := range g.GetMembers() {
+		if u.GetNode() == g.GetSender() {
+			m.apply(now, u)
+		}
+	}
+	r, ok := m.records[pimid.NodeID(g.GetSender())]
+	if !ok || r.expired {
+		m.counts.Unlisted++
+		return nil, false
+	}
+	inc := pimid.Incarnation(g.GetSenderIncarnation())
+	if inc < r.Incarnation {
+		return nil, false
+	}
+	if inc > r.Incarnation {
+		m.merge(now, r, &pimpb.MemberUpdate{Node: g.GetSender(), Incarnation: uint64(inc), State: Alive})
+		m.spread(r)
+	}
+	r.Revision = max(r.Revision, pimid.Revision(g.GetConfig().GetRevision()))
+	m.heard[r.DataCentre] = now
+	return r, true
+}
