feat: add contracts, settings, pooled quotas, ledger and the command dispatch

Cause: the other packages need the exported API of pimcontract, pimsettings, pimquota and pimledger. Ruled out: a decoder that stops at the first fault; an operator would correct a file line by line. Change: strict TOML decoding with positions (internal/pimtoml), publication and settings types, the pooled-share state machine, accounts and tickets, the subcommands check and version. BorrowQuota carries sequence numbers, owner stamps and the lent shares, since a delayed request must not extend a lease.

--- a/cmd/pimentoyard/main.go
+++ b/cmd/pimentoyard/main.go
@@ -1,4 +1,8 @@
 // Command pimentoyard runs one VM of the load balancer and the operator's tools.
 package main
 
-func main() {}
+import "os"
+
+func main() {
+	os.Exit(execute(os.Args[1:], os.Stdout, os.Stderr))
+}
--- /dev/null
+++ b/internal/coordination/pimquota/account.go
@@ -0,0 +1,100 @@
+package pimquota
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// account is the member's state of one contract.
+type account struct {
+	limit  Limit
+	part   lagged
+	own    bucket
+	grant  grant
+	flows  flowEstimator
+	demand demand
+	queue  []waiter
+	// wanted is the number of permits that were refused since the last request, asked that of the last request.
+	wanted float64
+	asked  float64
+	// gap is the shortest time to the next request with urgent demand, urgentAt its earliest time.
+	gap      time.Duration
+	urgentAt pimclock.Instant
+
+	// lentTo holds the share until lentUntil.
+	lentTo    ownerRun
+	lentUntil pimclock.Instant
+}
+
+// ownerRun is one run of an owner process.
+type ownerRun struct {
+	node        pimid.NodeID
+	incarnation pimid.Incarnation
+}
+
+// grant is what the member may use of the owner's pool.
+type grant struct {
+	bucket
+	sequence uint64
+	expires  pimclock.Instant
+}
+
+func (a *account) lent(now pimclock.Instant) bool { return now.Before(a.lentUntil) }
+
+// resume brings the own share up to date; it accrues from the end of the lease on.
+func (a *account) resume(now pimclock.Instant, s share) {
+	if a.lent(now) {
+		return
+	}
+	if a.own.depth == 0 && a.own.last.Before(a.lentUntil) {
+		a.own.last = a.lentUntil
+		a.own.rate, a.own.depth = s.rate, s.depth
+	}
+	a.own.resize(now, s.rate, s.depth)
+}
+
+// take takes n permits from the grant or the own share.
+func (a *account) take(now pimclock.Instant, n float64) bool {
+	return now.Before(a.grant.expires) && a.grant.take(now, n) || !a.lent(now) && a.own.take(now, n)
+}
+
+// low reports whether a request is due before the period ends: refused demand, or the last permit of a grant is gone.
+func (a *account) low(now pimclock.Instant) bool {
+	if now.Before(a.urgentAt) {
+		return false
+	}
+	return a.wanted > 0 || len(a.queue) > 0 || a.grant.rate == 0 && a.grant.depth >= 1 && a.grant.tokens < 1
+}
+
+// backOff adapts the gap to whether the owner had permits for what was asked.
+func (a *account) backOff(sent pimclock.Instant, satisfied bool) {
+	a.gap = min(2*a.gap, borrowPeriod)
+	if satisfied || a.gap == 0 {
+		a.gap = minGap
+	}
+	a.urgentAt = sent.Add(a.gap)
+}
+
+// retryAfter estimates when n permits will have accrued.
+func (a *account) retryAfter(n float64) time.Duration {
+	rate := max(a.grant.rate, a.own.rate)
+	if rate <= 0 {
+		return borrowPeriod
+	}
+	wait := time.Duration((n - max(a.grant.tokens, a.own.tokens)) / rate * float64(time.Second))
+	return min(max(wait, minGap), lease)
+}
+
+// lend hands the share to an owner for one lease; own permits are given up, since the owner's pool grows instead.
+func (a *account) lend(now pimclock.Instant, to ownerRun) {
+	a.own.resize(now, 0, 0)
+	a.lentTo = to
+	a.lentUntil = now.Add(lease)
+}
+
+// mayLend reports whether the share is free or already lent to this run of the owner.
+func (a *account) mayLend(now pimclock.Instant, to ownerRun) bool {
+	return !a.lent(now) || a.lentTo == to
+}
--- /dev/null
+++ b/internal/coordination/pimquota/exchange.go
@@ -0,0 +1,116 @@
+package pimquota
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// due returns the requests that must be sent now, by owner.
+func (m *member) due(now pimclock.Instant, cfg Config) map[pimid.NodeID]*pimpb.BorrowQuotaRequest {
+	byOwner := map[pimid.NodeID][]pimid.ContractID{}
+	for id := range m.accounts {
+		owner := cfg.OwnerOf(id)
+		byOwner[owner] = append(byOwner[owner], id)
+	}
+	requests := map[pimid.NodeID]*pimpb.BorrowQuotaRequest{}
+	for owner, contracts := range byOwner {
+		if l := m.link(owner); l.due(now, m.urgent(now, contracts)) {
+			requests[owner] = m.request(now, cfg, owner, contracts)
+		}
+	}
+	return requests
+}
+
+func (m *member) link(owner pimid.NodeID) *link {
+	l := m.links[owner]
+	if l == nil {
+		l = &link{timeout: replyTimeout}
+		m.links[owner] = l
+	}
+	return l
+}
+
+func (m *member) urgent(now pimclock.Instant, contracts []pimid.ContractID) bool {
+	for _, id := range contracts {
+		if m.accounts[id].low(now) {
+			return true
+		}
+	}
+	return false
+}
+
+// request builds the next request to an owner; it lends the shares if the owner is known to be responsive.
+func (m *member) request(
+	now pimclock.Instant, cfg Config, owner pimid.NodeID, contracts []pimid.ContractID,
+) *pimpb.BorrowQuotaRequest {
+	l := m.link(owner)
+	m.sequence++
+	l.send(now, m.sequence)
+	req := &pimpb.BorrowQuotaRequest{
+		Node:             uint32(cfg.Self),
+		Incarnation:      uint64(cfg.Incarnation),
+		LeaseNs:          int64(lease),
+		Sequence:         m.sequence,
+		EchoNs:           int64(l.echo),
+		OwnerIncarnation: uint64(l.incarnation),
+	}
+	run := ownerRun{node: owner, incarnation: l.incarnation}
+	slices.Sort(contracts)
+	for _, id := range contracts {
+		a := m.accounts[id]
+		d := a.ask(now, id)
+		if l.responsive(now) && a.mayLend(now, run) {
+			s := m.share(now, a)
+			a.lend(now, run)
+			d.LentRate, d.LentDepth = s.rate, s.depth
+		}
+		req.Demands = append(req.Demands, d)
+	}
+	return req
+}
+
+// ask describes the member's demand for one contract.
+func (a *account) ask(now pimclock.Instant, id pimid.ContractID) *pimpb.QuotaDemand {
+	a.demand.decay(now)
+	a.asked, a.wanted = a.wanted+a.queued(), 0
+	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: a.demand.rate, Permits: math.Ceil(a.asked)}
+	if now.Before(a.grant.expires) {
+		a.grant.advance(now)
+		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
+	}
+	return d
+}
+
+// deliver applies a reply. Grants in replies to any but the last request are void, since the owner takes them back when
+// it receives the next request.
+func (m *member) deliver(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) (notices []notice) {
+	l := m.links[from]
+	if l == nil || !l.receive(now, reply) {
+		return nil
+	}
+	for _, g := range reply.GetGrants() {
+		if a := m.accounts[pimid.ContractID(g.GetContract())]; a != nil {
+			a.receive(now, l, g)
+			notices = append(notices, a.serve(now)...)
+		}
+	}
+	return notices
+}
+
+// receive replaces the grant in use.
+func (a *account) receive(now pimclock.Instant, l *link, g *pimpb.QuotaGrant) {
+	a.grant.advance(now)
+	if !now.Before(a.grant.expires) {
+		a.grant.tokens = 0
+	}
+	a.grant.sequence = l.sequence
+	a.grant.expires = l.sent.Add(time.Duration(g.GetValidNs()))
+	a.grant.rate, a.grant.depth = g.GetRate(), g.GetDepth()
+	a.grant.tokens = min(a.grant.tokens+g.GetPermits(), a.grant.depth)
+	a.backOff(l.sent, a.asked == 0 || g.GetPermits() >= 1)
+}
--- /dev/null
+++ b/internal/coordination/pimquota/limit.go
@@ -0,0 +1,66 @@
+package pimquota
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Limit is the hard limit of one contract over all data centres, and the part of it that belongs to this one.
+type Limit struct {
+	Rate  pimid.Rate
+	Burst float64
+	Flows pimid.Connections
+	// Part is the fraction of the limit for this data centre.
+	Part float64
+}
+
+// Publication is what the published view says about the limits of one data centre.
+type Publication struct {
+	// Nodes is the number of VMs of the data centre on the published list.
+	Nodes int
+	// Listed reports whether this VM is one of them.
+	Listed bool
+	Limits map[pimid.ContractID]Limit
+}
+
+// PublicationOf extracts the limits in force at the wall time t for one VM.
+func PublicationOf(view *pimview.View, self pimid.NodeID, dataCentre pimid.DataCentre, t time.Time) Publication {
+	p := Publication{Limits: make(map[pimid.ContractID]Limit, len(view.Contracts))}
+	centres := map[pimid.DataCentre]bool{}
+	for id, n := range view.Nodes {
+		centres[n.DataCentre] = true
+		if n.DataCentre != dataCentre {
+			continue
+		}
+		p.Nodes++
+		p.Listed = p.Listed || id == self
+	}
+	for id, c := range view.Contracts {
+		terms := c.TermsAt(t)
+		p.Limits[id] = Limit{
+			Rate:  terms.RateLimit,
+			Burst: terms.Burst,
+			Flows: terms.FlowLimit,
+			Part:  DataCentrePart(&c, dataCentre, len(centres)),
+		}
+	}
+	return p
+}
+
+// DataCentrePart returns the fraction of a contract's limits that belongs to a data centre.
+func DataCentrePart(c *pimcontract.Contract, dataCentre pimid.DataCentre, dataCentres int) float64 {
+	if len(c.DataCentreWeights) == 0 {
+		return 1 / float64(max(dataCentres, 1))
+	}
+	var sum float64
+	for _, w := range c.DataCentreWeights {
+		sum += w
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return c.DataCentreWeights[dataCentre] / sum
+}
--- /dev/null
+++ b/internal/coordination/pimquota/member.go
@@ -0,0 +1,119 @@
+package pimquota
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// maxPause is the longest time without a tick after which the own share is still used. After a longer pause the list
+// may have dropped this VM for so long that the others use its share.
+const maxPause = lease
+
+// member borrows permits from the owners of the contracts.
+type member struct {
+	accounts    map[pimid.ContractID]*account
+	links       map[pimid.NodeID]*link
+	sequence    uint64
+	growthDelay time.Duration
+	// fraction is this VM's part of each limit of the data centre.
+	fraction lagged
+	nodes    int
+	ticked   pimclock.Instant
+}
+
+func newMember(growthDelay time.Duration) member {
+	return member{
+		accounts:    map[pimid.ContractID]*account{},
+		links:       map[pimid.NodeID]*link{},
+		growthDelay: growthDelay,
+	}
+}
+
+func (m *member) publish(now pimclock.Instant, pub Publication) {
+	if len(m.fraction.published) == 0 {
+		m.fraction.publish(now, 0)
+		m.ticked = now
+	}
+	m.nodes = pub.Nodes
+	m.fraction.publish(now, pub.fraction())
+	for id, limit := range pub.Limits {
+		a := m.accounts[id]
+		if a == nil {
+			a = &account{flows: newFlowEstimator(now)}
+			m.accounts[id] = a
+		}
+		a.limit = limit
+		a.part.publish(now, limit.Part)
+	}
+	for id, a := range m.accounts {
+		if _, ok := pub.Limits[id]; !ok {
+			a.limit = Limit{}
+		}
+	}
+}
+
+// fraction returns this VM's part of the data centre; a VM that is not listed has none.
+func (pub Publication) fraction() float64 {
+	if !pub.Listed || pub.Nodes == 0 {
+		return 0
+	}
+	return 1 / float64(pub.Nodes)
+}
+
+// share returns the part of a contract's limits that this VM owns now.
+func (m *member) share(now pimclock.Instant, a *account) share {
+	if now.Sub(m.ticked) > maxPause {
+		return share{}
+	}
+	part := a.part.current(now, m.growthDelay) * m.fraction.current(now, m.growthDelay)
+	return share{rate: float64(a.limit.Rate) * part, depth: a.limit.Burst * part}
+}
+
+// take takes n permits at once if there are any and no earlier request waits.
+func (m *member) take(now pimclock.Instant, contract pimid.ContractID, n float64) (ok bool, retryAfter time.Duration) {
+	a := m.accounts[contract]
+	if a == nil {
+		return false, lease
+	}
+	a.demand.add(now, n)
+	a.resume(now, m.share(now, a))
+	if len(a.queue) == 0 && a.take(now, n) {
+		return true, 0
+	}
+	return false, a.retryAfter(n)
+}
+
+// tick notes that the process runs, and withholds the own share after a pause.
+func (m *member) tick(now pimclock.Instant) (notices []notice) {
+	if now.Sub(m.ticked) > maxPause {
+		m.fraction.restart(now)
+	}
+	m.ticked = now
+	for _, a := range m.accounts {
+		a.resume(now, m.share(now, a))
+		notices = append(notices, a.serve(now)...)
+	}
+	return notices
+}
+
+func (m *member) openFlow(now pimclock.Instant, contract pimid.ContractID) (ok bool) {
+	a := m.accounts[contract]
+	if a == nil {
+		return false
+	}
+	// The number of VMs needs no lag here, since the estimate is statistical anyway.
+	limit := float64(a.limit.Flows) * a.limit.Part / float64(max(m.nodes, 1))
+	if !a.flows.room(now, limit) {
+		return false
+	}
+	a.flows.add(now)
+	return true
+}
+
+func (m *member) refreshFlow(now pimclock.Instant, contract pimid.ContractID) {
+	if a := m.accounts[contract]; a != nil {
+		a.flows.add(now)
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -0,0 +1,131 @@
+package pimquota
+
+import (
+	"math"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// sharedPool is the owner's pool of one contract: the shares that members lend, less what they have been granted.
+// Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
+// the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
+type sharedPool struct {
+	borrowers map[pimid.NodeID]*borrower
+	tokens    float64
+	last      pimclock.Instant
+}
+
+// capacity returns the rate and depth of the shares whose leases last until the instant.
+func (p *sharedPool) capacity(until pimclock.Instant) (rate, depth float64) {
+	for _, b := range p.borrowers {
+		if !b.leaseEnd.Before(until) {
+			rate, depth = rate+b.lentRate, depth+b.lentDepth
+		}
+	}
+	return rate, depth
+}
+
+// granted returns the rate and depth that members may be using, without one of them.
+func (p *sharedPool) granted(now pimclock.Instant, without *borrower) (rate, depth float64) {
+	for _, b := range p.borrowers {
+		if b != without {
+			r, d := b.active(now)
+			rate, depth = rate+r, depth+d
+		}
+	}
+	return rate, depth
+}
+
+// advance adds the permits that accrued since the last call; leases that ended since and grants that expired since are
+// counted as if they had ended or lasted all the time, whichever gives fewer permits.
+func (p *sharedPool) advance(now pimclock.Instant) {
+	rate, _ := p.capacity(now)
+	used, _ := p.granted(p.last, nil)
+	p.tokens += max(rate-used, 0) * now.Sub(p.last).Seconds()
+	p.last = now
+	p.clamp(now)
+}
+
+func (p *sharedPool) clamp(now pimclock.Instant) {
+	_, depth := p.capacity(now)
+	_, used := p.granted(now, nil)
+	p.tokens = max(min(p.tokens, depth-used), 0)
+}
+
+func (p *sharedPool) borrower(node pimid.NodeID) *borrower {
+	b := p.borrowers[node]
+	if b == nil {
+		b = &borrower{}
+		p.borrowers[node] = b
+	}
+	return b
+}
+
+// settle takes back the grants that the member does not use.
+func (p *sharedPool) settle(now pimclock.Instant, b *borrower, d *pimpb.QuotaDemand) {
+	p.tokens += b.confirm(d)
+	p.clamp(now)
+}
+
+// target returns the member's part of the rate by demand.
+func (p *sharedPool) target(now pimclock.Instant, b *borrower, capacity float64) float64 {
+	demands, at := make([]float64, 0, len(p.borrowers)), 0
+	for _, o := range p.borrowers {
+		if o == b {
+			at = len(demands)
+		}
+		if now.Sub(o.seen) <= demandMemory {
+			demands = append(demands, o.demand)
+		}
+	}
+	return maxMin(capacity, demands)[at]
+}
+
+// grant gives the member its part of the pool. The leases behind a grant outlast it, so that it stays covered whatever
+// happens to the members meanwhile.
+func (p *sharedPool) grant(now pimclock.Instant, b *borrower, sequence uint64, d *pimpb.QuotaDemand) *pimpb.QuotaGrant {
+	rate, depth := p.capacity(now.Add(grantValidity))
+	usedRate, usedDepth := p.granted(now, b)
+	freeRate, freeDepth := max(rate-usedRate, 0), max(depth-usedDepth, 0)
+	g := given{sequence: sequence, expires: now.Add(grantValidity)}
+	if part := p.target(now, b, rate); rate > 0 && depth*part/rate >= rateDepth {
+		g.rate = min(part, freeRate)
+		g.depth = min(depth*part/rate, freeDepth)
+		g.added = max(min(p.tokens, g.depth-d.GetHeld()), 0)
+	} else {
+		want := p.permits(d, depth*part/max(rate, rounding))
+		g.added = min(want, math.Floor(max(freeDepth-d.GetHeld(), 0)+rounding))
+		g.depth = min(d.GetHeld()+g.added, freeDepth)
+	}
+	p.tokens -= g.added
+	b.given = append(b.given, g)
+	p.clamp(now)
+	return &pimpb.QuotaGrant{
+		Contract: d.GetContract(),
+		Permits:  g.added,
+		ValidNs:  int64(grantValidity / time.Nanosecond),
+		Rate:     g.rate,
+		Depth:    g.depth,
+	}
+}
+
+// permits returns the whole permits for a member without a rate: those it lacks now, and those it will probably need
+// until its next request, as far as its part of the depth holds them. Parts below one permit are not granted in advance,
+// since members that do not use them would keep them from the others.
+func (p *sharedPool) permits(d *pimpb.QuotaDemand, part float64) float64 {
+	ahead := min(d.GetRate()*borrowPeriod.Seconds()+1, part)
+	want := max(d.GetPermits(), math.Floor(ahead-d.GetHeld()))
+	return min(want, math.Floor(p.tokens+rounding))
+}
+
+// forget drops members that neither lend, use nor want anything.
+func (p *sharedPool) forget(now pimclock.Instant) {
+	for node, b := range p.borrowers {
+		if b.idle(now) {
+			delete(p.borrowers, node)
+		}
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimquota/timing.go
@@ -0,0 +1,25 @@
+package pimquota
+
+import "time"
+
+const (
+	// lease is how long a lent share stays with its owner after the request that lent it was sent.
+	lease = time.Second
+	// grantValidity is shorter than a lease minus borrowPeriod and echoAge, so that the leases behind a grant outlast it.
+	grantValidity = 500 * time.Millisecond
+	// borrowPeriod is the time between two requests to an owner without urgent demand.
+	borrowPeriod = 200 * time.Millisecond
+	// echoAge is the largest age of an owner's last answer at which a member still lends; an owner that died holds the
+	// share for at most echoAge plus one lease after its last answer.
+	echoAge = 250 * time.Millisecond
+	// replyTimeout is when the first unanswered request is repeated.
+	replyTimeout = 50 * time.Millisecond
+	// minGap is the shortest time between two requests for urgent demand; it doubles while the owner has no permits.
+	minGap = 2 * time.Millisecond
+	// demandMemory is how long an owner counts the demand of a member that no longer asks.
+	demandMemory = time.Second
+)
+
+// rateDepth is the depth in permits from which a member gets a rate of its own. Below it, chance arrivals would exceed
+// the depth too often, so the permits stay at the owner, where the demand of all members averages out.
+const rateDepth = 8
--- /dev/null
+++ b/internal/pimsettings/settings.go
@@ -0,0 +1,97 @@
+package pimsettings
+
+import (
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Settings are the settings of one VM.
+type Settings struct {
+	Node     Node     `toml:"node"`
+	Cluster  Cluster  `toml:"cluster"`
+	Platform Platform `toml:"platform"`
+	Operator Operator `toml:"operator"`
+	Log      Log      `toml:"log"`
+	Trace    Trace    `toml:"trace"`
+	Drain    Drain    `toml:"drain"`
+	Limits   Limits   `toml:"limits"`
+	// Keys are token keys in addition to the published ones.
+	Keys []Key `toml:"key"`
+}
+
+// Node says who and where this VM is.
+type Node struct {
+	ID         pimid.NodeID     `toml:"id"`
+	DataCentre pimid.DataCentre `toml:"data_centre"`
+	// PeerAddress serves drpc over TCP and receives gossip over UDP.
+	PeerAddress netip.AddrPort `toml:"peer_address"`
+}
+
+// Cluster holds the secret that all VMs share: the value, or the file that contains it.
+type Cluster struct {
+	// Secret is the secret as hexadecimal text of at least 32 bytes.
+	Secret string `toml:"secret"`
+	// SecretFile contains the secret in the same form; exactly one of both is set.
+	SecretFile string `toml:"secret_file"`
+}
+
+// Platform says where the configuration service is.
+type Platform struct {
+	// URLs are the replicas of the service in order of preference.
+	URLs []string `toml:"urls"`
+	// Timeout bounds one call that does not wait for a change.
+	Timeout pimcontract.Duration `toml:"timeout"`
+	// PollTimeout bounds one call that waits for a change.
+	PollTimeout pimcontract.Duration `toml:"poll_timeout"`
+}
+
+// Operator says where operators reach this VM.
+type Operator struct {
+	// Address serves /metrics and /status.
+	Address netip.AddrPort `toml:"address"`
+}
+
+// Log says what is logged.
+type Log struct {
+	// Level is trace, debug, info, warn or error.
+	Level string `toml:"level"`
+}
+
+// Trace says where traces go.
+type Trace struct {
+	// Exporter is off, stdout or otlp.
+	Exporter string `toml:"exporter"`
+	// Endpoint is the URL of the collector if Exporter is otlp.
+	Endpoint string `toml:"endpoint"`
+	// SampleRatio is the fraction of requests that are traced.
+	SampleRatio float64 `toml:"sample_ratio"`
+}
+
+// Drain says how a planned stop goes.
+type Drain struct {
+	// Timeout bounds the time for requests in flight and the handover of records.
+	Timeout pimcontract.Duration `toml:"timeout"`
+}
+
+// Limits bound the memory and work of one VM.
+type Limits struct {
+	// RequestsInFlight is the largest number of requests that this VM handles at once.
+	RequestsInFlight int `toml:"requests_in_flight"`
+	// RequestRecords is the largest number of records for duplicate detection.
+	RequestRecords int `toml:"request_records"`
+	// BodyBytes is the largest size of an answer of a backend server.
+	BodyBytes int `toml:"body_bytes"`
+	// ControlBytesPerSecond bounds the control traffic that this VM sends.
+	ControlBytesPerSecond int `toml:"control_bytes_per_second"`
+	// ControlBurstBytes may be sent at once above that rate.
+	ControlBurstBytes int `toml:"control_burst_bytes"`
+}
+
+// Key is a static token key.
+type Key struct {
+	ID uint8 `toml:"id"`
+	// Secret is the key as 32 hexadecimal digits.
+	Secret string `toml:"secret"`
+}
--- /dev/null
+++ b/internal/pimsettings/validator.go
@@ -0,0 +1,117 @@
+package pimsettings
+
+import (
+	"fmt"
+	"net/netip"
+	"net/url"
+	"slices"
+	"strings"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimtoml"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+)
+
+type validator struct {
+	doc    *pimtoml.Document
+	faults pimtoml.Faults
+}
+
+func (v *validator) check(ok bool, key, format string, args ...any) {
+	if ok {
+		return
+	}
+	if f, ok := v.doc.Fault(key, fmt.Sprintf(format, args...)); ok {
+		v.faults = append(v.faults, f)
+	}
+}
+
+func (v *validator) settings(s *Settings) {
+	v.node(s.Node)
+	v.cluster(s.Cluster)
+	v.platform(s.Platform)
+	v.check(s.Operator.Address.IsValid(), "operator.address", "must be an address and port")
+	v.oneOf(s.Log.Level, "log.level", "trace", "debug", "info", "warn", "error")
+	v.trace(s.Trace)
+	v.positive(s.Drain.Timeout, "drain.timeout")
+	v.limits(s.Limits)
+	v.keys(s.Keys)
+}
+
+func (v *validator) node(n Node) {
+	v.check(n.ID != 0, "node.id", "is required and must be above 0")
+	v.check(n.DataCentre != "", "node.data_centre", "is required")
+	v.address(n.PeerAddress, "node.peer_address")
+}
+
+func (v *validator) address(a netip.AddrPort, key string) {
+	v.check(a.IsValid() && a.Port() != 0, key, "is required and must be an address and port")
+	v.check(!a.IsValid() || !a.Addr().IsUnspecified(), key, "must be an address that other VMs can reach")
+}
+
+func (v *validator) cluster(c Cluster) {
+	if (c.Secret == "") == (c.SecretFile == "") {
+		v.check(false, "cluster.secret", "exactly one of secret and secret_file is required")
+		return
+	}
+	if c.Secret != "" {
+		_, err := c.Load()
+		v.check(err == nil, "cluster.secret", "must be at least %d hexadecimal digits", 2*MinSecretBytes)
+	}
+}
+
+func (v *validator) platform(p Platform) {
+	v.check(len(p.URLs) > 0, "platform.urls", "at least one URL is required")
+	for i, u := range p.URLs {
+		v.url(u, fmt.Sprintf("platform.urls[%d]", i))
+		v.check(!slices.Contains(p.URLs[:i], u), fmt.Sprintf("platform.urls[%d]", i), "is listed twice")
+	}
+	v.positive(p.Timeout, "platform.timeout")
+	v.positive(p.PollTimeout, "platform.poll_timeout")
+}
+
+func (v *validator) url(text, key string) {
+	u, err := url.Parse(text)
+	ok := err == nil && (u.Scheme == "http" || u.Scheme == "https") && u.Host != ""
+	v.check(ok, key, "must be an http or https URL with a host")
+}
+
+func (v *validator) trace(t Trace) {
+	v.oneOf(t.Exporter, "trace.exporter", "off", "stdout", "otlp")
+	if t.Exporter == "otlp" {
+		v.url(t.Endpoint, "trace.endpoint")
+	} else {
+		v.check(t.Endpoint == "", "trace.endpoint", "is used only with exporter otlp")
+	}
+	v.check(t.SampleRatio >= 0 && t.SampleRatio <= 1, "trace.sample_ratio", "must be between 0 and 1")
+}
+
+func (v *validator) limits(l Limits) {
+	for key, n := range map[string]int{
+		"requests_in_flight":       l.RequestsInFlight,
+		"request_records":          l.RequestRecords,
+		"body_bytes":               l.BodyBytes,
+		"control_bytes_per_second": l.ControlBytesPerSecond,
+		"control_burst_bytes":      l.ControlBurstBytes,
+	} {
+		v.check(n > 0, "limits."+key, "must be above 0")
+	}
+}
+
+func (v *validator) keys(keys []Key) {
+	seen := map[uint8]bool{}
+	for i, k := range keys {
+		at := fmt.Sprintf("key[%d].", i)
+		b, err := k.Bytes()
+		v.check(err == nil && len(b) == KeyBytes, at+"secret", "must be %d hexadecimal digits", 2*KeyBytes)
+		v.check(!seen[k.ID], at+"id", "id %d is used by another key", k.ID)
+		seen[k.ID] = true
+	}
+}
+
+func (v *validator) positive(d pimcontract.Duration, key string) {
+	v.check(d > 0, key, "must be above 0")
+}
+
+func (v *validator) oneOf(value, key string, allowed ...string) {
+	v.check(slices.Contains(allowed, value), key, "must be one of %s", strings.Join(allowed, ", "))
+}
--- /dev/null
+++ b/internal/pimtoml/decode.go
@@ -0,0 +1,125 @@
+package pimtoml
+
+import (
+	"bytes"
+	"errors"
+	"regexp"
+	"strings"
+
+	"github.com/pelletier/go-toml/v2"
+)
+
+// maxFaults bounds the repeated decoding of a file in which every value is wrong.
+const maxFaults = 100
+
+// Decode decodes data into v, rejects unknown keys, and returns the positions of the keys with all faults found.
+// Values that v holds before are the defaults.
+func Decode[T any](file string, data []byte, v *T) (doc *Document, faults Faults) {
+	defaults := *v
+	doc = NewDocument(file)
+	spans, lines := index(data)
+	doc.lines = lines
+	data = bytes.Clone(data)
+	for len(faults) < maxFaults {
+		*v = defaults
+		dec := toml.NewDecoder(bytes.NewReader(data)).DisallowUnknownFields()
+		err := dec.Decode(v)
+		found, again := doc.explain(err, spans, data)
+		faults = append(faults, found...)
+		if !again {
+			return doc, faults
+		}
+	}
+	return doc, faults
+}
+
+// explain turns a decoding error into faults; again reports whether the faulty value was blanked out, so that
+// decoding can go on to the next fault.
+func (d *Document) explain(err error, spans []span, data []byte) (faults Faults, again bool) {
+	var missing *toml.StrictMissingError
+	var wrong *toml.DecodeError
+	switch {
+	case err == nil:
+		return nil, false
+	case errors.As(err, &missing):
+		for _, e := range missing.Errors {
+			row, _ := e.Position()
+			faults = append(faults, Fault{File: d.file, Line: row, Key: keyAt(spans, row, e.Key()), Reason: "unknown key"})
+		}
+		return faults, false
+	case errors.As(err, &wrong):
+		return d.explainValue(wrong, spans, data)
+	default:
+		return Faults{{File: d.file, Line: 1, Reason: err.Error()}}, false
+	}
+}
+
+func (d *Document) explainValue(err *toml.DecodeError, spans []span, data []byte) (faults Faults, again bool) {
+	row, col := err.Position()
+	f := Fault{File: d.file, Line: row, Reason: reason(err)}
+	value, place := spansAt(spans, offset(data, row, col))
+	if value == nil {
+		return Faults{f}, false
+	}
+	f.Key = place.key
+	d.faulty[value.key] = true
+	return Faults{f}, blank(data, value)
+}
+
+// wrongType matches the message of a value of the wrong type, which names Go types that operators don't know.
+var wrongType = regexp.MustCompile(`^cannot decode TOML (\S+) into .* of type (\S+)$`)
+
+func reason(err *toml.DecodeError) string {
+	text := strings.TrimPrefix(err.Error(), "toml: ")
+	return wrongType.ReplaceAllString(text, "found $1, want $2")
+}
+
+// offset converts a position that counts from 1 to a byte offset.
+func offset(data []byte, row, col int) int {
+	n := 0
+	for ; row > 1; row-- {
+		n += 1 + bytes.IndexByte(data[n:], '\n')
+	}
+	return n + col - 1
+}
+
+// spansAt returns the value that contains the offset, and the innermost key or element there.
+func spansAt(spans []span, offset int) (value, place *span) {
+	for i := range spans {
+		s := &spans[i]
+		if s.start > offset {
+			break
+		}
+		if s.end > s.start {
+			value = s
+		}
+		place = s
+	}
+	if value == nil || offset >= value.end {
+		return nil, nil
+	}
+	return value, place
+}
+
+func keyAt(spans []span, line int, key toml.Key) string {
+	name := key[len(key)-1]
+	for _, s := range spans {
+		if s.line == line && (s.key == name || strings.HasSuffix(s.key, "."+name)) {
+			return s.key
+		}
+	}
+	return strings.Join(key, ".")
+}
+
+// blank overwrites a key and its value with spaces, so that the positions of all other keys stay the same.
+func blank(data []byte, s *span) bool {
+	if s.end > len(data) || len(bytes.TrimSpace(data[s.start:s.end])) == 0 {
+		return false
+	}
+	for i := s.start; i < s.end; i++ {
+		if data[i] != '\n' {
+			data[i] = ' '
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/pimtoml/document.go
@@ -0,0 +1,76 @@
+package pimtoml
+
+import (
+	"strings"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// Document knows the lines of one file's keys.
+type Document struct {
+	file   string
+	lines  map[string]int
+	faulty map[string]bool
+}
+
+// NewDocument returns the document of a file without keys, for values that were built in memory.
+func NewDocument(file string) *Document {
+	return &Document{file: file, lines: map[string]int{}, faulty: map[string]bool{}}
+}
+
+// File returns the name of the file.
+func (d *Document) File() string { return d.file }
+
+// Has reports whether the file sets the key.
+func (d *Document) Has(key string) bool {
+	_, ok := d.lines[key]
+	return ok
+}
+
+// Line returns the line of the key, or of the nearest enclosing table that the file contains.
+func (d *Document) Line(key string) int {
+	for key != "" {
+		if n, ok := d.lines[key]; ok {
+			return n
+		}
+		key = parent(key)
+	}
+	return 1
+}
+
+// Fault returns a fault at the key; ok is false if the key's value could not be decoded, which is reported already.
+func (d *Document) Fault(key, reason string) (f Fault, ok bool) {
+	for k := key; k != ""; k = parent(k) {
+		if d.faulty[k] {
+			return Fault{}, false
+		}
+	}
+	return Fault{File: d.file, Line: d.Line(key), Key: key, Reason: reason}, true
+}
+
+// parent drops the last part of a key: an index in brackets or a name after a dot.
+func parent(key string) string {
+	return key[:max(strings.LastIndexAny(key, ".["), 0)]
+}
+
+// span is the place of one key or array element in the file.
+type span struct {
+	key   string
+	line  int
+	start int
+	// end is the offset behind the value; it is set for keys at the top level of a table only.
+	end int
+}
+
+// index lists the keys of a document in file order; it stops at the first syntax error.
+func index(data []byte) (spans []span, lines map[string]int) {
+	lines = map[string]int{}
+	p := unstable.Parser{}
+	p.Reset(data)
+	s := scanner{p: &p, data: data, lines: lines, arrays: map[string]int{}, pending: -1}
+	for p.NextExpression() {
+		s.expression(p.Expression())
+	}
+	s.end(len(data))
+	return s.spans, lines
+}
--- /dev/null
+++ b/internal/pimtoml/scanner.go
@@ -0,0 +1,114 @@
+package pimtoml
+
+import (
+	"bytes"
+	"strconv"
+
+	"github.com/pelletier/go-toml/v2/unstable"
+)
+
+// scanner resolves the dotted keys of a document, with an index for each element of an array of tables.
+type scanner struct {
+	p      *unstable.Parser
+	lines  map[string]int
+	arrays map[string]int
+	table  string
+	spans  []span
+	data   []byte
+	// pending is the first span of the last top-level key, whose end is not known yet; -1 if there is none.
+	pending int
+}
+
+func (s *scanner) expression(e *unstable.Node) {
+	first := len(s.spans)
+	defer func() { s.close(first, e.Kind == unstable.KeyValue) }()
+	switch e.Kind {
+	case unstable.ArrayTable:
+		key, node := s.key("", e.Key())
+		n := s.arrays[key]
+		s.arrays[key] = n + 1
+		s.table = element(key, n)
+		s.note(s.table, node)
+	case unstable.Table:
+		key, node := s.key("", e.Key())
+		s.table = key
+		s.note(key, node)
+	case unstable.KeyValue:
+		s.keyValue(s.table, e)
+	default:
+	}
+}
+
+func (s *scanner) keyValue(table string, e *unstable.Node) {
+	key, node := s.key(table, e.Key())
+	s.note(key, node)
+	s.value(key, e.Value())
+}
+
+// close ends the pending key before the line on which the expression with the given first span starts.
+func (s *scanner) close(first int, keyValue bool) {
+	if first >= len(s.spans) {
+		return
+	}
+	s.end(1 + bytes.LastIndexByte(s.data[:s.spans[first].start], '\n'))
+	s.pending = -1
+	if keyValue {
+		s.pending = first
+	}
+}
+
+func (s *scanner) end(offset int) {
+	if s.pending >= 0 {
+		s.spans[s.pending].end = offset
+	}
+}
+
+// value records the keys and elements inside a value.
+func (s *scanner) value(key string, v *unstable.Node) {
+	it := v.Children()
+	for n := 0; it.Next(); n++ {
+		child := it.Node()
+		if child.Kind == unstable.KeyValue {
+			s.keyValue(key, child)
+			continue
+		}
+		s.note(element(key, n), child)
+		s.value(element(key, n), child)
+	}
+}
+
+// key joins the parts of a dotted key; parts that name an array of tables mean its last element.
+func (s *scanner) key(table string, it unstable.Iterator) (key string, first *unstable.Node) {
+	key = table
+	for it.Next() {
+		if n := s.arrays[key]; n > 0 {
+			key = element(key, n-1)
+		}
+		if first == nil {
+			first = it.Node()
+		}
+		if key != "" {
+			key += "."
+		}
+		key += string(it.Node().Data)
+	}
+	return key, first
+}
+
+func (s *scanner) note(key string, n *unstable.Node) {
+	line := 0
+	if n != nil && n.Raw.Length > 0 {
+		line = s.p.Shape(n.Raw).Start.Line
+	}
+	if line == 0 {
+		return
+	}
+	if _, ok := s.lines[key]; !ok {
+		s.lines[key] = line
+	}
+	s.spans = append(s.spans, span{key: key, line: line, start: int(n.Raw.Offset)})
+}
+
+func element(key string, n int) string {
+	return key + "[" + strconv.Itoa(n) + "]"
+}
--- /dev/null
+++ b/internal/state/pimledger/ticket.go
@@ -0,0 +1,35 @@
+package pimledger
+
+// Ticket is one admitted piece of work; only the first call of a method that ends it counts.
+type Ticket struct {
+	account *Account
+	ended   bool
+}
+
+// Answered counts the work as answered by a backend server.
+func (t *Ticket) Answered() { t.end(func(a *Account) { a.answered++ }) }
+
+// Failed counts the work as answered with an error.
+func (t *Ticket) Failed() { t.end(func(a *Account) { a.failed++ }) }
+
+// Unknown counts the work as handed over without an answer.
+func (t *Ticket) Unknown() { t.end(func(a *Account) { a.unknown++ }) }
+
+// NotRun takes the admission back and counts the work as refused, since no backend server ran it.
+func (t *Ticket) NotRun(reason Reason) {
+	t.end(func(a *Account) {
+		a.admitted--
+		a.refuse(reason)
+	})
+}
+
+func (t *Ticket) end(count func(a *Account)) {
+	t.account.mu.Lock()
+	defer t.account.mu.Unlock()
+	if t.ended {
+		return
+	}
+	t.ended = true
+	t.account.inFlight--
+	count(t.account)
+}
--- /dev/null
+++ b/pkg/pimcontract/fleet.go
@@ -0,0 +1,61 @@
+package pimcontract
+
+import (
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Service is one service that an operator publishes.
+type Service struct {
+	ID pimid.ServiceID `toml:"id" json:"id"`
+	// Name is the service's name in reports.
+	Name string `toml:"name" json:"name"`
+	// Address is the UDP address that callers send to.
+	Address netip.AddrPort `toml:"address" json:"address"`
+}
+
+// State is the published state of a backend server or a VM.
+type State string
+
+// The published states.
+const (
+	// StateLive receives new work.
+	StateLive State = "live"
+	// StateLeaving finishes what it has and receives no new work.
+	StateLeaving State = "leaving"
+)
+
+// Backend is one backend server that an operator publishes.
+type Backend struct {
+	ID         pimid.BackendID  `toml:"id" json:"id"`
+	Generation pimid.Generation `toml:"generation" json:"generation"`
+	Service    pimid.ServiceID  `toml:"service" json:"service"`
+	DataCentre pimid.DataCentre `toml:"data_centre" json:"data_centre"`
+	// FlowAddress receives encapsulated flow packets over UDP.
+	FlowAddress netip.AddrPort `toml:"flow_address" json:"flow_address"`
+	// HTTPAddress serves requests, health and load.
+	HTTPAddress    netip.AddrPort    `toml:"http_address" json:"http_address"`
+	Slots          pimid.Slots       `toml:"slots" json:"slots"`
+	MaxConnections pimid.Connections `toml:"max_connections" json:"max_connections"`
+	// State is live if the file names none.
+	State State `toml:"state" json:"state"`
+}
+
+// Node is one VM on the platform's list.
+type Node struct {
+	ID         pimid.NodeID     `toml:"id" json:"id"`
+	DataCentre pimid.DataCentre `toml:"data_centre" json:"data_centre"`
+	// PeerAddress serves drpc over TCP and receives gossip over UDP.
+	PeerAddress netip.AddrPort `toml:"peer_address" json:"peer_address"`
+	// State is live if the file names none.
+	State State `toml:"state" json:"state"`
+}
+
+// Publication is everything that an operator publishes: contracts and fleet.
+type Publication struct {
+	Services  []Service  `toml:"service" json:"services"`
+	Backends  []Backend  `toml:"backend" json:"backends"`
+	Nodes     []Node     `toml:"node" json:"nodes"`
+	Contracts []Contract `toml:"contract" json:"contracts"`
+}
