feat: add the edge codec, the service sockets and the http leg

Cause: the router needs typed packets, sockets for callers and flow packets, and a client for backend servers. Ruled out: decoding with go-coap's udp server, which owns the socket and keeps state per peer. Change: pimedge decodes and encodes datagrams, pimudp serves and forwards them, pimhttp sends requests.

--- /dev/null
+++ b/internal/protocol/pimedge/encode.go
@@ -0,0 +1,125 @@
+package pimedge
+
+import (
+	"encoding/json"
+	"math"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+	"github.com/samber/oops"
+)
+
+// MaxBody is the largest answer body in bytes; an answer travels in one UDP datagram of at most 65,507 bytes.
+const MaxBody = 60_000
+
+// Statement is the JSON body with which a VM speaks for itself, in contrast to a body of the backend server.
+type Statement struct {
+	Outcome      Outcome `json:"outcome"`
+	Reason       Reason  `json:"reason"`
+	RetryAfterMS int64   `json:"retry_after_ms"`
+}
+
+// EncodeReply appends the CoAP datagram of a reply to dst; it returns the error of the codec.
+// Statements of the VM have content format JSON, and bodies of backend servers have octet-stream.
+func EncodeReply(dst []byte, x Exchange, r Reply) (datagram []byte, err error) {
+	defer func() {
+		if err != nil {
+			err = oops.Wrapf(err, "encode reply")
+		}
+	}()
+	r = limitBody(r)
+	m := message.Message{
+		Type:      typeOf(x),
+		Code:      codeOf(r),
+		MessageID: int32(x.MessageID),
+		Token:     x.CoAPToken(),
+	}
+	if m.Payload, err = payloadOf(r); err != nil {
+		return nil, err
+	}
+	m.Options = optionsOf(r, len(m.Payload))
+	size, err := coder.DefaultCoder.Size(m)
+	if err != nil {
+		return nil, err
+	}
+	start := len(dst)
+	dst = append(dst, make([]byte, size)...)
+	if _, err = coder.DefaultCoder.Encode(m, dst[start:]); err != nil {
+		return nil, err
+	}
+	return dst, nil
+}
+
+// BadInput is the reply to a datagram that cannot be served.
+func BadInput() Reply { return Reply{Outcome: OutcomeNotRun, Reason: ReasonBadInput} }
+
+// limitBody turns an answer that does not fit into one datagram into a failure.
+func limitBody(r Reply) Reply {
+	if len(r.Body) <= MaxBody {
+		return r
+	}
+	return Reply{Outcome: OutcomeFailed, Reason: ReasonTooLarge, Status: r.Status, Token: r.Token}
+}
+
+// typeOf answers a confirmable message in its acknowledgement. A non-confirmable reply reuses the message id of the
+// request: all VMs share one address, so ids of their own could collide at a caller.
+func typeOf(x Exchange) message.Type {
+	if x.Confirmable {
+		return message.Acknowledgement
+	}
+	return message.NonConfirmable
+}
+
+// isStatement reports whether the VM speaks for itself.
+func isStatement(r Reply) bool {
+	return r.Outcome != OutcomeAnswered && (r.Outcome != OutcomeFailed || r.Reason != ReasonNone)
+}
+
+func payloadOf(r Reply) ([]byte, error) {
+	if !isStatement(r) {
+		return r.Body, nil
+	}
+	return json.Marshal(Statement{Outcome: r.Outcome, Reason: r.Reason, RetryAfterMS: ceil(r.RetryAfter, time.Millisecond)})
+}
+
+func optionsOf(r Reply, payload int) message.Options {
+	options := make(message.Options, 0, 3)
+	value := make([]byte, 8)
+	switch {
+	case isStatement(r):
+		options, _, _ = options.SetContentFormat(value[:4], message.AppJSON)
+	case payload > 0:
+		options, _, _ = options.SetContentFormat(value[:4], message.AppOctets)
+	}
+	if r.Outcome == OutcomeNotRun && codeOf(r) != codeTokenNeeded {
+		seconds := min(ceil(r.RetryAfter, time.Second), math.MaxUint32)
+		options, _, _ = options.SetUint32(value[4:], message.MaxAge, uint32(seconds))
+	}
+	if len(r.Token) > 0 {
+		options = options.Set(message.Option{ID: message.Echo, Value: r.Token})
+	}
+	return options
+}
+
+// ceil counts the units of d, rounded up, so that a caller never retries early.
+func ceil(d, unit time.Duration) int64 {
+	if d <= 0 {
+		return 0
+	}
+	return int64((d-1)/unit) + 1
+}
+
+func codeOf(r Reply) codes.Code {
+	switch r.Outcome {
+	case OutcomeAnswered:
+		return codeOfStatus(r.Status)
+	case OutcomeFailed:
+		return codeOfFailure(r.Status)
+	case OutcomeNotRun:
+		return codeOfRefusal(r)
+	default:
+		return codes.GatewayTimeout
+	}
+}
--- a/internal/protocol/pimedge/packet.go
+++ b/internal/protocol/pimedge/packet.go
@@ -32,7 +32,7 @@
 	// Tag is the request number; HasTag reports whether the caller sent one.
 	Tag    pimid.RequestTag
 	HasTag bool
-	// Path is the path and query for the backend server, without the timeout.
+	// Path is the path and query for the backend server, without the timeout; empty for flow packets.
 	Path string
 	// Timeout is the time that the caller allows; zero means the default of the contract.
 	Timeout time.Duration
--- a/internal/protocol/pimedge/reply.go
+++ b/internal/protocol/pimedge/reply.go
@@ -37,6 +37,8 @@
 	ReasonExpired     Reason = "permit_expired"
 	ReasonHomeLost    Reason = "home_lost"
 	ReasonNoAnswer    Reason = "no_answer"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonBadInput    Reason = "bad_input"
 )
 
 // Reply is what a VM tells a caller.
--- /dev/null
+++ b/internal/transport/pimhttp/answer.go
@@ -0,0 +1,80 @@
+package pimhttp
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+)
+
+// read reads the whole answer and classifies it.
+func (a *attempt) read(resp *http.Response, w *watch) Result {
+	body, err := readBody(resp)
+	if err == nil {
+		return classify(resp, body)
+	}
+	if !errors.Is(err, ErrTooLarge) {
+		return a.failed(w.explain(err))
+	}
+	a.abandon()
+	return Result{Outcome: pimedge.OutcomeFailed, Reason: pimedge.ReasonTooLarge, Status: resp.StatusCode, Err: err}
+}
+
+// readBody returns the body only if its end was verified by a length or by chunking. A body that ends with the
+// connection may have been cut off.
+func readBody(resp *http.Response) ([]byte, error) {
+	if resp.ContentLength > pimedge.MaxBody {
+		return nil, ErrTooLarge
+	}
+	if resp.ContentLength < 0 && !isChunked(resp) {
+		return nil, ErrIncomplete
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, pimedge.MaxBody+1))
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > pimedge.MaxBody {
+		return nil, ErrTooLarge
+	}
+	if resp.ContentLength >= 0 && int64(len(body)) != resp.ContentLength {
+		return nil, ErrIncomplete
+	}
+	return body, nil
+}
+
+func isChunked(resp *http.Response) bool {
+	return len(resp.TransferEncoding) == 1 && resp.TransferEncoding[0] == "chunked"
+}
+
+func classify(resp *http.Response, body []byte) Result {
+	if retry, ok := shed(resp); ok {
+		return Result{
+			Outcome:    pimedge.OutcomeNotRun,
+			Reason:     pimedge.ReasonNoSlot,
+			Status:     resp.StatusCode,
+			Shed:       true,
+			RetryAfter: retry,
+			Err:        ErrShed,
+		}
+	}
+	outcome := pimedge.OutcomeAnswered
+	if resp.StatusCode >= http.StatusInternalServerError {
+		outcome = pimedge.OutcomeFailed
+	}
+	return Result{Outcome: outcome, Status: resp.StatusCode, Body: body}
+}
+
+// shed recognises a 503 with a Retry-After in seconds; without it, a 503 does not say that nothing ran.
+func shed(resp *http.Response) (retry time.Duration, ok bool) {
+	if resp.StatusCode != http.StatusServiceUnavailable {
+		return 0, false
+	}
+	seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31)
+	if err != nil {
+		return 0, false
+	}
+	return time.Duration(seconds) * time.Second, true
+}
--- /dev/null
+++ b/internal/transport/pimhttp/client.go
@@ -0,0 +1,84 @@
+package pimhttp
+
+import (
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// Config holds the settings of a client.
+type Config struct {
+	Clock pimclock.Clock
+	// DialTimeout bounds the setup of a connection.
+	DialTimeout time.Duration
+	// SilenceLimit is the time without a received byte after which the connection is checked.
+	SilenceLimit time.Duration
+	// ProbeTimeout bounds a probe, a health call and a load call.
+	ProbeTimeout time.Duration
+	// IdlePerHost is the number of idle connections kept per backend server.
+	IdlePerHost int
+	// IdleTimeout is the time after which an idle connection is closed.
+	IdleTimeout time.Duration
+}
+
+const (
+	defaultDialTimeout  = time.Second
+	defaultSilenceLimit = 2 * time.Second
+	defaultProbeTimeout = time.Second
+	defaultIdlePerHost  = 16
+	defaultIdleTimeout  = 30 * time.Second
+	// maxHeaderBytes bounds the header of an answer.
+	maxHeaderBytes = 64 << 10
+)
+
+func (c Config) withDefaults() Config {
+	if c.Clock == nil {
+		c.Clock = pimclock.Boot{}
+	}
+	setDefault(&c.DialTimeout, defaultDialTimeout)
+	setDefault(&c.SilenceLimit, defaultSilenceLimit)
+	setDefault(&c.ProbeTimeout, defaultProbeTimeout)
+	setDefault(&c.IdlePerHost, defaultIdlePerHost)
+	setDefault(&c.IdleTimeout, defaultIdleTimeout)
+	return c
+}
+
+func setDefault[T ~int | ~int64](v *T, def T) {
+	if *v <= 0 {
+		*v = def
+	}
+}
+
+// Client sends requests to backend servers; it is safe for concurrent use.
+type Client struct {
+	cfg   Config
+	work  *http.Transport
+	probe *http.Transport
+}
+
+// NewClient returns a client; the cleanup function closes its idle connections.
+func NewClient(cfg Config) (c *Client, cleanup func()) {
+	cfg = cfg.withDefaults()
+	c = &Client{cfg: cfg, work: newTransport(cfg), probe: newTransport(cfg)}
+	// A probe on a reused connection would say nothing about new connections.
+	c.probe.DisableKeepAlives = true
+	cleanup = func() {
+		c.work.CloseIdleConnections()
+		c.probe.CloseIdleConnections()
+	}
+	return c, cleanup
+}
+
+func newTransport(cfg Config) *http.Transport {
+	d := &dialer{clock: cfg.Clock, dialer: net.Dialer{Timeout: cfg.DialTimeout}}
+	return &http.Transport{
+		DialContext:            d.dial,
+		DisableCompression:     true,
+		MaxIdleConns:           0,
+		MaxIdleConnsPerHost:    cfg.IdlePerHost,
+		IdleConnTimeout:        cfg.IdleTimeout,
+		MaxResponseHeaderBytes: maxHeaderBytes,
+	}
+}
--- /dev/null
+++ b/internal/transport/pimhttp/do.go
@@ -0,0 +1,98 @@
+package pimhttp
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+)
+
+// TimeoutHeader carries the remaining time until the deadline in milliseconds.
+const TimeoutHeader = "Request-Timeout-Ms"
+
+// Do sends one request and reads its whole answer. A POST is written to at most one connection. The deadline is an
+// instant of the client's clock. Cancelling ctx closes the connection.
+func (c *Client) Do(
+	ctx context.Context, b pimview.Backend, method, path string, body []byte, deadline pimclock.Instant,
+) (res Result) {
+	start := c.cfg.Clock.Now()
+	defer func() { res.Duration = c.cfg.Clock.Now().Sub(start) }()
+	left := deadline.Sub(start)
+	if left <= 0 {
+		return notSent(ErrDeadline)
+	}
+	ctx, cancel := context.WithTimeoutCause(ctx, left, context.DeadlineExceeded)
+	defer cancel()
+	a := &attempt{deadline: deadline}
+	req, err := newRequest(a.context(ctx), b, method, path, body, left)
+	if err != nil {
+		return notSent(err)
+	}
+	w := &watch{client: c, backend: b, attempt: a}
+	stop := w.start(ctx, cancel)
+	defer stop()
+	resp, err := c.work.RoundTrip(req)
+	if err != nil {
+		return a.failed(w.explain(err))
+	}
+	defer closeBody(resp)
+	return a.read(resp, w)
+}
+
+// newRequest builds a request that net/http cannot repeat: without GetBody, a body is never rewound.
+func newRequest(
+	ctx context.Context, b pimview.Backend, method, path string, body []byte, left time.Duration,
+) (*http.Request, error) {
+	target, err := url.ParseRequestURI(path)
+	if err != nil {
+		return nil, err
+	}
+	target.Scheme, target.Host = "http", b.HTTPAddress.String()
+	req, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	if err != nil {
+		return nil, err
+	}
+	if len(body) > 0 {
+		req.Body = io.NopCloser(bytes.NewReader(body))
+		req.ContentLength = int64(len(body))
+	}
+	req.GetBody = nil
+	ms := max(left.Milliseconds(), 1)
+	req.Header.Set(TimeoutHeader, strconv.FormatInt(ms, 10))
+	return req, nil
+}
+
+func closeBody(resp *http.Response) { _ = resp.Body.Close() }
+
+// notSent is the result of a request that was given up before a connection was used.
+func notSent(err error) Result {
+	return Result{Outcome: pimedge.OutcomeNotRun, Reason: reasonNotSent(err), NotSent: true, Err: err}
+}
+
+func reasonNotSent(err error) pimedge.Reason {
+	if errors.Is(err, ErrDeadline) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
+		return pimedge.ReasonDeadline
+	}
+	return pimedge.ReasonBackendGone
+}
+
+// failed is the result of a request without a complete answer; its connection is closed.
+func (a *attempt) failed(err error) Result {
+	if !a.abandon() {
+		return notSent(err)
+	}
+	return Result{
+		Outcome:    pimedge.OutcomeUnknown,
+		Reason:     pimedge.ReasonNoAnswer,
+		NoProgress: errors.Is(err, ErrNoProgress),
+		Err:        err,
+	}
+}
--- /dev/null
+++ b/internal/transport/pimhttp/result.go
@@ -0,0 +1,44 @@
+package pimhttp
+
+import (
+	"errors"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+)
+
+// The errors in a Result.
+var (
+	// ErrDeadline means that the deadline had passed before anything was written.
+	ErrDeadline = errors.New("deadline passed before the send")
+	// ErrNoProgress means that the connection was silent while a new connection worked.
+	ErrNoProgress = errors.New("connection makes no progress")
+	// ErrIncomplete means that the body ended early or that its end cannot be verified.
+	ErrIncomplete = errors.New("incomplete answer body")
+	// ErrTooLarge means that the answer body exceeds the limit of one datagram.
+	ErrTooLarge = errors.New("answer body too large")
+	// ErrShed means that the backend server shed the request.
+	ErrShed = errors.New("shed by the backend server")
+)
+
+// Result says what is known about one request after its attempt.
+type Result struct {
+	// Outcome is answered, failed (status 5xx or answer too large), not_run or unknown.
+	Outcome pimedge.Outcome
+	// Reason explains every outcome other than answered.
+	Reason pimedge.Reason
+	// Status and Body are those of a complete answer.
+	Status int
+	Body   []byte
+	// Shed reports a 503 with Retry-After; RetryAfter is its value.
+	Shed       bool
+	RetryAfter time.Duration
+	// NotSent reports that no byte of the request was written.
+	NotSent bool
+	// NoProgress reports that the connection was closed because it was silent while a new connection worked.
+	NoProgress bool
+	// Duration is the time from the call to the result.
+	Duration time.Duration
+	// Err is the cause of an outcome without an answer.
+	Err error
+}
--- /dev/null
+++ b/internal/transport/pimudp/config.go
@@ -0,0 +1,79 @@
+package pimudp
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Service is one service socket.
+type Service struct {
+	ID pimid.ServiceID
+	// Listen is the local address of the socket.
+	Listen netip.AddrPort
+	// Address is the published address; it becomes the inner destination of forwarded packets.
+	Address netip.AddrPort
+}
+
+// Responder answers or forwards one packet; it is safe for concurrent use and outlives the handler.
+type Responder interface {
+	pimedge.Responder
+	// Forward sends the packet to the flow address of a backend server.
+	// For a packet kept after the handler returned, it needs the packet's clone.
+	Forward(pkt *pimedge.Packet, flowAddress netip.AddrPort) error
+}
+
+// Handler handles one packet. Flow packets are handled in the read loop, so the handler must not block, and the packet
+// is valid until it returns. Requests are handled in a goroutine of their own that owns the packet.
+type Handler func(ctx context.Context, pkt *pimedge.Packet, r Responder)
+
+// Config holds the settings of a server.
+type Config struct {
+	Services []Service
+	Handler  Handler
+	// Overload returns the reply to a request beyond MaxRequests; it may count the refusal.
+	Overload func(pkt *pimedge.Packet) pimedge.Reply
+	// ReadLoops is the number of read loops per socket.
+	ReadLoops int
+	// MaxRequests is the number of requests that are handled at once.
+	MaxRequests int
+	// ReceiveBuffer is the size of the receive buffer of each socket in bytes.
+	ReceiveBuffer int
+	Log           zerolog.Logger
+}
+
+const (
+	defaultReadLoops     = 2
+	defaultMaxRequests   = 10_000
+	defaultReceiveBuffer = 4 << 20
+	overloadRetry        = time.Second
+)
+
+func (c Config) withDefaults() Config {
+	if c.ReadLoops <= 0 {
+		c.ReadLoops = defaultReadLoops
+	}
+	if c.MaxRequests <= 0 {
+		c.MaxRequests = defaultMaxRequests
+	}
+	if c.ReceiveBuffer <= 0 {
+		c.ReceiveBuffer = defaultReceiveBuffer
+	}
+	if c.Overload == nil {
+		c.Overload = refuseOverload
+	}
+	return c
+}
+
+func refuseOverload(*pimedge.Packet) pimedge.Reply {
+	return pimedge.Reply{
+		Outcome:    pimedge.OutcomeNotRun,
+		Reason:     pimedge.ReasonOverload,
+		RetryAfter: overloadRetry,
+	}
+}
