feat: add the caller library

Cause: callers need tokens, repetitions, flows and honest outcomes over one UDP socket. Ruled out: go-coap's udp client, which cannot repeat one datagram until the deadline with a fixed Request-Tag; repeating a POST under a new token after 4.01, since another copy of the datagram may be running. Change: pkg/pimcaller; pimudp drops a POST with a token on overload instead of claiming that it was not run.

--- a/internal/transport/pimudp/config.go
+++ b/internal/transport/pimudp/config.go
@@ -36,7 +36,8 @@
 type Config struct {
 	Services []Service
 	Handler  Handler
-	// Overload returns the reply to a request beyond MaxRequests; it may count the refusal.
+	// Overload returns the reply to a request beyond MaxRequests; it may count the refusal. It is not called for a POST
+	// with a token, which is dropped.
 	Overload func(pkt *pimedge.Packet) pimedge.Reply
 	// ReadLoops is the number of read loops per socket.
 	ReadLoops int
--- a/internal/transport/pimudp/reader.go
+++ b/internal/transport/pimudp/reader.go
@@ -50,12 +50,16 @@
 	l.dispatch(ctx, pkt, r)
 }
 
-// dispatch runs a request in a goroutine of its own; beyond the limit, the request is refused at once.
+// dispatch runs a request in a goroutine of its own; beyond the limit, the request is refused at once. A POST with a
+// token is dropped instead: another copy of it may be running, so a refusal could be false, and the caller repeats it.
 func (l *reader) dispatch(ctx context.Context, pkt *pimedge.Packet, r *responder) {
 	select {
 	case l.server.requests <- struct{}{}:
 	default:
 		l.server.counters.overloaded.Add(1)
+		if pkt.Kind == pimedge.KindPost && len(pkt.Token) > 0 {
+			return
+		}
 		l.server.report(r.Reply(l.server.cfg.Overload(pkt)))
 		return
 	}
--- /dev/null
+++ b/pkg/pimcaller/caller.go
@@ -0,0 +1,197 @@
+package pimcaller
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/samber/oops"
+)
+
+// maxDatagram is the largest UDP datagram in bytes.
+const maxDatagram = 65_535
+
+// mailboxSize is the number of messages that wait for one exchange; further ones are counted as late.
+const mailboxSize = 64
+
+// receiveBuffer is the size of the socket's receive buffer in bytes; many flows share one socket.
+const receiveBuffer = 4 << 20
+
+// Caller sends requests to one service and keeps flows open over one socket; it is safe for concurrent use.
+type Caller struct {
+	cfg    Config
+	conn   *net.UDPConn
+	tokens *tokenSource
+	ctx    context.Context
+	wg     sync.WaitGroup
+
+	late, malformed, repeated, opened, broken atomic.Uint64
+	tag                                       atomic.Uint64
+
+	mu     sync.Mutex
+	rand   *rand.Rand
+	nextID uint16
+	boxes  map[coapToken]*mailbox
+}
+
+// mailbox receives the messages of one exchange or flow.
+type mailbox struct {
+	// id is the message id that an answer must have; flows accept any.
+	id    uint16
+	anyID bool
+	ch    chan *response
+}
+
+// Dial opens the socket; it returns the error of the socket. The cleanup function closes it and ends all flows.
+func Dial(cfg Config) (c *Caller, cleanup func(), err error) {
+	defer func() {
+		if err != nil {
+			err = oops.Wrapf(err, "open caller socket")
+		}
+	}()
+	cfg = cfg.withDefaults()
+	var local *net.UDPAddr
+	if cfg.Local.IsValid() {
+		local = net.UDPAddrFromAddrPort(cfg.Local)
+	}
+	conn, err := net.DialUDP("udp4", local, net.UDPAddrFromAddrPort(cfg.Service))
+	if err != nil {
+		return nil, nil, err
+	}
+	if err = conn.SetReadBuffer(receiveBuffer); err != nil {
+		return nil, nil, errors.Join(err, conn.Close())
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	c = &Caller{cfg: cfg, conn: conn, ctx: ctx, rand: cfg.Rand, boxes: make(map[coapToken]*mailbox)}
+	c.nextID = uint16(cfg.Rand.Uint32())
+	c.tag.Store(cfg.Rand.Uint64())
+	c.tokens = newTokenSource(cfg.TokenMaxAge)
+	c.wg.Go(c.run)
+	cleanup = func() {
+		cancel()
+		_ = conn.Close()
+		c.wg.Wait()
+	}
+	return c, cleanup, nil
+}
+
+// Local returns the address of the socket.
+func (c *Caller) Local() netip.AddrPort { return c.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Stats returns the totals since the start.
+func (c *Caller) Stats() Stats {
+	return Stats{
+		Late:        c.late.Load(),
+		Malformed:   c.malformed.Load(),
+		Repeated:    c.repeated.Load(),
+		FlowsOpened: c.opened.Load(),
+		FlowsBroken: c.broken.Load(),
+	}
+}
+
+func (c *Caller) run() {
+	buf := make([]byte, maxDatagram)
+	for {
+		n, err := c.conn.Read(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// A connected socket reports ICMP errors here; the repetition of the datagram handles the loss.
+			continue
+		}
+		c.receive(buf[:n])
+	}
+}
+
+func (c *Caller) receive(datagram []byte) {
+	r, err := decode(datagram)
+	if err != nil {
+		c.malformed.Add(1)
+		return
+	}
+	if !c.deliver(r) {
+		c.late.Add(1)
+	}
+	if r.typ == message.Confirmable {
+		c.acknowledge(r.id)
+	}
+}
+
+// deliver hands a response to its exchange. Crossed and late answers match no CoAP token or no message id.
+func (c *Caller) deliver(r *response) bool {
+	c.mu.Lock()
+	box := c.boxes[r.token]
+	c.mu.Unlock()
+	if box == nil || !box.anyID && box.id != r.id || r.class() < 2 {
+		return false
+	}
+	select {
+	case box.ch <- r:
+		return true
+	default:
+		return false
+	}
+}
+
+// acknowledge answers a confirmable message, so that its sender stops repeating it.
+func (c *Caller) acknowledge(id uint16) {
+	const ack = 1<<6 | byte(message.Acknowledgement)<<4
+	_, _ = c.conn.Write([]byte{ack, 0, byte(id >> 8), byte(id)})
+}
+
+// open registers a mailbox under a new CoAP token.
+func (c *Caller) open(anyID bool) (token coapToken, box *mailbox) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for {
+		token = c.newToken()
+		if _, taken := c.boxes[token]; !taken {
+			break
+		}
+	}
+	box = &mailbox{id: c.newID(), anyID: anyID, ch: make(chan *response, mailboxSize)}
+	c.boxes[token] = box
+	return token, box
+}
+
+func (c *Caller) close(token coapToken) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	delete(c.boxes, token)
+}
+
+// newToken needs mu.
+func (c *Caller) newToken() (token coapToken) {
+	v := c.rand.Uint64()
+	for i := range token {
+		token[i] = byte(v >> (8 * i))
+	}
+	return token
+}
+
+// newID needs mu.
+func (c *Caller) newID() uint16 {
+	c.nextID++
+	return c.nextID
+}
+
+// messageID returns the next message id.
+func (c *Caller) messageID() uint16 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.newID()
+}
+
+// spread lengthens d by up to a half, so that callers do not repeat in step (RFC 7252, 4.8).
+func (c *Caller) spread(d time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return d + time.Duration(c.rand.Int64N(int64(d)/2+1))
+}
--- /dev/null
+++ b/pkg/pimcaller/config.go
@@ -0,0 +1,61 @@
+package pimcaller
+
+import (
+	crand "crypto/rand"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+)
+
+// Config holds the settings of a caller.
+type Config struct {
+	// Service is the published address of the service.
+	Service netip.AddrPort
+	// Local is the local address; the zero value lets the system choose.
+	Local netip.AddrPort
+	// Timeout is the deadline of a request whose context has none.
+	Timeout time.Duration
+	// AckTimeout is the time until the first repetition of a datagram; it doubles with each repetition.
+	AckTimeout time.Duration
+	// MaxAckTimeout bounds the time between repetitions.
+	MaxAckTimeout time.Duration
+	// TokenMaxAge is the age at which a request token is replaced; it must be below the 300 s of a permit.
+	TokenMaxAge time.Duration
+	// Refresh is the time between refreshes of a flow.
+	Refresh time.Duration
+	// Silence is the time without a message of the backend server after which a flow counts as broken.
+	Silence time.Duration
+	// Rand chooses CoAP tokens, message ids and the spread of repetitions; nil means a random seed.
+	Rand *rand.Rand
+}
+
+const (
+	defaultTimeout       = 10 * time.Second
+	defaultAckTimeout    = time.Second
+	defaultMaxAckTimeout = 4 * time.Second
+	defaultTokenMaxAge   = 120 * time.Second
+	defaultRefresh       = 30 * time.Second
+	// silentRefreshes is the number of unanswered refreshes after which a flow counts as broken.
+	silentRefreshes = 3
+)
+
+func (c Config) withDefaults() Config {
+	setDefault(&c.Timeout, defaultTimeout)
+	setDefault(&c.AckTimeout, defaultAckTimeout)
+	setDefault(&c.MaxAckTimeout, defaultMaxAckTimeout)
+	setDefault(&c.TokenMaxAge, defaultTokenMaxAge)
+	setDefault(&c.Refresh, defaultRefresh)
+	setDefault(&c.Silence, silentRefreshes*c.Refresh)
+	if c.Rand == nil {
+		var seed [32]byte
+		_, _ = crand.Read(seed[:])
+		c.Rand = rand.New(rand.NewChaCha8(seed))
+	}
+	return c
+}
+
+func setDefault(d *time.Duration, def time.Duration) {
+	if *d <= 0 {
+		*d = def
+	}
+}
--- /dev/null
+++ b/pkg/pimcaller/exchange.go
@@ -0,0 +1,46 @@
+package pimcaller
+
+import (
+	"context"
+	"time"
+)
+
+// exchange sends one request and repeats the same datagram until it is answered or ctx ends.
+// It returns the number of sent datagrams and the error of ctx or of the encoder.
+func (c *Caller) exchange(ctx context.Context, r *request) (resp *response, sent int, err error) {
+	token, box := c.open(false)
+	defer c.close(token)
+	datagram, err := r.encode(token, box.id)
+	if err != nil {
+		return nil, 0, err
+	}
+	wait := c.spread(c.cfg.AckTimeout)
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		if err = ctx.Err(); err != nil {
+			return nil, sent, err
+		}
+		c.send(datagram, sent)
+		sent++
+		select {
+		case resp = <-box.ch:
+			return resp, sent, nil
+		case <-ctx.Done():
+			return nil, sent, ctx.Err()
+		case <-c.ctx.Done():
+			return nil, sent, c.ctx.Err()
+		case <-timer.C:
+		}
+		wait = min(2*wait, c.cfg.MaxAckTimeout)
+		timer.Reset(wait)
+	}
+}
+
+// send ignores errors of the socket, since the repetition covers them like any other loss.
+func (c *Caller) send(datagram []byte, sentBefore int) {
+	if sentBefore > 0 {
+		c.repeated.Add(1)
+	}
+	_, _ = c.conn.Write(datagram)
+}
--- /dev/null
+++ b/pkg/pimcaller/flow.go
@@ -0,0 +1,149 @@
+package pimcaller
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/samber/oops"
+)
+
+// The reasons for which a flow ends.
+var (
+	// ErrFlowMoved means that the flow identity of the backend server changed.
+	ErrFlowMoved = errors.New("flow identity changed")
+	// ErrFlowSilent means that the backend server sent nothing for too long.
+	ErrFlowSilent = errors.New("flow is silent")
+	// ErrFlowRefused means that a VM or the backend server ended the flow.
+	ErrFlowRefused = errors.New("flow refused")
+	// ErrFlowClosed means that the caller closed the flow.
+	ErrFlowClosed = errors.New("flow closed")
+)
+
+// RefusedError reports the refusal that prevented the opening of a flow.
+type RefusedError struct{ Result Result }
+
+// Error names the outcome and the reason.
+func (e *RefusedError) Error() string {
+	return fmt.Sprintf("flow not opened: %s %s", e.Result.Outcome, e.Result.Reason)
+}
+
+// Unwrap returns ErrFlowRefused.
+func (e *RefusedError) Unwrap() error { return ErrFlowRefused }
+
+// Notification is one message of the backend server.
+type Notification struct {
+	// Sequence is the value of the Observe option.
+	Sequence uint32
+	Body     []byte
+}
+
+// Flow is one open flow; it is safe for concurrent use.
+type Flow struct {
+	caller   *Caller
+	path     string
+	token    coapToken
+	box      *mailbox
+	identity string
+	updates  chan Notification
+	done     chan struct{}
+	stop     context.CancelFunc
+
+	// The fields below belong to the goroutine run, except under mu.
+	lastHeard  time.Time
+	sequence   uint32
+	sequenceAt time.Time
+	rejections int
+
+	mu   sync.Mutex
+	echo []byte
+	err  error
+}
+
+// Open opens a flow; it returns a *RefusedError, ErrFlowMoved or the error of ctx.
+func (c *Caller) Open(ctx context.Context, path string) (f *Flow, err error) {
+	defer func() {
+		if err != nil {
+			err = oops.Wrapf(err, "open flow")
+		}
+	}()
+	ctx, cancel := c.withDeadline(ctx)
+	defer cancel()
+	bare := &request{code: codes.GET, path: path, observe: observeOpen}
+	echo, failure := c.fetchToken(ctx, bare)
+	if failure != nil {
+		return nil, &RefusedError{Result: *failure}
+	}
+	f = &Flow{caller: c, path: path, echo: echo}
+	f.updates = make(chan Notification, mailboxSize)
+	f.done = make(chan struct{})
+	f.token, f.box = c.open(true)
+	if err = f.establish(ctx); err != nil {
+		c.close(f.token)
+		return nil, err
+	}
+	runCtx, stop := context.WithCancel(c.ctx)
+	f.stop = stop
+	c.opened.Add(1)
+	c.wg.Go(func() { f.run(runCtx) })
+	return f, nil
+}
+
+// Updates delivers notifications; those that find it full are dropped. It is closed when the flow ends.
+func (f *Flow) Updates() <-chan Notification { return f.updates }
+
+// Done is closed when the flow has ended.
+func (f *Flow) Done() <-chan struct{} { return f.done }
+
+// Identity returns the flow identity of the backend server.
+func (f *Flow) Identity() string { return hex.EncodeToString([]byte(f.identity)) }
+
+// Err returns why the flow ended; nil while it is open.
+func (f *Flow) Err() error {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.err
+}
+
+// Close ends the flow and waits; a message to the backend server is sent once.
+func (f *Flow) Close() {
+	f.stop()
+	<-f.done
+}
+
+// Send sends data on the flow; the query parameter flow names the flow to the backend server.
+func (f *Flow) Send(ctx context.Context, body []byte) Result {
+	ctx, cancel := f.caller.withDeadline(ctx)
+	defer cancel()
+	r := &request{code: codes.PUT, path: f.dataPath(), body: body, echo: f.currentEcho(), observe: noObserve}
+	resp, sent, err := f.caller.exchange(ctx, r)
+	if err != nil {
+		return unanswered(err, sent)
+	}
+	res := resp.result()
+	res.Sent = sent
+	if res.Outcome == Answered && string(resp.identity) != f.identity {
+		return Result{Outcome: Failed, Reason: "flow_moved", Code: res.Code, Sent: sent}
+	}
+	return res
+}
+
+func (f *Flow) dataPath() string {
+	return f.path + querySeparator(f.path) + "flow=" + hex.EncodeToString(f.token[:])
+}
+
+func (f *Flow) currentEcho() []byte {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.echo
+}
+
+func (f *Flow) setEcho(echo []byte) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.echo = echo
+}
--- /dev/null
+++ b/pkg/pimcaller/flowrun.go
@@ -0,0 +1,199 @@
+package pimcaller
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+)
+
+// The values of the Observe option in requests (RFC 7641, section 2).
+const (
+	observeOpen  = 0
+	observeClose = 1
+)
+
+// reasonBackendGone is the only refusal that ends an open flow; all others may differ at the next VM.
+const reasonBackendGone = "backend_gone"
+
+// maxRejections is the number of consecutive token offers after which an open flow gives its token up. A single VM
+// with an old view must not cost the flow its backend server.
+const maxRejections = 3
+
+// codeTokenRenewed is 2.03, with which a VM renews the token of an open flow.
+const codeTokenRenewed = codes.Valid
+
+// establish sends the first message with a token until the backend server answers.
+func (f *Flow) establish(ctx context.Context) error {
+	wait := f.caller.spread(f.caller.cfg.AckTimeout)
+	offers := 0
+	for sent := 0; ; sent++ {
+		if err := f.sendObserve(observeOpen, sent); err != nil {
+			return err
+		}
+		resp, err := f.await(ctx, wait)
+		if err != nil {
+			return err
+		}
+		wait = min(2*wait, f.caller.cfg.MaxAckTimeout)
+		if resp == nil {
+			continue
+		}
+		if offers < tokenAttempts && resp.offersToken() {
+			f.setEcho(resp.echo)
+			offers++
+			continue
+		}
+		if res := resp.result(); res.Outcome != Answered {
+			return &RefusedError{Result: res}
+		}
+		f.identity = string(resp.identity)
+		f.accept(resp)
+		return nil
+	}
+}
+
+// await returns the next message, or nil after the given time.
+func (f *Flow) await(ctx context.Context, wait time.Duration) (*response, error) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case resp := <-f.box.ch:
+		return resp, nil
+	case <-timer.C:
+		return nil, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// sendObserve sends an open, refresh or close message with a message id of its own.
+func (f *Flow) sendObserve(observe, sentBefore int) error {
+	r := &request{code: codes.GET, path: f.path, echo: f.currentEcho(), observe: observe}
+	datagram, err := r.encode(f.token, f.caller.messageID())
+	if err != nil {
+		return err
+	}
+	f.caller.send(datagram, sentBefore)
+	return nil
+}
+
+// run refreshes the flow and receives its notifications until it ends.
+func (f *Flow) run(ctx context.Context) {
+	err := f.serve(ctx)
+	if errors.Is(err, ErrFlowClosed) {
+		_ = f.sendObserve(observeClose, 0)
+	} else {
+		f.caller.broken.Add(1)
+	}
+	f.caller.close(f.token)
+	f.mu.Lock()
+	f.err = err
+	f.mu.Unlock()
+	close(f.updates)
+	close(f.done)
+}
+
+// serve sends a refresh every interval and repeats it until the backend server is heard again.
+func (f *Flow) serve(ctx context.Context) error {
+	cfg := &f.caller.cfg
+	next := f.lastHeard.Add(cfg.Refresh)
+	var refreshed time.Time
+	unanswered := 0
+	for {
+		resp, err := f.await(ctx, max(time.Until(next), 0))
+		if err != nil {
+			return ErrFlowClosed
+		}
+		if resp != nil {
+			if err = f.handle(resp); err != nil {
+				return err
+			}
+			if unanswered > 0 && f.lastHeard.After(refreshed) {
+				unanswered = 0
+				next = refreshed.Add(cfg.Refresh)
+			}
+			continue
+		}
+		if time.Since(f.lastHeard) >= cfg.Silence {
+			return ErrFlowSilent
+		}
+		if err = f.sendObserve(observeOpen, unanswered); err != nil {
+			return err
+		}
+		refreshed = time.Now()
+		unanswered++
+		next = refreshed.Add(min(cfg.AckTimeout<<min(unanswered, 8), cfg.MaxAckTimeout))
+	}
+}
+
+// handle takes one message of the flow; the error ends the flow.
+func (f *Flow) handle(resp *response) error {
+	if resp.offersToken() {
+		f.reject(resp)
+		return nil
+	}
+	if resp.code == codeTokenRenewed && len(resp.echo) > 0 {
+		f.setEcho(resp.echo)
+		return nil
+	}
+	res := resp.result()
+	if res.Outcome == Unknown || res.Outcome == NotRun && res.Reason != reasonBackendGone {
+		return nil
+	}
+	if res.Outcome != Answered || resp.class() != 2 {
+		return &RefusedError{Result: res}
+	}
+	if string(resp.identity) != f.identity {
+		return ErrFlowMoved
+	}
+	f.accept(resp)
+	return nil
+}
+
+// reject counts a token offer and takes the token if the VMs agree that the old one is void.
+func (f *Flow) reject(resp *response) {
+	f.rejections++
+	if f.rejections >= maxRejections {
+		f.setEcho(resp.echo)
+		f.rejections = 0
+	}
+}
+
+// freshFor is the time after which any sequence number counts as newer (RFC 7641, section 3.4).
+const freshFor = 128 * time.Second
+
+// accept notes that the backend server was heard and delivers a notification unless a newer one was delivered.
+func (f *Flow) accept(resp *response) {
+	now := time.Now()
+	first := f.lastHeard.IsZero()
+	f.lastHeard = now
+	f.rejections = 0
+	if !resp.hasObserve || !first && !isNewer(f.sequence, resp.observe) && now.Sub(f.sequenceAt) < freshFor {
+		return
+	}
+	f.sequence, f.sequenceAt = resp.observe, now
+	select {
+	case f.updates <- Notification{Sequence: resp.observe, Body: resp.body}:
+	default:
+	}
+}
+
+// isNewer compares 24-bit sequence numbers that wrap around (RFC 7641, section 3.4).
+func isNewer(old, current uint32) bool {
+	const half = 1 << 23
+	return old < current && current-old < half || old > current && old-current > half
+}
+
+func querySeparator(path string) string {
+	if strings.Contains(path, "?") {
+		return "&"
+	}
+	return "?"
+}
+
+func isContextError(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
--- /dev/null
+++ b/pkg/pimcaller/response.go
@@ -0,0 +1,97 @@
+package pimcaller
+
+import (
+	"bytes"
+	"errors"
+	"time"
+
+	"github.com/plgd-dev/go-coap/v3/message"
+	"github.com/plgd-dev/go-coap/v3/message/codes"
+	"github.com/plgd-dev/go-coap/v3/udp/coder"
+)
+
+// errMalformed means that a datagram is no CoAP response.
+var errMalformed = errors.New("malformed response")
+
+// codeTokenNeeded is 4.01, with which a VM hands out a token.
+const codeTokenNeeded = codes.Code(4<<5 | 1)
+
+// response is one received message; it owns its bytes.
+type response struct {
+	typ        message.Type
+	code       codes.Code
+	id         uint16
+	token      coapToken
+	observe    uint32
+	hasObserve bool
+	json       bool
+	echo       []byte
+	identity   []byte
+	body       []byte
+}
+
+// decode copies the datagram, since the read buffer is reused.
+func decode(datagram []byte) (r *response, err error) {
+	m := message.Message{Options: make(message.Options, 0, maxOptions)}
+	if _, err = coder.DefaultCoder.Decode(bytes.Clone(datagram), &m); err != nil {
+		return nil, err
+	}
+	if len(m.Token) > len(coapToken{}) {
+		return nil, errMalformed
+	}
+	r = &response{typ: m.Type, code: m.Code, id: uint16(m.MessageID), body: m.Payload}
+	copy(r.token[:], m.Token)
+	r.readOptions(m.Options)
+	return r, nil
+}
+
+func (r *response) readOptions(options message.Options) {
+	if format, err := options.ContentFormat(); err == nil {
+		r.json = format == message.AppJSON
+	}
+	if observe, err := options.Observe(); err == nil {
+		r.observe, r.hasObserve = observe, true
+	}
+	if echo, err := options.GetBytes(message.Echo); err == nil {
+		r.echo = echo
+	}
+	if identity, err := options.GetBytes(message.ETag); err == nil {
+		r.identity = identity
+	}
+}
+
+// offersToken reports whether a VM asks to repeat the message with a token.
+func (r *response) offersToken() bool { return r.code == codeTokenNeeded && len(r.echo) > 0 }
+
+func (r *response) class() uint8 { return uint8(r.code >> 5) }
+
+// result says what the response means for its request.
+func (r *response) result() Result {
+	res := Result{Code: uint8(r.code), Body: r.body}
+	switch class := r.class(); {
+	case class < 2 || class > 5:
+		res.Outcome, res.Reason = Unknown, ReasonMalformed
+	case class >= 4 && r.json:
+		return r.statement()
+	case class == 5:
+		res.Outcome, res.Reason = Failed, "backend_error"
+	default:
+		res.Outcome = Answered
+	}
+	return res
+}
+
+// statement reads what a VM says for itself. A statement that cannot be read proves nothing about the request.
+func (r *response) statement() Result {
+	res := Result{Outcome: Unknown, Reason: ReasonMalformed, Code: uint8(r.code)}
+	s, err := parseStatement(r.body)
+	if err != nil {
+		return res
+	}
+	switch s.Outcome {
+	case NotRun, Unknown, Failed:
+		res.Outcome, res.Reason = s.Outcome, s.Reason
+		res.RetryAfter = time.Duration(s.RetryAfterMS) * time.Millisecond
+	}
+	return res
+}
--- /dev/null
+++ b/pkg/pimcaller/result.go
@@ -0,0 +1,59 @@
+package pimcaller
+
+import "time"
+
+// Outcome is what is known about a request.
+type Outcome string
+
+// The outcomes of a request.
+const (
+	// Answered means that the answer of the backend server is complete.
+	Answered Outcome = "answered"
+	// Failed means that the backend server answered with an error.
+	Failed Outcome = "failed"
+	// NotRun means that no backend server ran the request.
+	NotRun Outcome = "not_run"
+	// Unknown means that a backend server may have run the request.
+	Unknown Outcome = "unknown"
+)
+
+// The reasons that this package adds to those of the VMs.
+const (
+	// ReasonDeadline means that the deadline passed before the request was sent.
+	ReasonDeadline = "deadline"
+	// ReasonNoAnswer means that the deadline passed after the request was sent.
+	ReasonNoAnswer = "no_answer"
+	// ReasonInvalid means that the request cannot be encoded.
+	ReasonInvalid = "invalid"
+	// ReasonMalformed means that a VM's statement cannot be read.
+	ReasonMalformed = "malformed"
+	// ReasonNoToken means that no usable token was obtained.
+	ReasonNoToken = "no_token"
+)
+
+// Result is what is known about one request at its end.
+type Result struct {
+	Outcome Outcome
+	// Reason explains every outcome other than answered.
+	Reason string
+	// RetryAfter is when a refused request may be repeated; zero means no advice.
+	RetryAfter time.Duration
+	// Code is the CoAP code of the answer, class times 32 plus detail; zero without an answer.
+	Code uint8
+	Body []byte
+	// Sent counts the datagrams that carried the request with a token.
+	Sent int
+}
+
+// Stats are totals since the start of a caller.
+type Stats struct {
+	// Late counts messages that belong to no exchange in progress.
+	Late uint64
+	// Malformed counts datagrams that are no CoAP message.
+	Malformed uint64
+	// Repeated counts repeated datagrams.
+	Repeated uint64
+	// FlowsOpened counts opened flows, and FlowsBroken those that ended other than by Close.
+	FlowsOpened uint64
+	FlowsBroken uint64
+}
