feat: rebuild membership lists only when a role changes

Cause: a new incarnation of each of N members rebuilt the sorted lists N times on every VM. Ruled out: sorting on each tick, which costs the same at rest. Change: records remember the role they were listed under; lists of peers, suspects, failed and gone members are kept. Conclusion: an update that changes no role costs no rebuild.

--- a/internal/coordination/pimconfig/errors.go
+++ b/internal/coordination/pimconfig/errors.go
@@ -21,6 +21,8 @@
 	ErrUnknownKey = errors.New("key has no known prefix")
 	// ErrIDMismatch means that the id in a value differs from the id in its key.
 	ErrIDMismatch = errors.New("id in the value differs from the key")
+	// ErrValueTooLarge means that a value exceeds MaxValue.
+	ErrValueTooLarge = errors.New("value exceeds the size limit")
 	// ErrBadSecret means that a token key does not hold 16 bytes.
 	ErrBadSecret = errors.New("secret does not hold 16 bytes")
 )
--- a/internal/coordination/pimconfig/values.go
+++ b/internal/coordination/pimconfig/values.go
@@ -23,6 +23,9 @@
 	PrefixKey      = "keys/"
 )
 
+// MaxValue is the largest value in bytes; the platform stores no larger ones.
+const MaxValue = 1 << 20
+
 const secretSize = 16
 
 var errTrailing = errors.New("data after the value")
@@ -65,6 +68,9 @@
 		return nil
 	}
 	var v V
+	if len(e.Value) > MaxValue {
+		return ErrValueTooLarge
+	}
 	if err = decodeStrict(e.Value, &v); err != nil {
 		return err
 	}
@@ -100,8 +106,9 @@
 	if len(k.Secret) != secretSize {
 		return ErrBadSecret
 	}
-	v.Keys = append(rest, k)
-	slices.SortFunc(v.Keys, func(a, b pimview.Key) int { return int(a.ID) - int(b.ID) })
+	rest = append(rest, k)
+	slices.SortFunc(rest, func(a, b pimview.Key) int { return int(a.ID) - int(b.ID) })
+	v.Keys = rest
 	return nil
 }
 
--- /dev/null
+++ b/internal/coordination/pimmember/abnormal.go
@@ -0,0 +1,31 @@
+package pimmember
+
+import "github.com/pimentoyard/pimentoyard/pkg/pimid"
+
+// abnormal returns up to n states of VMs that failed or leave and of backend servers that drain or failed, in turn.
+func (m *Members) abnormal(n int) (items []*item) {
+	m.backends.mu.RLock()
+	defer m.backends.mu.RUnlock()
+	total := len(m.gone) + len(m.backends.abnormal)
+	for range min(n, total) {
+		at := int(m.refillAt % uint(total))
+		m.refillAt++
+		if at >= len(m.gone) {
+			items = append(items, backendItem(m.backends.updates[m.backends.abnormal[at-len(m.gone)]]))
+			continue
+		}
+		if it := m.goneItem(m.gone[at]); it != nil {
+			items = append(items, it)
+		}
+	}
+	return items
+}
+
+// goneItem returns the state of a VM that was heard once; a VM that never was has no incarnation to refute.
+func (m *Members) goneItem(id pimid.NodeID) *item {
+	r, ok := m.records[id]
+	if !ok || r.Incarnation == 0 {
+		return nil
+	}
+	return memberItem(r.update())
+}
--- a/internal/coordination/pimmember/leave.go
+++ b/internal/coordination/pimmember/leave.go
@@ -1,7 +1,6 @@
 package pimmember
 
 import (
-	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -52,19 +51,3 @@
 	m.spread(m.self)
 	return m.push(now)
 }
-
-// nextAbnormal returns a failed, leaving or draining state in turn; nil if there is none.
-func (m *Members) nextAbnormal() *item {
-	m.backends.mu.RLock()
-	abnormal := m.backends.abnormal
-	var u *pimpb.BackendUpdate
-	if len(abnormal) > 0 {
-		m.refillAt = (m.refillAt + 1) % len(abnormal)
-		u = m.backends.updates[abnormal[m.refillAt]]
-	}
-	m.backends.mu.RUnlock()
-	if u == nil {
-		return nil
-	}
-	return backendItem(u)
-}
--- a/internal/coordination/pimmember/live.go
+++ b/internal/coordination/pimmember/live.go
@@ -65,13 +65,28 @@
 	}
 }
 
-// rebuildPeers lists the other VMs of the own data centre that take part in gossip.
-func (m *Members) rebuildPeers() {
-	m.peers = m.peers[:0]
+// rebuildLists sorts the other VMs by their role in gossip.
+func (m *Members) rebuildLists() {
+	m.peers, m.suspects, m.dead, m.gone = m.peers[:0], m.suspects[:0], m.dead[:0], m.gone[:0]
 	for id, r := range m.records {
-		if id != m.self.ID && r.DataCentre == m.cfg.DataCentre && r.reachable() && r.Address.IsValid() {
+		if id == m.self.ID || r.expired {
+			continue
+		}
+		near := r.DataCentre == m.cfg.DataCentre && r.Address.IsValid()
+		if near && r.reachable() {
 			m.peers = append(m.peers, id)
 		}
+		if r.State == Suspect {
+			m.suspects = append(m.suspects, id)
+		}
+		if r.State == Dead && near {
+			m.dead = append(m.dead, id)
+		}
+		if rank(r.State) > rank(Suspect) || r.State == Leaving {
+			m.gone = append(m.gone, id)
+		}
+	}
+	for _, ids := range [][]pimid.NodeID{m.peers, m.suspects, m.dead, m.gone} {
+		slices.Sort(ids)
 	}
-	slices.Sort(m.peers)
 }
--- a/internal/coordination/pimmember/member.go
+++ b/internal/coordination/pimmember/member.go
@@ -51,6 +51,23 @@
 	expired bool
 	// listedLeaving is set while the published list shows the VM as leaving.
 	listedLeaving bool
+	// class is the role for which rings and peer lists were last built.
+	class class
+}
+
+// class is everything about a VM that rings and peer lists depend on.
+type class struct {
+	dataCentre                pimid.DataCentre
+	serving, reachable, known bool
+	listed                    bool
+	state                     State
+}
+
+func (r *record) currentClass() class {
+	return class{
+		dataCentre: r.DataCentre, serving: r.serving(), reachable: r.reachable(), known: r.Address.IsValid(),
+		listed: r.Listed, state: r.State,
+	}
 }
 
 // rank orders the states within one incarnation and counter.
--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -41,18 +41,19 @@
 	rings    atomic.Pointer[map[pimid.DataCentre]*ring]
 	backends backendTable
 
-	mu       sync.Mutex
-	rng      *rand.Rand
-	records  map[pimid.NodeID]*record
-	self     *record
-	changed  map[pimid.DataCentre]bool
-	counts   Counters
-	listed   bool
-	version  uint64
-	peers    []pimid.NodeID
-	stale    bool
-	lastTick pimclock.Instant
-	digest   *pimpb.ConfigDigest
+	mu      sync.Mutex
+	rng     *rand.Rand
+	records map[pimid.NodeID]*record
+	self    *record
+	changed map[pimid.DataCentre]bool
+	counts  Counters
+	listed  bool
+	version uint64
+	// peers, suspects, dead and gone are sorted by id; gone holds all VMs that failed or announced a stop.
+	peers, suspects, dead, gone []pimid.NodeID
+	stale                       bool
+	lastTick                    pimclock.Instant
+	digest                      *pimpb.ConfigDigest
 
 	sequence  uint64
 	probe     probe
@@ -68,7 +69,7 @@
 	digestSends int
 	nextDigest  pimclock.Instant
 	heard       map[pimid.DataCentre]pimclock.Instant
-	refillAt    int
+	refillAt    uint
 }
 
 // New returns the table of a VM that knows itself and its seeds.
@@ -129,7 +130,6 @@
 		r = &record{Member: Member{ID: n.ID, State: Alive}, seen: now}
 		m.add(r)
 	}
-	m.touch(r)
 	r.Listed, r.expired = true, false
 	r.listedLeaving = n.State == pimview.NodeLeaving
 	r.DataCentre = n.DataCentre
@@ -144,9 +144,14 @@
 	m.touch(r)
 }
 
-// touch notes that the owners of a data centre may change.
+// touch notes that the role of a VM may have changed; a new incarnation or counter alone changes no role.
 func (m *Members) touch(r *record) {
-	m.changed[r.DataCentre] = true
+	c := r.currentClass()
+	if c == r.class {
+		return
+	}
+	m.changed[r.class.dataCentre], m.changed[c.dataCentre] = true, true
+	r.class = c
 	m.stale = true
 }
 
@@ -156,7 +161,7 @@
 		return
 	}
 	m.stale = false
-	m.rebuildPeers()
+	m.rebuildLists()
 	m.rebuildRings()
 	clear(m.changed)
 }
--- a/internal/coordination/pimmember/probe.go
+++ b/internal/coordination/pimmember/probe.go
@@ -65,18 +65,10 @@
 }
 
 func (m *Members) randomDead() *record {
-	var pick *record
-	n := 0
-	for _, id := range m.sortedIDs() {
-		r := m.records[id]
-		if r.State != Dead || r.expired || r.DataCentre != m.cfg.DataCentre || !r.Address.IsValid() {
-			continue
-		}
-		if n++; m.rng.IntN(n) == 0 {
-			pick = r
-		}
+	if len(m.dead) == 0 {
+		return nil
 	}
-	return pick
+	return m.records[m.dead[m.rng.IntN(len(m.dead))]]
 }
 
 // askHelpers asks random peers to probe the target, since the path from this VM alone may be broken.
@@ -103,9 +95,9 @@
 }
 
 func (m *Members) expireSuspicions(now pimclock.Instant) {
-	for _, id := range m.sortedIDs() {
-		r := m.records[id]
-		if r.State != Suspect || now.Before(r.suspectUntil) {
+	for _, id := range m.suspects {
+		r, ok := m.records[id]
+		if !ok || r.State != Suspect || now.Before(r.suspectUntil) {
 			continue
 		}
 		m.counts.Failures++
--- a/internal/coordination/pimmember/receive.go
+++ b/internal/coordination/pimmember/receive.go
@@ -98,9 +98,8 @@
 
 // refill adds older abnormal states in turn.
 func (m *Members) refill(g *pimpb.Gossip, room int) {
-	for range refill {
-		it := m.nextAbnormal()
-		if it == nil || it.size > room {
+	for _, it := range m.abnormal(refill) {
+		if it.size > room {
 			return
 		}
 		it.appendTo(g)
