--- /dev/null
+++ b/cmd/standin-platform/run.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
+)
+
+type options struct {
+	Listen string        `long:"listen" default:"127.0.0.1:7000" description:"address to serve on"`
+	Config string        `long:"config" description:"TOML or JSON file, or directory with one file per key"`
+	Hold   time.Duration `long:"hold" default:"20s" description:"how long a watch without events is held"`
+}
+
+const (
+	headerTimeout = 5 * time.Second
+	stopTimeout   = 2 * time.Second
+)
+
+func run(opts options) error {
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-platform").Logger()
+	state := standplatform.NewState()
+	if opts.Config != "" {
+		var err error
+		if state, err = standplatform.Load(opts.Config); err != nil {
+			return err
+		}
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer cancel()
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", opts.Listen)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: standplatform.NewServer(state, opts.Hold), ReadHeaderTimeout: headerTimeout}
+	defer context.AfterFunc(ctx, func() { stop(server) })()
+	revision, _ := state.Keys()
+	log.Info().Stringer("listen", ln.Addr()).Uint64("revision", uint64(revision)).Msg("serving")
+	if err = server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// stop gives pending watches a short time, since they may be held longer than a stop may take.
+func stop(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
--- /dev/null
+++ b/internal/standin/standplatform/server.go
@@ -0,0 +1,192 @@
+package standplatform
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// DefaultHold is how long a watch without events is held.
+const DefaultHold = 20 * time.Second
+
+// maxValue is the largest value that the platform stores, in bytes.
+const maxValue = 1 << 20
+
+// Calls counts the calls by kind.
+type Calls struct {
+	Keys    uint64 `json:"keys"`
+	Watch   uint64 `json:"watch"`
+	VMs     uint64 `json:"vms"`
+	Admin   uint64 `json:"admin"`
+	Pending int    `json:"pending_watches"`
+}
+
+// Server serves a State over HTTP.
+type Server struct {
+	state *State
+	hold  time.Duration
+	mux   *http.ServeMux
+
+	mu      sync.Mutex
+	mode    Mode
+	replica *State
+	calls   Calls
+}
+
+// NewServer returns a handler for a state; hold is how long a watch without events is held.
+func NewServer(state *State, hold time.Duration) *Server {
+	s := &Server{state: state, hold: hold, mux: http.NewServeMux()}
+	s.mux.HandleFunc("GET /v1/keys", s.read(func(c *Calls) { c.Keys++ }, s.keys))
+	s.mux.HandleFunc("GET /v1/watch", s.read(func(c *Calls) { c.Watch++ }, s.watch))
+	s.mux.HandleFunc("GET /v1/vms", s.read(func(c *Calls) { c.VMs++ }, s.vms))
+	s.mux.HandleFunc("PUT /admin/keys/{key...}", s.admin(s.putKey))
+	s.mux.HandleFunc("DELETE /admin/keys/{key...}", s.admin(s.deleteKey))
+	s.mux.HandleFunc("PUT /admin/vms/{id}", s.admin(s.putVM))
+	s.mux.HandleFunc("DELETE /admin/vms/{id}", s.admin(s.deleteVM))
+	s.mux.HandleFunc("PUT /admin/mode", s.admin(s.putMode))
+	s.mux.HandleFunc("GET /admin/calls", s.admin(s.getCalls))
+	return s
+}
+
+// ServeHTTP serves the platform's and the operator's calls.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.mux.ServeHTTP(w, r) }
+
+// Calls returns the counts so far.
+func (s *Server) Calls() Calls {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
+func (s *Server) count(f func(*Calls)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(&s.calls)
+}
+
+func (s *Server) read(count func(*Calls), next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count(count)
+		m := s.Mode()
+		sleep(r.Context(), time.Duration(m.DelayMillis)*time.Millisecond)
+		if m.Down {
+			http.Error(w, "down", http.StatusServiceUnavailable)
+			return
+		}
+		next(w, r)
+	}
+}
+
+func (s *Server) admin(next http.HandlerFunc) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		s.count(func(c *Calls) { c.Admin++ })
+		next(w, r)
+	}
+}
+
+func (s *Server) keys(w http.ResponseWriter, _ *http.Request) {
+	revision, keys := s.served().Keys()
+	reply(w, map[string]any{"revision": revision, "keys": keys})
+}
+
+func (s *Server) vms(w http.ResponseWriter, _ *http.Request) {
+	version, vms := s.served().VMs()
+	reply(w, map[string]any{"version": version, "vms": vms})
+}
+
+func (s *Server) watch(w http.ResponseWriter, r *http.Request) {
+	from, err := strconv.ParseUint(r.URL.Query().Get("from"), 10, 64)
+	if err != nil {
+		http.Error(w, "from is no revision", http.StatusBadRequest)
+		return
+	}
+	s.count(func(c *Calls) { c.Pending++ })
+	defer s.count(func(c *Calls) { c.Pending-- })
+	hold := time.NewTimer(s.hold)
+	defer hold.Stop()
+	for held := true; ; {
+		to, events, next, ok := s.served().Since(pimid.Revision(from))
+		if !ok {
+			http.Error(w, "compacted", http.StatusGone)
+			return
+		}
+		// A replica that is behind the reader answers at once, as an outdated service does.
+		if len(events) > 0 || uint64(to) < from || !held {
+			reply(w, map[string]any{"revision": to, "events": events})
+			return
+		}
+		select {
+		case <-next:
+		case <-hold.C:
+			held = false
+		case <-r.Context().Done():
+			return
+		}
+	}
+}
+
+func reply(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Server) putKey(w http.ResponseWriter, r *http.Request) {
+	p, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxValue))
+	if err != nil || !json.Valid(p) {
+		http.Error(w, "value is no json or too large", http.StatusBadRequest)
+		return
+	}
+	reply(w, map[string]any{"revision": s.state.Put(r.PathValue("key"), p)})
+}
+
+func (s *Server) deleteKey(w http.ResponseWriter, r *http.Request) {
+	reply(w, map[string]any{"revision": s.state.Delete(r.PathValue("key"))})
+}
+
+func (s *Server) putVM(w http.ResponseWriter, r *http.Request) {
+	var n pimview.Node
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 16)
+	if err == nil {
+		err = decodeBody(w, r, &n)
+	}
+	if err != nil || n.ID != pimid.NodeID(id) {
+		http.Error(w, "vm is not valid", http.StatusBadRequest)
+		return
+	}
+	s.state.SetVM(n)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) deleteVM(w http.ResponseWriter, r *http.Request) {
+	id, err := strconv.ParseUint(r.PathValue("id"), 10, 16)
+	if err != nil {
+		http.Error(w, "id is not valid", http.StatusBadRequest)
+		return
+	}
+	s.state.RemoveVM(pimid.NodeID(id))
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) putMode(w http.ResponseWriter, r *http.Request) {
+	var m Mode
+	if err := decodeBody(w, r, &m); err != nil {
+		http.Error(w, "mode is not valid", http.StatusBadRequest)
+		return
+	}
+	s.SetMode(m)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) { reply(w, s.Calls()) }
+
+func decodeBody(w http.ResponseWriter, r *http.Request, v any) error {
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxValue))
+	dec.DisallowUnknownFields()
+	return dec.Decode(v)
+}
--- /dev/null
+++ b/internal/transport/pimpeer/credentials.go
@@ -0,0 +1,160 @@
+package pimpeer
+
+import (
+	"crypto/ed25519"
+	"crypto/hkdf"
+	"crypto/rand"
+	"crypto/sha256"
+	"crypto/tls"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"math/big"
+	"net/url"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// MinSecret is the smallest length of the cluster secret in bytes.
+const MinSecret = 16
+
+const (
+	caInfo     = "pimentoyard peer ca v1"
+	gossipInfo = "pimentoyard gossip v1"
+	uriScheme  = "pimentoyard"
+	serverName = "peer.pimentoyard"
+)
+
+// The validity of certificates is fixed, so that VMs with wrong clocks can still talk; a leaf lives only as long as
+// its process, and a leaked secret is replaced as a whole.
+var (
+	notBefore = time.Date(2020, 1, 1, 0, 0, 0, 0, time.UTC)
+	notAfter  = time.Date(2120, 1, 1, 0, 0, 0, 0, time.UTC)
+)
+
+// Identity is a verified VM and its run.
+type Identity struct {
+	Node        pimid.NodeID
+	Incarnation pimid.Incarnation
+}
+
+// Credentials prove the identity of the own VM; everything in them derives from the cluster secret.
+type Credentials struct {
+	id        Identity
+	leaf      tls.Certificate
+	roots     *x509.CertPool
+	gossipKey []byte
+}
+
+// NewCredentials derives the CA and gossip keys from the cluster secret and issues a certificate for this run.
+func NewCredentials(secret []byte, id Identity) (c *Credentials, err error) {
+	defer func() { err = oops.In("pimpeer").Wrapf(err, "derive credentials") }()
+	if len(secret) < MinSecret {
+		return nil, ErrSecret
+	}
+	seed, err := hkdf.Key(sha256.New, secret, nil, caInfo, ed25519.SeedSize)
+	if err != nil {
+		return nil, err
+	}
+	gossipKey, err := hkdf.Key(sha256.New, secret, nil, gossipInfo, sha256.Size)
+	if err != nil {
+		return nil, err
+	}
+	caKey := ed25519.NewKeyFromSeed(seed)
+	ca, err := issueCA(caKey)
+	if err != nil {
+		return nil, err
+	}
+	leaf, err := issueLeaf(ca, caKey, id)
+	if err != nil {
+		return nil, err
+	}
+	roots := x509.NewCertPool()
+	roots.AddCert(ca)
+	return &Credentials{id: id, leaf: leaf, roots: roots, gossipKey: gossipKey}, nil
+}
+
+func issueCA(key ed25519.PrivateKey) (*x509.Certificate, error) {
+	template := &x509.Certificate{
+		SerialNumber: big.NewInt(1), Subject: pkix.Name{CommonName: "pimentoyard peer ca"},
+		NotBefore: notBefore, NotAfter: notAfter, IsCA: true, BasicConstraintsValid: true, MaxPathLenZero: true,
+		KeyUsage: x509.KeyUsageCertSign,
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, template, key.Public(), key)
+	if err != nil {
+		return nil, err
+	}
+	return x509.ParseCertificate(der)
+}
+
+func issueLeaf(ca *x509.Certificate, caKey ed25519.PrivateKey, id Identity) (c tls.Certificate, err error) {
+	public, private, err := ed25519.GenerateKey(rand.Reader)
+	if err != nil {
+		return c, err
+	}
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), 120))
+	if err != nil {
+		return c, err
+	}
+	template := &x509.Certificate{
+		SerialNumber: serial, Subject: pkix.Name{CommonName: "vm " + id.Node.String()},
+		NotBefore: notBefore, NotAfter: notAfter, URIs: []*url.URL{identityURI(id)}, DNSNames: []string{serverName},
+		KeyUsage:    x509.KeyUsageDigitalSignature,
+		ExtKeyUsage: []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth},
+	}
+	der, err := x509.CreateCertificate(rand.Reader, template, ca, public, caKey)
+	if err != nil {
+		return c, err
+	}
+	return tls.Certificate{Certificate: [][]byte{der}, PrivateKey: private}, nil
+}
+
+func identityURI(id Identity) *url.URL {
+	return &url.URL{Scheme: uriScheme, Host: id.Node.String(), Path: "/" + id.Incarnation.String()}
+}
+
+// identityOf reads the identity from a verified connection.
+func identityOf(state tls.ConnectionState) (id Identity, err error) {
+	if len(state.VerifiedChains) == 0 || len(state.PeerCertificates) == 0 {
+		return id, ErrNoIdentity
+	}
+	for _, u := range state.PeerCertificates[0].URIs {
+		if u.Scheme != uriScheme {
+			continue
+		}
+		node, errNode := strconv.ParseUint(u.Host, 10, 16)
+		inc, errInc := strconv.ParseUint(strings.TrimPrefix(u.Path, "/"), 16, 64)
+		if errNode == nil && errInc == nil {
+			return Identity{Node: pimid.NodeID(node), Incarnation: pimid.Incarnation(inc)}, nil
+		}
+	}
+	return id, ErrNoIdentity
+}
+
+func (c *Credentials) serverConfig() *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.leaf},
+		ClientCAs: c.roots, ClientAuth: tls.RequireAndVerifyClientCert,
+	}
+}
+
+// clientConfig accepts only the expected VM, since an address may have been given to another one.
+func (c *Credentials) clientConfig(want pimid.NodeID) *tls.Config {
+	return &tls.Config{
+		MinVersion: tls.VersionTLS13, Certificates: []tls.Certificate{c.leaf}, RootCAs: c.roots, ServerName: serverName,
+		VerifyConnection: func(state tls.ConnectionState) error {
+			got, err := identityOf(state)
+			if err != nil {
+				return err
+			}
+			if got.Node != want {
+				return &WrongPeerError{Want: want, Got: got}
+			}
+			return nil
+		},
+	}
+}
--- /dev/null
+++ b/internal/transport/pimpeer/doc.go
@@ -0,0 +1,2 @@
+// Package pimpeer carries drpc calls over mutual TLS and sealed gossip datagrams between VMs.
+package pimpeer
--- /dev/null
+++ b/internal/transport/pimpeer/gossip.go
@@ -0,0 +1,109 @@
+package pimpeer
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+)
+
+// Handler receives the authenticated messages of other VMs, one at a time.
+type Handler func(g *pimpb.Gossip)
+
+// Gossip sends and receives sealed datagrams on one UDP socket.
+type Gossip struct {
+	conn    *net.UDPConn
+	sealer  *Sealer
+	handle  Handler
+	log     zerolog.Logger
+	wg      sync.WaitGroup
+	set     *metrics.Set
+	sent    *metrics.Counter
+	sentLen *metrics.Counter
+	got     *metrics.Counter
+	gotLen  *metrics.Counter
+}
+
+// NewGossip takes over conn and passes its messages to handle until cleanup is called.
+func NewGossip(conn *net.UDPConn, sealer *Sealer, handle Handler, log zerolog.Logger, set *metrics.Set) (
+	g *Gossip, cleanup func(),
+) {
+	g = &Gossip{
+		conn: conn, sealer: sealer, handle: handle, log: log, set: set,
+		sent:    set.GetOrCreateCounter("pim_gossip_sent_datagrams_total"),
+		sentLen: set.GetOrCreateCounter("pim_gossip_sent_bytes_total"),
+		got:     set.GetOrCreateCounter("pim_gossip_received_datagrams_total"),
+		gotLen:  set.GetOrCreateCounter("pim_gossip_received_bytes_total"),
+	}
+	g.wg.Add(1)
+	go g.loop()
+	return g, func() {
+		_ = conn.Close()
+		g.wg.Wait()
+	}
+}
+
+// Send seals a message and sends it to a VM; it is safe for concurrent use.
+func (g *Gossip) Send(to netip.AddrPort, msg *pimpb.Gossip) (err error) {
+	defer func() { err = oops.In("pimpeer").Wrapf(err, "send gossip") }()
+	p, err := g.sealer.Seal(time.Now().UnixMilli(), msg)
+	if err != nil {
+		return err
+	}
+	n, err := g.conn.WriteToUDPAddrPort(p, to)
+	if err != nil {
+		return err
+	}
+	g.sent.Inc()
+	g.sentLen.Add(n)
+	return nil
+}
+
+func (g *Gossip) loop() {
+	defer g.wg.Done()
+	buf := make([]byte, 1<<16)
+	for {
+		n, from, err := g.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			// Linux reports ICMP errors of earlier sends here; they end no socket.
+			g.log.Debug().Err(err).Msg("gossip read failed")
+			continue
+		}
+		g.receive(buf[:n], from)
+	}
+}
+
+func (g *Gossip) receive(p []byte, from netip.AddrPort) {
+	g.got.Inc()
+	g.gotLen.Add(len(p))
+	msg, err := g.sealer.Open(time.Now().UnixMilli(), p)
+	if err != nil {
+		g.set.GetOrCreateCounter(fmt.Sprintf("pim_gossip_dropped_total{reason=%q}", reasonOf(err))).Inc()
+		g.log.Debug().Err(err).Stringer("remote", from).Msg("gossip dropped")
+		return
+	}
+	g.handle(msg)
+}
+
+func reasonOf(err error) string {
+	for reason, target := range map[string]error{
+		"truncated": ErrShort, "version": ErrVersion, "forged": ErrForged, "replayed": ErrReplayed, "time": ErrTime,
+		"content": ErrContent,
+	} {
+		if errors.Is(err, target) {
+			return reason
+		}
+	}
+	return "other"
+}
--- /dev/null
+++ b/internal/transport/pimpeer/pool.go
@@ -0,0 +1,69 @@
+package pimpeer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/netip"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcmanager"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const (
+	// idleConns bounds the idle connections over all peers; a VM talks to up to 380 peers of its data centre.
+	idleConns = 1024
+	// idleConnsPerPeer bounds the idle connections to one peer. A drpc connection carries one call at a time.
+	idleConnsPerPeer = 8
+	idleTimeout      = 30 * time.Second
+	dialTimeout      = 2 * time.Second
+)
+
+type poolKey struct {
+	node    pimid.NodeID
+	address netip.AddrPort
+}
+
+// Pool makes drpc calls to other VMs and keeps idle connections; it is safe for concurrent use.
+type Pool struct {
+	creds *Credentials
+	conns *drpcpool.Pool[poolKey, drpcpool.Conn]
+}
+
+// NewPool returns a pool; cleanup closes the idle connections.
+func NewPool(creds *Credentials) (p *Pool, cleanup func()) {
+	p = &Pool{creds: creds, conns: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
+		Expiration: idleTimeout, Capacity: idleConns, KeyCapacity: idleConnsPerPeer,
+	})}
+	return p, func() { _ = p.conns.Close() }
+}
+
+// Peer returns a client for one VM; it dials when a call finds no idle connection. The VM that answers must have
+// the given id.
+func (p *Pool) Peer(ctx context.Context, node pimid.NodeID, address netip.AddrPort) pimpb.DRPCPeerClient {
+	return pimpb.NewDRPCPeerClient(p.conns.Get(ctx, poolKey{node: node, address: address}, p.dial))
+}
+
+func (p *Pool) dial(ctx context.Context, key poolKey) (drpcpool.Conn, error) {
+	d := tls.Dialer{
+		NetDialer: &net.Dialer{Timeout: dialTimeout},
+		Config:    p.creds.clientConfig(key.node),
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	conn, err := d.DialContext(ctx, "tcp", key.address.String())
+	if err != nil {
+		return nil, err
+	}
+	// A cancelled call leaves the connection usable; otherwise each caller that gives up costs a handshake.
+	return drpcconn.NewWithOptions(conn, drpcconn.Options{
+		Manager: drpcmanager.Options{SoftCancel: true, SoftCancelGrace: softCancelGrace},
+	}), nil
+}
+
+const softCancelGrace = 5 * time.Millisecond
--- /dev/null
+++ b/internal/transport/pimplatform/client.go
@@ -0,0 +1,155 @@
+package pimplatform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// The defaults of Settings.
+const (
+	DefaultTimeout      = 5 * time.Second
+	DefaultWatchTimeout = 40 * time.Second
+	// DefaultMaxBytes bounds a response; 33,000 backend servers and 8,900 contracts need about 20 MB of JSON.
+	DefaultMaxBytes = 64 << 20
+)
+
+// Settings locate the platform; zero values take the defaults.
+type Settings struct {
+	// Address is the base URL, for example http://127.0.0.1:7000.
+	Address string
+	Timeout time.Duration
+	// WatchTimeout bounds a long poll; it must exceed the time for which the platform holds a watch.
+	WatchTimeout time.Duration
+	MaxBytes     int64
+}
+
+// Client reads from the platform; it is safe for concurrent use.
+type Client struct {
+	cfg  Settings
+	base *url.URL
+	http *http.Client
+}
+
+// New returns a client; cleanup closes idle connections.
+func New(cfg Settings) (c *Client, cleanup func(), err error) {
+	defer func() { err = oops.In("pimplatform").Wrapf(err, "create client") }()
+	base, err := url.Parse(cfg.Address)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%w: %w", ErrAddress, err)
+	}
+	if base.Scheme != "http" && base.Scheme != "https" || base.Host == "" {
+		return nil, nil, ErrAddress
+	}
+	if cfg.Timeout == 0 {
+		cfg.Timeout = DefaultTimeout
+	}
+	if cfg.WatchTimeout == 0 {
+		cfg.WatchTimeout = DefaultWatchTimeout
+	}
+	if cfg.MaxBytes == 0 {
+		cfg.MaxBytes = DefaultMaxBytes
+	}
+	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second}
+	c = &Client{cfg: cfg, base: base, http: &http.Client{Transport: transport}}
+	return c, transport.CloseIdleConnections, nil
+}
+
+// Keys returns the complete configuration.
+func (c *Client) Keys(ctx context.Context) (snap pimconfig.Snapshot, err error) {
+	defer func() { err = oops.In("pimplatform").Wrapf(err, "read keys") }()
+	var r keysResponse
+	if err = c.get(ctx, c.cfg.Timeout, "/v1/keys", nil, &r); err != nil {
+		return snap, err
+	}
+	snap.Revision = r.Revision
+	snap.Entries = make([]pimconfig.Event, 0, len(r.Keys))
+	for _, k := range r.Keys {
+		snap.Entries = append(snap.Entries, pimconfig.Event{Revision: k.Revision, Key: k.Key, Value: k.Value})
+	}
+	return snap, nil
+}
+
+// Watch waits for events after a revision. The batch has no events if the platform saw none in time; its To is
+// below From if the platform is older than the reader.
+func (c *Client) Watch(ctx context.Context, from pimid.Revision) (b pimconfig.Batch, err error) {
+	defer func() { err = oops.In("pimplatform").Wrapf(err, "watch from revision %d", from) }()
+	var r watchResponse
+	query := url.Values{"from": {strconv.FormatUint(uint64(from), 10)}}
+	if err = c.get(ctx, c.cfg.WatchTimeout, "/v1/watch", query, &r); err != nil {
+		return b, err
+	}
+	b = pimconfig.Batch{From: from, To: r.Revision}
+	for _, e := range r.Events {
+		b.Events = append(b.Events, pimconfig.Event{
+			Revision: e.Revision, Key: e.Key, Value: e.Value, Deleted: e.Deleted,
+		})
+	}
+	return b, nil
+}
+
+// VMs returns the list of live and leaving VMs, which may lag.
+func (c *Client) VMs(ctx context.Context) (list VMList, err error) {
+	defer func() { err = oops.In("pimplatform").Wrapf(err, "read vms") }()
+	err = c.get(ctx, c.cfg.Timeout, "/v1/vms", nil, &list)
+	return list, err
+}
+
+func (c *Client) get(ctx context.Context, timeout time.Duration, path string, query url.Values, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	u := c.base.JoinPath(path)
+	u.RawQuery = query.Encode()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return fmt.Errorf("%w: %w", ErrUnreachable, err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if err = checkStatus(resp.StatusCode); err != nil {
+		return err
+	}
+	return decode(resp.Body, c.cfg.MaxBytes, into)
+}
+
+func checkStatus(status int) error {
+	switch status {
+	case http.StatusOK:
+		return nil
+	case http.StatusGone:
+		return ErrCompacted
+	default:
+		return &StatusError{Status: status}
+	}
+}
+
+func decode(r io.Reader, limit int64, into any) error {
+	body := &io.LimitedReader{R: r, N: limit + 1}
+	dec := json.NewDecoder(body)
+	dec.DisallowUnknownFields()
+	err := dec.Decode(into)
+	if err == nil {
+		if _, err = dec.Token(); errors.Is(err, io.EOF) && body.N > 0 {
+			return nil
+		}
+		err = errors.Join(err, io.ErrUnexpectedEOF)
+	}
+	if body.N <= 0 {
+		return ErrTooLarge
+	}
+	return fmt.Errorf("%w: %w", ErrMalformed, err)
+}
--- /dev/null
+++ b/internal/transport/pimplatform/messages.go
@@ -0,0 +1,37 @@
+package pimplatform
+
+import (
+	"encoding/json"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+type keysResponse struct {
+	Revision pimid.Revision `json:"revision"`
+	Keys     []keyValue     `json:"keys"`
+}
+
+type keyValue struct {
+	Key      string          `json:"key"`
+	Revision pimid.Revision  `json:"revision"`
+	Value    json.RawMessage `json:"value"`
+}
+
+type watchResponse struct {
+	Revision pimid.Revision `json:"revision"`
+	Events   []watchEvent   `json:"events"`
+}
+
+type watchEvent struct {
+	Revision pimid.Revision  `json:"revision"`
+	Key      string          `json:"key"`
+	Value    json.RawMessage `json:"value,omitempty"`
+	Deleted  bool            `json:"deleted,omitempty"`
+}
+
+// VMList is the platform's list of VMs; a higher version is newer.
+type VMList struct {
+	Version uint64         `json:"version"`
+	VMs     []pimview.Node `json:"vms"`
+}
