feat: wire one vm together and add the run command

Cause: the decisions and transports exist as packages, but no process serves a request yet. Ruled out: one package per wiring step, since all steps share the same parts of one VM. Change: pimnode connects edge, routing, execution, slots, quota, membership, configuration and graceful stop; run starts it from a settings file. The relay message carries kind, source and raw datagram; settings name seed peers.

--- a/cmd/pimentoyard/commands.go
+++ b/cmd/pimentoyard/commands.go
@@ -37,6 +37,7 @@
 func commands(out output) []command {
 	return []command{
 		newCheck(out),
+		newRun(out),
 		newVersion(out),
 	}
 }
--- /dev/null
+++ b/cmd/pimentoyard/run.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimnode"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+)
+
+// runCommand runs one VM until it receives SIGTERM or SIGINT.
+type runCommand struct {
+	Settings string `long:"settings" short:"s" required:"yes" description:"settings file in TOML"`
+
+	out output
+}
+
+func newRun(out output) command {
+	return command{
+		name: "run", short: "Run one VM",
+		long: "Runs one VM. SIGTERM stops it gracefully; a second signal ends it at once.",
+		data: &runCommand{out: out},
+	}
+}
+
+// Execute runs the command.
+func (c *runCommand) Execute([]string) error {
+	settings, err := pimsettings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(c.out, settings)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	node, cleanup, err := pimnode.New(ctx, settings, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	<-ctx.Done()
+	return shutdown(node, settings, log)
+}
+
+// shutdown stops the VM gracefully; a second signal cuts it short.
+func shutdown(node *pimnode.Node, settings pimsettings.Settings, log zerolog.Logger) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	log.Info().Dur("timeout", time.Duration(settings.Drain.Timeout)).Msg("stopping")
+	if err := node.Shutdown(ctx); err != nil {
+		return err
+	}
+	log.Info().Msg("stopped")
+	return nil
+}
+
+func newLogger(out output, settings pimsettings.Settings) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(settings.Log.Level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	return zerolog.New(out.stderr).Level(level).With().Timestamp().
+		Uint16("vm", uint16(settings.Node.ID)).Str("data_centre", string(settings.Node.DataCentre)).Logger(), nil
+}
--- /dev/null
+++ b/internal/pimnode/config.go
@@ -0,0 +1,41 @@
+package pimnode
+
+import "time"
+
+const (
+	// slotTick is the interval at which slot grants and waiting requests expire.
+	slotTick = 5 * time.Millisecond
+	// quotaTick is the interval at which requests for permits are sent.
+	quotaTick = 10 * time.Millisecond
+	// memberTick is the interval of the failure detector.
+	memberTick = 50 * time.Millisecond
+	// refreshInterval is the longest time between two recomputations of ownership, limits and terms.
+	refreshInterval = 500 * time.Millisecond
+	// pullInterval is the interval at which a newer revision of a peer is looked for.
+	pullInterval = 200 * time.Millisecond
+	// hostPoll is the interval at which the owner of a backend server reads its health and load.
+	hostPoll = time.Second
+	// callTimeout bounds a call to a peer that does not carry a request of a caller.
+	callTimeout = 2 * time.Second
+	// permitWait is the longest time for which a request waits for permits of the pool owner.
+	permitWait = 250 * time.Millisecond
+	// relayGrace is added to the deadline of a relayed request, so that the answer of the home VM still arrives.
+	relayGrace = 100 * time.Millisecond
+	// ownerAvoid is how long a slot owner that did not answer is avoided.
+	ownerAvoid = time.Second
+	// ownerTries is the number of slot owners that one attempt asks.
+	ownerTries = 2
+	// maxTimeout bounds the deadline of a request; records are kept for 300 s.
+	maxTimeout = 60 * time.Second
+	// defaultTimeout applies if neither the caller nor the contract names a deadline.
+	defaultTimeout = 5 * time.Second
+	// warmUp is the longest time for which a starting VM waits for its peers before it serves callers.
+	warmUp = 3 * time.Second
+	// viewBehindRetry is the retry time of a caller whose token is newer than the view of this VM.
+	viewBehindRetry = time.Second
+	// lingerTime is how long a stopping VM goes on forwarding and relaying after the handover; the fabric learns of the
+	// stop within this time.
+	lingerTime = 2 * time.Second
+	// failedPolls is the number of failed health checks after which an owner reports a backend server as failed.
+	failedPolls = 3
+)
--- /dev/null
+++ b/internal/pimnode/execute.go
@@ -0,0 +1,127 @@
+package pimnode
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimhttp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// servePost runs a non-idempotent request as home VM. While the records are being handed over, it waits and then
+// routes the packet again, so that the successor runs it.
+func (n *Node) servePost(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
+	deadline := n.deadline(p, a.Contract)
+	if n.stop.draining() {
+		return n.serveAfterHandover(ctx, p, deadline)
+	}
+	t := &a.Token
+	req := pimonce.Request{
+		Key:  pimonce.Key{Flow: t.Flow, Tag: p.Tag},
+		Home: pimonce.Origin{Node: t.Home, Incarnation: t.HomeIncarnation}, Service: p.Service,
+		Contract: a.Contract, IssuedAt: t.IssuedAt, Deadline: deadline,
+	}
+	ctx, cancel := n.withDeadline(ctx, deadline)
+	defer cancel()
+	reply := n.home.Run(ctx, req, func(ctx context.Context, h pimonce.Handoff) pimedge.Reply {
+		return n.execute(ctx, p, a, deadline, h)
+	})
+	reply.Token = a.Reply.Token
+	return reply
+}
+
+// serveGet runs an idempotent request.
+func (n *Node) serveGet(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
+	deadline := n.deadline(p, a.Contract)
+	ctx, cancel := n.withDeadline(ctx, deadline)
+	defer cancel()
+	reply := n.execute(ctx, p, a, deadline, pimonce.Untracked{})
+	reply.Token = a.Reply.Token
+	return reply
+}
+
+// execute admits a request, runs it on a backend server and accounts for it.
+func (n *Node) execute(
+	ctx context.Context, p *pimedge.Packet, a *pimroute.Action, deadline pimclock.Instant, h pimonce.Handoff,
+) pimedge.Reply {
+	ticket := n.ledger.Account(a.Contract).Admit()
+	w := pimonce.Work{
+		Service: p.Service, Contract: a.Contract, Deadline: deadline, Idempotent: p.Kind == pimedge.KindGet,
+	}
+	method := http.MethodPost
+	if w.Idempotent {
+		method = http.MethodGet
+	}
+	send := func(ctx context.Context, s pimonce.Slot) pimonce.SendResult {
+		return n.sendRequest(ctx, s, method, p, deadline)
+	}
+	reply := n.executor.Execute(ctx, w, h, send)
+	end(ticket, reply)
+	return reply
+}
+
+// end closes the account of a request with its outcome.
+func end(t *pimledger.Ticket, reply pimedge.Reply) {
+	switch reply.Outcome {
+	case pimedge.OutcomeAnswered:
+		t.Answered()
+	case pimedge.OutcomeFailed:
+		t.Failed()
+	case pimedge.OutcomeNotRun:
+		t.NotRun(pimledger.Reason(reply.Reason))
+	default:
+		t.Unknown()
+	}
+}
+
+// sendRequest sends a request to the backend server of a slot, unless the view has another run of it by now.
+func (n *Node) sendRequest(
+	ctx context.Context, s pimonce.Slot, method string, p *pimedge.Packet, deadline pimclock.Instant,
+) pimonce.SendResult {
+	b, ok := n.store.View().Backends[s.Backend]
+	if !ok || b.Generation != s.Generation || b.Service != p.Service {
+		return pimonce.SendResult{
+			Reply: pimedge.Reply{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonBackendGone},
+		}
+	}
+	res := n.backends.Do(ctx, b, method, p.Path, p.Body, deadline)
+	n.observe(b, res)
+	return pimonce.SendResult{
+		Reply: pimedge.Reply{
+			Outcome: res.Outcome, Reason: res.Reason, RetryAfter: res.RetryAfter, Status: res.Status, Body: res.Body,
+		},
+		Shed: res.Shed, NoProgress: res.NoProgress, Duration: res.Duration,
+	}
+}
+
+// observe records whether the backend server could be reached; a shed request shows that it is alive.
+func (n *Node) observe(b pimview.Backend, res pimhttp.Result) {
+	ok := res.Outcome == pimedge.OutcomeAnswered || res.Shed
+	if !ok && !res.NotSent && !res.NoProgress {
+		return
+	}
+	n.hosts.Observe(n.clock.Now(), b.ID, ok)
+}
+
+// deadline returns the caller's deadline, or the default of its contract.
+func (n *Node) deadline(p *pimedge.Packet, contract pimid.ContractID) pimclock.Instant {
+	timeout := p.Timeout
+	if timeout <= 0 {
+		timeout = time.Duration(n.store.View().Contracts[contract].DefaultTimeout)
+	}
+	if timeout <= 0 {
+		timeout = defaultTimeout
+	}
+	return n.clock.Now().Add(min(timeout, maxTimeout))
+}
+
+func (n *Node) withDeadline(ctx context.Context, deadline pimclock.Instant) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(ctx, deadline.Sub(n.clock.Now()))
+}
--- /dev/null
+++ b/internal/pimnode/handle.go
@@ -0,0 +1,84 @@
+package pimnode
+
+import (
+	"context"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// handle decides about one packet of a caller and carries the decision out.
+func (n *Node) handle(ctx context.Context, p *pimedge.Packet, r pimudp.Responder) {
+	var a pimroute.Action
+	n.router.Route(n.clock.Now(), n.unixNow(), p, &a)
+	var err error
+	switch {
+	case a.Kind == pimroute.Forward:
+		err = r.Forward(p, a.Address)
+	case a.Kind == pimroute.Relay && p.Kind == pimedge.KindFlow:
+		f := flowRelay{n: n, packet: p.Clone(), to: a.Node, contract: a.Contract, responder: r}
+		n.wg.Go(func() { f.run(ctx) })
+	case a.Kind == pimroute.Reply:
+		n.countReply(&a, p)
+		err = r.Reply(a.Reply)
+	default:
+		err = r.Reply(n.serve(ctx, p, &a))
+	}
+	if err != nil {
+		n.log.Debug().Stringer("rule", a.Rule).Err(err).Msg("packet not carried out")
+	}
+}
+
+// serve carries out a request that runs here or at another VM.
+func (n *Node) serve(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
+	n.serving.Add(1)
+	defer n.serving.Add(-1)
+	if a.Kind == pimroute.Relay {
+		return n.relay(ctx, p, a)
+	}
+	if p.Kind == pimedge.KindPost {
+		return n.servePost(ctx, p, a)
+	}
+	return n.serveGet(ctx, p, a)
+}
+
+// flowRelay is a flow packet that goes through a VM with a newer view.
+type flowRelay struct {
+	n         *Node
+	packet    *pimedge.Packet
+	to        pimid.NodeID
+	contract  pimid.ContractID
+	responder pimudp.Responder
+}
+
+// run asks the other VM to forward the packet and passes its refusal on, if there is one.
+func (f *flowRelay) run(ctx context.Context) {
+	reply, err := f.n.callRelay(ctx, f.packet, f.to, f.contract, callTimeout)
+	if err != nil {
+		reply = pimedge.Reply{
+			Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonViewBehind, RetryAfter: viewBehindRetry,
+		}
+	}
+	if reply.Outcome == "" {
+		return
+	}
+	if err = f.responder.Reply(reply); err != nil {
+		f.n.log.Debug().Err(err).Msg("reply not sent")
+	}
+}
+
+// countReply accounts for requests that are answered without being run. Challenges are not offered work.
+func (n *Node) countReply(a *pimroute.Action, p *pimedge.Packet) {
+	if p.Kind == pimedge.KindFlow || a.Contract == 0 || a.Reply.Reason == pimedge.ReasonNoToken {
+		return
+	}
+	account := n.ledger.Account(a.Contract)
+	if a.Reply.Outcome == pimedge.OutcomeUnknown {
+		account.Admit().Unknown()
+		return
+	}
+	account.Refuse(pimledger.Reason(a.Reply.Reason))
+}
--- /dev/null
+++ b/internal/pimnode/loops.go
@@ -0,0 +1,72 @@
+package pimnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+)
+
+// startLoops starts the periodic work of the VM.
+func (n *Node) startLoops(ctx context.Context) {
+	n.wg.Go(func() { n.loop(ctx) })
+	n.every(ctx, slotTick, n.slots.Tick)
+	n.every(ctx, quotaTick, func() { n.quota.Tick(n.clock.Now()) })
+	n.every(ctx, memberTick, func() { n.send(n.members.Tick(n.clock.Now())) })
+	n.every(ctx, pullInterval, func() { n.pull(ctx) })
+	n.every(ctx, hostPoll, func() { n.pollHosts(ctx) })
+	n.every(ctx, time.Minute, func() { n.owners.Sweep(n.clock.Now()) })
+}
+
+// every calls f at the interval until ctx ends.
+func (n *Node) every(ctx context.Context, interval time.Duration, f func()) {
+	p := periodic{interval: interval, f: f}
+	n.wg.Go(func() { p.loop(ctx) })
+}
+
+// periodic is work that is done at an interval.
+type periodic struct {
+	interval time.Duration
+	f        func()
+}
+
+func (p *periodic) loop(ctx context.Context) {
+	t := time.NewTicker(p.interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-t.C:
+			p.f()
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// loop applies each change of the view at once, and time-dependent terms and ownership at the interval.
+func (n *Node) loop(ctx context.Context) {
+	t := time.NewTicker(refreshInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-n.changed:
+		case <-t.C:
+		case <-ctx.Done():
+			return
+		}
+		n.refresh()
+	}
+}
+
+func (n *Node) receiveGossip(g *pimpb.Gossip) {
+	n.send(n.members.Receive(n.clock.Now(), g))
+}
+
+func (n *Node) send(messages []pimmember.Message) {
+	for _, m := range messages {
+		if err := n.gossip.Send(m.Address, m.Gossip); err != nil {
+			n.log.Debug().Stringer("vm", m.To).Err(err).Msg("gossip not sent")
+		}
+	}
+}
--- /dev/null
+++ b/internal/pimnode/node.go
@@ -0,0 +1,180 @@
+package pimnode
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimhttp"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Node is one running VM.
+type Node struct {
+	cfg   pimsettings.Settings
+	log   zerolog.Logger
+	set   *metrics.Set
+	clock pimclock.Clock
+	unix  pimonce.UnixClock
+	rng   *rand.Rand
+	self  pimroute.Home
+
+	store    *pimconfig.Store
+	puller   *pimconfig.Puller
+	pulls    *pimconfig.Server
+	members  *pimmember.Members
+	router   *pimroute.Router
+	home     *pimonce.Home
+	executor *pimonce.Executor
+	slots    *pimslot.Owner
+	hosts    *pimpick.Hosts
+	owners   *pimpick.Owners
+	quota    *pimquota.Pool
+	ledger   *pimledger.Ledger
+	backends *pimhttp.Client
+	peers    *pimpeer.Pool
+	gossip   *pimpeer.Gossip
+	edge     *pimudp.Server
+
+	// topology is the assignment of backend servers to slot owners.
+	topology atomic.Pointer[topology]
+	// changed wakes the refresh loop after a change of the view.
+	changed chan struct{}
+	polls   pollTable
+	// serving is the number of requests that this VM is carrying out.
+	serving atomic.Int64
+	stop    stopState
+
+	wg       sync.WaitGroup
+	cleanups []func()
+}
+
+// New starts a VM; it returns once the VM serves callers, and cleanup ends it at once. The error is that of the
+// settings, the sockets or ctx.
+func New(ctx context.Context, cfg pimsettings.Settings, log zerolog.Logger) (n *Node, cleanup func(), err error) {
+	defer func() { err = oops.In("pimnode").Wrapf(err, "start vm %d", cfg.Node.ID) }()
+	n = newNode(cfg, log)
+	runCtx, cancel := context.WithCancel(context.Background())
+	n.defers(cancel)
+	if err = n.start(ctx, runCtx); err != nil {
+		n.close()
+		return nil, nil, err
+	}
+	return n, n.close, nil
+}
+
+func newNode(cfg pimsettings.Settings, log zerolog.Logger) *Node {
+	n := &Node{
+		cfg: cfg, log: log, set: metrics.NewSet(), clock: pimclock.Boot{}, rng: newRandom(),
+		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), stop: newStopState(),
+	}
+	now := time.Now()
+	n.unix = pimonce.NewUnixClock(n.clock.Now(), now)
+	n.self = pimroute.Home{Node: cfg.Node.ID, Incarnation: pimid.NewIncarnation(now.UnixMilli(), n.rng.Uint64())}
+	n.topology.Store(&topology{})
+	return n
+}
+
+// start brings up the peers first, then the configuration, then the callers' side, so that no caller meets a VM that
+// does not know its peers and contracts.
+func (n *Node) start(ctx, runCtx context.Context) (err error) {
+	n.buildDecisions()
+	if err = n.startPeers(runCtx); err != nil {
+		return err
+	}
+	if err = n.startPlatforms(runCtx); err != nil {
+		return err
+	}
+	n.startLoops(runCtx)
+	if err = n.awaitView(ctx); err != nil {
+		return err
+	}
+	n.awaitPeers(ctx)
+	n.refresh()
+	return n.startEdge()
+}
+
+// buildDecisions creates the parts that need no socket.
+func (n *Node) buildDecisions() {
+	now := n.clock.Now()
+	n.store = pimconfig.NewStore(pimconfig.Settings{OnBadValue: n.reportBadValue})
+	n.puller = pimconfig.NewPuller(n.store)
+	limits := n.cfg.Limits
+	n.pulls = pimconfig.NewServer(n.store,
+		pimconfig.NewBudget(now, float64(limits.ControlBytesPerSecond), float64(limits.ControlBurstBytes)))
+	n.members = pimmember.New(pimmember.Settings{
+		Self: n.self.Node, Incarnation: n.self.Incarnation, DataCentre: n.cfg.Node.DataCentre,
+		Address: n.cfg.Node.PeerAddress, Seeds: n.seeds(),
+	}, now, n.rng)
+	n.buildRouting()
+	n.buildExecution()
+}
+
+func (n *Node) buildRouting() {
+	n.hosts = pimpick.NewHosts(pimpick.DefaultConfig(1), pimpick.PowerOfTwo{})
+	n.quota = pimquota.New(pimquota.Config{
+		Self: n.self.Node, Incarnation: n.self.Incarnation, OwnerOf: n.poolOwner, Send: n.sendQuota,
+	})
+	n.router = pimroute.New(pimroute.Config{
+		Self: n.self, Keys: n.staticKeys(), Rand: n.rng,
+		Placer: placer{n}, Admitter: admitter{n}, Members: memberView{n}, Hosts: hostView{n},
+	})
+}
+
+func (n *Node) buildExecution() {
+	homeCfg := pimonce.DefaultConfig()
+	homeCfg.MaxRecords = n.cfg.Limits.RequestRecords
+	n.home = pimonce.NewHome(homeCfg, pimonce.Origin(n.self), n.clock, n.unix)
+	slots, closeSlots := pimslot.NewOwner(pimslot.DefaultConfig(), n.clock)
+	n.slots = slots
+	n.defers(closeSlots)
+	n.owners = pimpick.NewOwners(pimpick.PowerOfTwo{})
+	client, closeClient := pimhttp.NewClient(pimhttp.Config{Clock: n.clock})
+	n.backends = client
+	n.defers(closeClient)
+	steps := pimonce.Steps{Admit: n.admit, Acquire: n.acquire}
+	n.executor = pimonce.NewExecutor(n.clock, steps, pimonce.NewBudget())
+}
+
+// defers registers a clean-up step; close runs them in reverse order.
+func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
+
+func (n *Node) close() {
+	for i := len(n.cleanups) - 1; i >= 0; i-- {
+		n.cleanups[i]()
+	}
+	n.cleanups = nil
+	n.wg.Wait()
+}
+
+// unixNow is the wall clock in unix seconds, without steps since the start of the process.
+func (n *Node) unixNow() int64 { return int64(n.unix.Unix(n.clock.Now())) }
+
+func (n *Node) notifyChange() {
+	select {
+	case n.changed <- struct{}{}:
+	default:
+	}
+}
+
+func (n *Node) reportBadValue(v *pimconfig.ValueError) {
+	n.log.Error().Str("key", v.Key).Uint64("revision", uint64(v.Revision)).Err(v.Err).Msg("configuration value refused")
+}
--- /dev/null
+++ b/internal/pimnode/quota.go
@@ -0,0 +1,79 @@
+package pimnode
+
+import (
+	"context"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// RateLimitError means that the hard limit of the contract has no permit left.
+type RateLimitError struct{ RetryAfter time.Duration }
+
+// Error describes the refusal.
+func (e *RateLimitError) Error() string {
+	return "rate limit reached, retry after " + e.RetryAfter.String()
+}
+
+// Refusal implements pimonce.Refuser.
+func (e *RateLimitError) Refusal() (pimedge.Reason, time.Duration) {
+	return pimedge.ReasonRateLimit, e.RetryAfter
+}
+
+type quotaResult struct {
+	ok         bool
+	retryAfter time.Duration
+}
+
+// admit takes one permit of the contract; it waits a short time for permits of the pool owner.
+func (n *Node) admit(ctx context.Context, w pimonce.Work) (err error) {
+	defer func() { err = oops.In("pimnode").Wrapf(err, "admit request of contract %d", w.Contract) }()
+	now := n.clock.Now()
+	deadline := min(w.Deadline, now.Add(permitWait))
+	result := make(chan quotaResult, 1)
+	n.quota.Request(now, deadline, w.Contract, 1, func(ok bool, retryAfter time.Duration) {
+		result <- quotaResult{ok, retryAfter}
+	})
+	select {
+	case r := <-result:
+		if !r.ok {
+			return &RateLimitError{RetryAfter: r.retryAfter}
+		}
+		return nil
+	case <-ctx.Done():
+		return &RateLimitError{RetryAfter: permitWait}
+	}
+}
+
+// sendQuota sends a request for permits to a pool owner without blocking the pool.
+func (n *Node) sendQuota(to pimid.NodeID, req *pimpb.BorrowQuotaRequest) {
+	c := quotaCall{n: n, to: to, req: req}
+	n.wg.Go(c.run)
+}
+
+// quotaCall is one request for permits; a lost call is covered by the end of the lease.
+type quotaCall struct {
+	n   *Node
+	to  pimid.NodeID
+	req *pimpb.BorrowQuotaRequest
+}
+
+func (c *quotaCall) run() {
+	ctx, cancel := context.WithTimeout(context.Background(), callTimeout)
+	defer cancel()
+	peer, err := c.n.peer(ctx, c.to)
+	if err != nil {
+		return
+	}
+	reply, err := peer.BorrowQuota(ctx, c.req)
+	if err != nil {
+		c.n.log.Debug().Stringer("vm", c.to).Err(err).Msg("quota not borrowed")
+		return
+	}
+	c.n.quota.Deliver(c.n.clock.Now(), c.to, reply)
+}
--- /dev/null
+++ b/internal/pimnode/refresh.go
@@ -0,0 +1,119 @@
+package pimnode
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// refresh hands the current view and membership to all decisions.
+func (n *Node) refresh() {
+	view := n.store.View()
+	if view.Revision == 0 {
+		return
+	}
+	now := n.clock.Now()
+	if err := n.router.Update(n.unixNow(), view); err != nil {
+		n.log.Error().Err(err).Uint64("revision", uint64(view.Revision)).Msg("view refused by the router")
+	}
+	digest := n.store.Digest()
+	n.members.SetDigest(digest.Revision, digest.Hash[:])
+	n.members.SetPublished(now, uint64(view.Revision), listed(view))
+	wall := time.Now()
+	n.quota.Publish(now, pimquota.PublicationOf(view, n.self.Node, n.cfg.Node.DataCentre, wall))
+	t := n.buildTopology(view)
+	n.topology.Store(t)
+	n.refreshSlots(view, t, wall)
+	n.refreshHosts(view)
+}
+
+func listed(view *pimview.View) []pimview.Node {
+	nodes := make([]pimview.Node, 0, len(view.Nodes))
+	for _, v := range view.Nodes {
+		nodes = append(nodes, v)
+	}
+	slices.SortFunc(nodes, func(a, b pimview.Node) int { return int(a.ID) - int(b.ID) })
+	return nodes
+}
+
+// refreshSlots sets the owned hosts and the terms in force of their services.
+func (n *Node) refreshSlots(view *pimview.View, t *topology, wall time.Time) {
+	owned := t.owned
+	if n.stop.leaving() {
+		owned = nil
+	}
+	hosts := make([]pimslot.Host, 0, len(owned))
+	for _, b := range owned {
+		hosts = append(hosts, pimslot.Host{
+			ID: b.ID, Generation: b.Generation, Service: b.Service, Slots: b.Slots,
+			Draining: n.isDraining(b), InFlight: n.polls.inFlight(b.ID),
+		})
+	}
+	for _, p := range n.policies(view, t, wall) {
+		n.slots.SetPolicy(p)
+	}
+	n.slots.SetHosts(hosts)
+}
+
+// policies returns the terms in force of every service with an owned host.
+func (n *Node) policies(view *pimview.View, t *topology, wall time.Time) []pimslot.Policy {
+	byService := map[pimid.ServiceID]*pimslot.Policy{}
+	for _, b := range t.owned {
+		if byService[b.Service] == nil {
+			counts := t.services[b.Service]
+			byService[b.Service] = &pimslot.Policy{
+				Service: b.Service, TotalSlots: counts.slots,
+				DataCentreHosts: counts.hosts, DataCentreFailed: counts.failed,
+			}
+		}
+	}
+	for id, c := range view.Contracts {
+		if p := byService[c.Service]; p != nil {
+			p.Contracts = append(p.Contracts, pimslot.ContractTerms{ID: id, Terms: c.TermsAt(wall)})
+		}
+	}
+	policies := make([]pimslot.Policy, 0, len(byService))
+	for _, p := range byService {
+		slices.SortFunc(p.Contracts, func(a, b pimslot.ContractTerms) int { return int(a.ID) - int(b.ID) })
+		policies = append(policies, *p)
+	}
+	return policies
+}
+
+// refreshHosts sets the backend servers on which this VM places flows, with the states that their owners announced.
+func (n *Node) refreshHosts(view *pimview.View) {
+	var hosts []pimpick.Host
+	for _, b := range view.Backends {
+		if b.DataCentre != n.cfg.Node.DataCentre {
+			continue
+		}
+		hosts = append(hosts, pimpick.Host{
+			ID: b.ID, Generation: b.Generation, Service: b.Service, MaxConnections: b.MaxConnections,
+			Leaving: b.State == pimview.BackendLeaving,
+		})
+	}
+	now := n.clock.Now()
+	n.hosts.SetHosts(now, hosts)
+	for _, h := range hosts {
+		s, ok := n.members.BackendStatus(h.ID)
+		if !ok {
+			continue
+		}
+		n.hosts.SetStatus(h.ID, s.Generation, s.Draining, s.Failed)
+		n.hosts.Report(h.ID, s.Generation, s.Connections, now)
+	}
+}
+
+// isDraining reports whether the platform or the owner has announced the end of a backend server.
+func (n *Node) isDraining(b pimview.Backend) bool {
+	if b.State == pimview.BackendLeaving {
+		return true
+	}
+	s, ok := n.members.BackendStatus(b.ID)
+	return ok && s.Generation == b.Generation && s.Draining
+}
--- /dev/null
+++ b/internal/pimnode/relay.go
@@ -0,0 +1,86 @@
+package pimnode
+
+import (
+	"context"
+	"net/netip"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// relay hands a request to another VM. Without an answer, the request may have run there, so its outcome is unknown;
+// an idempotent one may be repeated.
+func (n *Node) relay(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
+	timeout := n.deadline(p, a.Contract).Sub(n.clock.Now()) + relayGrace
+	reply, err := n.callRelay(ctx, p, a.Node, a.Contract, timeout)
+	if err == nil {
+		return reply
+	}
+	n.log.Debug().Stringer("vm", a.Node).Err(err).Msg("relay not answered")
+	ticket := n.ledger.Account(a.Contract).Admit()
+	if p.Kind == pimedge.KindGet {
+		ticket.NotRun(pimledger.Reason(pimedge.ReasonViewBehind))
+		return pimedge.Reply{
+			Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonViewBehind, RetryAfter: viewBehindRetry,
+		}
+	}
+	ticket.Unknown()
+	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonHomeLost}
+}
+
+func (n *Node) callRelay(
+	ctx context.Context, p *pimedge.Packet, to pimid.NodeID, contract pimid.ContractID, timeout time.Duration,
+) (reply pimedge.Reply, err error) {
+	defer func() { err = oops.In("pimnode").Wrapf(err, "relay packet to vm %d", to) }()
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	peer, err := n.peer(ctx, to)
+	if err != nil {
+		return reply, err
+	}
+	out, err := peer.Relay(ctx, relayRequest(p, contract, timeout-relayGrace))
+	if err != nil {
+		return reply, err
+	}
+	return pimedge.Reply{
+		Outcome: outcomeFromProto(out.GetOutcome()), Reason: pimedge.Reason(out.GetReason()),
+		RetryAfter: time.Duration(out.GetRetryAfterNs()), Status: int(out.GetStatus()), Body: out.GetBody(),
+		Token: out.GetToken(),
+	}, nil
+}
+
+func relayRequest(p *pimedge.Packet, contract pimid.ContractID, timeout time.Duration) *pimpb.RelayRequest {
+	req := &pimpb.RelayRequest{
+		Kind: uint32(p.Kind), Observe: p.Observe, Service: uint32(p.Service), Contract: uint32(contract),
+		Token: p.Token, RequestTag: uint64(p.Tag), HasTag: p.HasTag, Path: p.Path, Body: p.Body,
+		TimeoutNs: int64(timeout), Hops: uint32(p.Hops) + 1, Source: p.Source.String(),
+	}
+	if p.Kind == pimedge.KindFlow {
+		req.Raw, req.Body = p.Raw, nil
+	}
+	return req
+}
+
+// relayedPacket rebuilds the packet of a relay; the sender has looked up the contract of the source.
+func relayedPacket(req *pimpb.RelayRequest) (p *pimedge.Packet, err error) {
+	defer func() { err = oops.In("pimnode").Wrapf(err, "read relayed packet") }()
+	source, err := netip.ParseAddrPort(req.GetSource())
+	if err != nil {
+		return nil, err
+	}
+	return &pimedge.Packet{
+		Kind: pimedge.Kind(req.GetKind()), Observe: req.GetObserve(), Hops: uint8(min(req.GetHops(), maxRelayHops)),
+		Contract: pimid.ContractID(req.GetContract()), Service: pimid.ServiceID(req.GetService()), Source: source,
+		Token: req.GetToken(), Tag: pimid.RequestTag(req.GetRequestTag()), HasTag: req.GetHasTag(),
+		Path: req.GetPath(), Timeout: time.Duration(req.GetTimeoutNs()), Body: req.GetBody(), Raw: req.GetRaw(),
+	}, nil
+}
+
+// maxRelayHops keeps the hop count of a malformed message in range; the router relays far fewer times.
+const maxRelayHops = 100
--- /dev/null
+++ b/internal/pimnode/start.go
@@ -0,0 +1,187 @@
+package pimnode
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimplatform"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
+)
+
+// ErrNoConfiguration means that neither the platform nor a peer gave a configuration before the start was given up.
+var ErrNoConfiguration = errors.New("no configuration from the platform or a peer")
+
+// startPeers opens the gossip socket and the drpc listener on the peer address.
+func (n *Node) startPeers(ctx context.Context) (err error) {
+	secret, err := n.cfg.Cluster.Load()
+	if err != nil {
+		return err
+	}
+	creds, err := pimpeer.NewCredentials(secret, pimpeer.Identity(n.self))
+	if err != nil {
+		return err
+	}
+	pool, closePool := pimpeer.NewPool(creds)
+	n.peers = pool
+	n.defers(closePool)
+	if err = n.serveCalls(ctx, creds); err != nil {
+		return err
+	}
+	return n.startGossip(creds)
+}
+
+func (n *Node) serveCalls(ctx context.Context, creds *pimpeer.Credentials) error {
+	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", n.cfg.Node.PeerAddress.String())
+	if err != nil {
+		return err
+	}
+	_, cleanup, err := pimpeer.NewServer(ctx, ln, creds, &peerServer{n: n}, n.log, n.set)
+	if err != nil {
+		return err
+	}
+	n.defers(cleanup)
+	return nil
+}
+
+func (n *Node) startGossip(creds *pimpeer.Credentials) error {
+	sealer, err := pimpeer.NewSealer(creds)
+	if err != nil {
+		return err
+	}
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(n.cfg.Node.PeerAddress))
+	if err != nil {
+		return err
+	}
+	g, cleanup := pimpeer.NewGossip(conn, sealer, n.receiveGossip, n.log, n.set)
+	n.gossip = g
+	n.defers(cleanup)
+	return nil
+}
+
+// startPlatforms follows every replica of the platform while this VM is a reader.
+func (n *Node) startPlatforms(ctx context.Context) error {
+	for _, url := range n.cfg.Platform.URLs {
+		client, cleanup, err := pimplatform.New(pimplatform.Settings{
+			Address: url, Timeout: time.Duration(n.cfg.Platform.Timeout),
+			WatchTimeout: time.Duration(n.cfg.Platform.PollTimeout),
+		})
+		if err != nil {
+			return err
+		}
+		n.defers(cleanup)
+		backoff := pimplatform.NewBackoff(100*time.Millisecond, 5*time.Second, n.rng)
+		_, stop := pimplatform.NewFollower(ctx, client, n.store, n.isReader, n.notifyChange, backoff, n.log)
+		n.defers(stop)
+	}
+	return nil
+}
+
+// awaitView waits until the first configuration has arrived.
+func (n *Node) awaitView(ctx context.Context) error {
+	for n.store.Revision() == 0 {
+		if !sleep(ctx, memberTick) {
+			return ErrNoConfiguration
+		}
+	}
+	return nil
+}
+
+// awaitPeers waits until a listed peer of the data centre was heard, so that tokens of live home VMs are known.
+func (n *Node) awaitPeers(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, warmUp)
+	defer cancel()
+	for !n.heardPeers() {
+		if !sleep(ctx, memberTick) {
+			return
+		}
+	}
+}
+
+// heardPeers reports whether every listed VM of the data centre was heard.
+func (n *Node) heardPeers() bool {
+	for _, v := range n.store.View().Nodes {
+		if v.ID == n.self.Node || v.DataCentre != n.cfg.Node.DataCentre || v.State != pimview.NodeLive {
+			continue
+		}
+		if m, ok := n.members.Member(v.ID); !ok || m.Incarnation == 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (n *Node) startEdge() error {
+	view := n.store.View()
+	services := make([]pimudp.Service, 0, len(view.Services))
+	for _, s := range view.Services {
+		services = append(services, n.edgeService(s))
+	}
+	server, cleanup, err := pimudp.Listen(pimudp.Config{
+		Services: services, Handler: n.handle, Overload: n.refuseOverload,
+		MaxRequests: n.cfg.Limits.RequestsInFlight, Log: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	n.edge = server
+	n.defers(cleanup)
+	n.log.Info().Int("services", len(services)).Msg("serving callers")
+	return nil
+}
+
+// edgeService listens on the VM's own address with the port of the service.
+func (n *Node) edgeService(s pimview.Service) pimudp.Service {
+	listen := netip.AddrPortFrom(n.cfg.Node.PeerAddress.Addr(), s.Address.Port())
+	return pimudp.Service{ID: s.ID, Listen: listen, Address: s.Address}
+}
+
+func (n *Node) seeds() []pimview.Node {
+	seeds := make([]pimview.Node, 0, len(n.cfg.Peers))
+	for _, p := range n.cfg.Peers {
+		seeds = append(seeds, pimview.Node{
+			ID: p.ID, DataCentre: p.DataCentre, PeerAddress: p.PeerAddress, State: pimview.NodeLive,
+		})
+	}
+	return seeds
+}
+
+// staticKeys returns the token keys of the settings, which the settings package has validated.
+func (n *Node) staticKeys() []pimtoken.Key {
+	keys := make([]pimtoken.Key, 0, len(n.cfg.Keys))
+	for _, k := range n.cfg.Keys {
+		secret, err := k.Bytes()
+		if err != nil {
+			n.log.Error().Uint8("key", k.ID).Err(err).Msg("static token key refused")
+			continue
+		}
+		keys = append(keys, pimtoken.Key{ID: k.ID, Secret: secret})
+	}
+	return keys
+}
+
+// refuseOverload counts and answers a request beyond the number that this VM handles at once.
+func (n *Node) refuseOverload(*pimedge.Packet) pimedge.Reply {
+	n.set.GetOrCreateCounter("pim_overload_refusals_total").Inc()
+	return pimedge.Reply{
+		Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonOverload, RetryAfter: time.Second,
+	}
+}
+
+// sleep waits for d; it reports false if ctx ended first.
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/pimnode/stop.go
@@ -0,0 +1,150 @@
+package pimnode
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// stopState tells how far a planned stop has come.
+type stopState struct {
+	isLeaving  *atomic.Bool
+	isDraining *atomic.Bool
+	// handedOver is closed when the records are with the successor, or lost.
+	handedOver chan struct{}
+}
+
+func newStopState() stopState {
+	return stopState{isLeaving: &atomic.Bool{}, isDraining: &atomic.Bool{}, handedOver: make(chan struct{})}
+}
+
+// leaving reports whether this VM gives up its slot ownership.
+func (s *stopState) leaving() bool { return s.isLeaving.Load() }
+
+// draining reports whether this VM has stopped accepting POST requests as home VM.
+func (s *stopState) draining() bool { return s.isDraining.Load() }
+
+// Shutdown stops the VM gracefully: it gives up ownership, finishes the requests in flight, hands its records to the
+// successor and goes on forwarding and relaying until the fabric has stopped using it. The clean-up function of New must
+// be called afterwards.
+func (n *Node) Shutdown(ctx context.Context) (err error) {
+	defer func() { err = oops.In("pimnode").Wrapf(err, "stop vm %d", n.self.Node) }()
+	n.stop.isLeaving.Store(true)
+	n.send(n.members.Leave(n.clock.Now(), 0, 0))
+	n.notifyChange()
+	n.stop.isDraining.Store(true)
+	n.home.Stop()
+	drainCtx, cancel := context.WithTimeout(ctx, time.Duration(n.cfg.Drain.Timeout))
+	defer cancel()
+	if err = n.home.Drain(drainCtx); err != nil {
+		n.log.Warn().Err(err).Msg("requests still run at the end of the drain time")
+	}
+	err = n.handOver(drainCtx)
+	close(n.stop.handedOver)
+	sleep(ctx, lingerTime)
+	n.awaitRequests(drainCtx)
+	n.send(n.members.Left(n.clock.Now()))
+	return err
+}
+
+// awaitRequests waits until no request is being carried out or ctx ends.
+func (n *Node) awaitRequests(ctx context.Context) {
+	for n.serving.Load() > 0 {
+		if !sleep(ctx, memberTick) {
+			n.log.Warn().Int64("requests", n.serving.Load()).Msg("requests still run at the end of the drain time")
+			return
+		}
+	}
+}
+
+// handOver sends the records to the successor and announces it. Without a successor, later duplicates are answered
+// unknown.
+func (n *Node) handOver(ctx context.Context) (err error) {
+	defer func() { err = oops.Wrapf(err, "hand over records") }()
+	node, inc, ok := n.members.Successor()
+	if !ok {
+		return nil
+	}
+	batches, err := n.home.Export(pimonce.Origin{Node: node, Incarnation: inc})
+	if err != nil {
+		return err
+	}
+	peer, err := n.peer(ctx, node)
+	if err != nil {
+		return err
+	}
+	for _, b := range batches {
+		if _, err = peer.Handover(ctx, handoverRequest(b)); err != nil {
+			return err
+		}
+	}
+	n.router.Stop(pimroute.Home{Node: node, Incarnation: inc})
+	n.send(n.members.Leave(n.clock.Now(), node, inc))
+	n.log.Info().Stringer("successor", node).Int("batches", len(batches)).Msg("records handed over")
+	return nil
+}
+
+// serveAfterHandover waits for the end of the handover and routes the packet again.
+func (n *Node) serveAfterHandover(ctx context.Context, p *pimedge.Packet, deadline pimclock.Instant) pimedge.Reply {
+	ctx, cancel := n.withDeadline(ctx, deadline)
+	defer cancel()
+	select {
+	case <-n.stop.handedOver:
+	case <-ctx.Done():
+		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+	}
+	var a pimroute.Action
+	n.router.Route(n.clock.Now(), n.unixNow(), p, &a)
+	switch a.Kind {
+	case pimroute.Relay:
+		return n.relay(ctx, p, &a)
+	case pimroute.Reply:
+		n.countReply(&a, p)
+		return a.Reply
+	default:
+		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+	}
+}
+
+// mayHandOver reports whether the sender may hand over the records of an origin: its own, or those that it adopted.
+func (n *Node) mayHandOver(sender pimpeer.Identity, origin pimonce.Origin) bool {
+	if pimonce.Origin(sender) == origin {
+		return true
+	}
+	node, inc, ok := n.members.SuccessorOf(origin.Node, origin.Incarnation)
+	return ok && node == sender.Node && inc == sender.Incarnation
+}
+
+func handoverRequest(b pimonce.Batch) *pimpb.HandoverRequest {
+	req := &pimpb.HandoverRequest{
+		Node: uint32(b.Origin.Node), Incarnation: uint64(b.Origin.Incarnation), Last: b.Last,
+	}
+	for _, r := range b.Records {
+		req.Records = append(req.Records, &pimpb.RequestRecord{
+			Flow: uint64(r.Flow), RequestTag: uint64(r.Tag), Outcome: outcomeToProto(r.Reply.Outcome),
+			Reason: string(r.Reply.Reason), Status: uint32(r.Reply.Status), Body: r.Reply.Body, KeepNs: int64(r.Keep),
+		})
+	}
+	return req
+}
+
+func recordFromProto(r *pimpb.RequestRecord) pimonce.Record {
+	return pimonce.Record{
+		Key: pimonce.Key{Flow: pimid.FlowID(r.GetFlow()), Tag: pimid.RequestTag(r.GetRequestTag())},
+		Reply: pimedge.Reply{
+			Outcome: outcomeFromProto(r.GetOutcome()), Reason: pimedge.Reason(r.GetReason()),
+			Status: int(r.GetStatus()), Body: r.GetBody(),
+		},
+		Keep: time.Duration(r.GetKeepNs()),
+	}
+}
--- /dev/null
+++ b/internal/pimnode/topology.go
@@ -0,0 +1,95 @@
+package pimnode
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// topology is the assignment of backend servers to slot owners at one moment; it is never changed after it was built.
+type topology struct {
+	// owned are the backend servers of which this VM is the slot owner.
+	owned []pimview.Backend
+	// local and remote list the slot owners of a service in this and in the other data centres.
+	local  map[pimid.ServiceID][]pimpick.Owner
+	remote map[pimid.ServiceID][]pimpick.Owner
+	// services counts the slots and hosts of each service.
+	services map[pimid.ServiceID]serviceCounts
+}
+
+type serviceCounts struct {
+	// slots counts all data centres; hosts and failed count this one.
+	slots  pimid.Slots
+	hosts  int
+	failed int
+}
+
+type ownedService struct {
+	node    pimid.NodeID
+	service pimid.ServiceID
+}
+
+func (n *Node) buildTopology(view *pimview.View) *topology {
+	t := &topology{services: map[pimid.ServiceID]serviceCounts{}}
+	local := map[ownedService]pimid.Slots{}
+	remote := map[ownedService]pimid.Slots{}
+	for _, b := range view.Backends {
+		isLocal := b.DataCentre == n.cfg.Node.DataCentre
+		t.count(b, isLocal, n.hasFailed(b))
+		owner := n.members.Owner(b.DataCentre, uint64(b.ID))
+		if owner == n.self.Node {
+			t.owned = append(t.owned, b)
+		}
+		if owner == 0 || n.isDraining(b) {
+			continue
+		}
+		key := ownedService{node: owner, service: b.Service}
+		if isLocal {
+			local[key] += b.Slots
+		} else {
+			remote[key] += b.Slots
+		}
+	}
+	slices.SortFunc(t.owned, func(a, b pimview.Backend) int { return cmp.Compare(a.ID, b.ID) })
+	t.local, t.remote = ownersByService(local), ownersByService(remote)
+	return t
+}
+
+func (t *topology) count(b pimview.Backend, isLocal, hasFailed bool) {
+	c := t.services[b.Service]
+	c.slots += b.Slots
+	if isLocal {
+		c.hosts++
+	}
+	if isLocal && hasFailed {
+		c.failed++
+	}
+	t.services[b.Service] = c
+}
+
+func ownersByService(slots map[ownedService]pimid.Slots) map[pimid.ServiceID][]pimpick.Owner {
+	out := make(map[pimid.ServiceID][]pimpick.Owner, len(slots))
+	for key, s := range slots {
+		out[key.service] = append(out[key.service], pimpick.Owner{Node: key.node, Slots: s})
+	}
+	for _, owners := range out {
+		slices.SortFunc(owners, func(a, b pimpick.Owner) int { return cmp.Compare(a.Node, b.Node) })
+	}
+	return out
+}
+
+// candidates returns the slot owners of a service; other data centres are asked only if this one has none left.
+func (t *topology) candidates(service pimid.ServiceID) []pimpick.Owner {
+	if owners := t.local[service]; len(owners) > 0 {
+		return owners
+	}
+	return t.remote[service]
+}
+
+func (n *Node) hasFailed(b pimview.Backend) bool {
+	s, ok := n.members.BackendStatus(b.ID)
+	return ok && s.Generation == b.Generation && s.Failed
+}
--- a/internal/pimsettings/settings.go
+++ b/internal/pimsettings/settings.go
@@ -17,6 +17,8 @@
 	Trace    Trace    `toml:"trace"`
 	Drain    Drain    `toml:"drain"`
 	Limits   Limits   `toml:"limits"`
+	// Peers are VMs that a starting VM contacts before it has a configuration.
+	Peers []Node `toml:"peer"`
 	// Keys are token keys in addition to the published ones.
 	Keys []Key `toml:"key"`
 }
--- a/internal/transport/pimudp/server.go
+++ b/internal/transport/pimudp/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"net/netip"
 	"sync"
@@ -9,9 +10,13 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
+// ErrNoService means that the server has no socket for a service.
+var ErrNoService = errors.New("no socket for the service")
+
 // Server owns the service sockets and their read loops.
 type Server struct {
 	cfg      Config
@@ -68,6 +73,17 @@
 	return sock.conn.LocalAddr().(*net.UDPAddr).AddrPort(), true
 }
 
+// Forward sends a flow packet that another VM received to the flow address of a backend server; it returns the error
+// of the socket or the codec, or ErrNoService.
+func (s *Server) Forward(pkt *pimedge.Packet, flowAddress netip.AddrPort) error {
+	sock, ok := s.sockets[pkt.Service]
+	if !ok {
+		return ErrNoService
+	}
+	r := &responder{server: s, sock: sock, source: pkt.Source}
+	return r.Forward(pkt, flowAddress)
+}
+
 func (s *Server) open(service Service) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(service.Listen))
 	if err != nil {
