--- /dev/null
+++ b/cmd/standin-backend/main.go
@@ -0,0 +1,85 @@
+// Command standin-backend runs a stand-in backend server until SIGTERM.
+package main
+
+import (
+	"context"
+	"net/netip"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+type options struct {
+	ID          uint32        `long:"id" description:"backend server id" default:"1"`
+	Generation  uint16        `long:"generation" description:"generation of this run" default:"1"`
+	HTTP        string        `long:"http" description:"http address" default:"127.0.0.1:0"`
+	Flow        string        `long:"flow" description:"flow address" default:"127.0.0.1:0"`
+	Service     string        `long:"service" description:"published service address; empty accepts any"`
+	Slots       int           `long:"slots" description:"requests that run at once" default:"2"`
+	ServiceTime time.Duration `long:"service-time" description:"time of one request" default:"20ms"`
+	RetryAfter  time.Duration `long:"retry-after" description:"advice to shed requests" default:"1s"`
+	Notify      time.Duration `long:"notify" description:"time between notifications of a flow" default:"1s"`
+	FlowTTL     time.Duration `long:"flow-ttl" description:"lifetime of a flow without refresh" default:"100s"`
+}
+
+func main() {
+	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-backend").Logger()
+	if err := run(log); err != nil {
+		log.Error().Err(err).Msg("stopped with an error")
+		os.Exit(1)
+	}
+}
+
+func run(log zerolog.Logger) error {
+	var o options
+	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
+		return nil
+	} else if err != nil {
+		return err
+	}
+	cfg, err := o.config(log)
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	s, cleanup, err := standbackend.Start(cfg)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	log.Info().Stringer("http", s.HTTPAddress()).Stringer("flow", s.FlowAddress()).Msg("serving")
+	<-ctx.Done()
+	log.Info().Interface("stats", s.Stats()).Msg("stopping")
+	return nil
+}
+
+func (o *options) config(log zerolog.Logger) (cfg standbackend.Config, err error) {
+	cfg = standbackend.Config{
+		ID:          pimid.BackendID(o.ID),
+		Generation:  pimid.Generation(o.Generation),
+		Slots:       pimid.Slots(o.Slots),
+		ServiceTime: o.ServiceTime,
+		RetryAfter:  o.RetryAfter,
+		Notify:      o.Notify,
+		FlowTTL:     o.FlowTTL,
+		Log:         log,
+	}
+	if cfg.HTTPAddress, err = netip.ParseAddrPort(o.HTTP); err != nil {
+		return cfg, err
+	}
+	if cfg.FlowAddress, err = netip.ParseAddrPort(o.Flow); err != nil {
+		return cfg, err
+	}
+	if o.Service != "" {
+		cfg.ServiceAddress, err = netip.ParseAddrPort(o.Service)
+	}
+	return cfg, err
+}
--- /dev/null
+++ b/internal/standin/standbackend/config.go
@@ -0,0 +1,56 @@
+package standbackend
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Config holds the settings of a stand-in backend server.
+type Config struct {
+	ID         pimid.BackendID
+	Generation pimid.Generation
+	// HTTPAddress serves requests, health, load and the controls.
+	HTTPAddress netip.AddrPort
+	// FlowAddress receives encapsulated flow packets.
+	FlowAddress netip.AddrPort
+	// ServiceAddress is the published address of the service; packets for another one count as misrouted.
+	// The zero value accepts any.
+	ServiceAddress netip.AddrPort
+	// Slots is the number of requests that run at once; further ones are shed.
+	Slots pimid.Slots
+	// ServiceTime is the time that one request takes.
+	ServiceTime time.Duration
+	// RetryAfter is the advice to a shed request, rounded up to whole seconds.
+	RetryAfter time.Duration
+	// Notify is the time between notifications on each flow; zero sends them only in answer to packets.
+	Notify time.Duration
+	// FlowTTL is the time without a packet after which a flow is forgotten.
+	FlowTTL time.Duration
+	Log     zerolog.Logger
+}
+
+const (
+	defaultSlots      = 2
+	defaultRetryAfter = time.Second
+	defaultFlowTTL    = 100 * time.Second
+	// progressInterval is the time between interim answers of a running request; clients take a connection without a
+	// byte for 2 s as silent.
+	progressInterval = 500 * time.Millisecond
+)
+
+func (c Config) withDefaults() Config {
+	if c.Slots <= 0 {
+		c.Slots = defaultSlots
+	}
+	if c.RetryAfter <= 0 {
+		c.RetryAfter = defaultRetryAfter
+	}
+	if c.FlowTTL <= 0 {
+		c.FlowTTL = defaultFlowTTL
+	}
+	return c
+}
--- /dev/null
+++ b/internal/standin/standbackend/handler.go
@@ -0,0 +1,74 @@
+package standbackend
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// load is the answer to GET /load.
+type load struct {
+	InFlight    int              `json:"in_flight"`
+	Connections int              `json:"connections"`
+	Draining    bool             `json:"draining"`
+	Generation  pimid.Generation `json:"generation"`
+}
+
+func (s *Server) handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /health", s.getHealth)
+	mux.HandleFunc("GET /load", s.getLoad)
+	mux.HandleFunc("GET /executed", s.getExecuted)
+	mux.HandleFunc("GET /stats", s.getStats)
+	mux.HandleFunc("POST /drain", s.postDrain)
+	mux.HandleFunc("POST /silence", s.postSilence)
+	mux.HandleFunc("/", s.work)
+	return mux
+}
+
+func (s *Server) getHealth(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, map[string]string{"status": "ok"})
+}
+
+func (s *Server) getLoad(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, load{
+		InFlight:    len(s.slots),
+		Connections: s.flows.count(),
+		Draining:    s.isDraining(),
+		Generation:  s.cfg.Generation,
+	})
+}
+
+func (s *Server) getExecuted(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, s.Executed())
+}
+
+func (s *Server) getStats(w http.ResponseWriter, _ *http.Request) {
+	s.writeJSON(w, s.Stats())
+}
+
+// postDrain makes the server report that it drains; work that still arrives is run and counted.
+func (s *Server) postDrain(w http.ResponseWriter, _ *http.Request) {
+	now := time.Now()
+	s.drainedAt.CompareAndSwap(nil, &now)
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// postSilence silences all connections that are open now, including that of this request.
+func (s *Server) postSilence(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Connection", "close")
+	s.Silence()
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Silence makes all open connections silent for ever; new connections work.
+func (s *Server) Silence() { s.silentUpTo.Store(s.connections.Load()) }
+
+func (s *Server) writeJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(v); err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("answer not written")
+	}
+}
--- /dev/null
+++ b/internal/standin/standbackend/server.go
@@ -0,0 +1,96 @@
+package standbackend
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// stopTimeout is the time for which a stop waits for running requests.
+const stopTimeout = 5 * time.Second
+
+// Server is one stand-in backend server.
+type Server struct {
+	cfg      Config
+	listener net.Listener
+	udp      *net.UDPConn
+	http     *http.Server
+	flows    *flows
+	records  *records
+	slots    chan struct{}
+	wg       sync.WaitGroup
+
+	drainedAt atomic.Pointer[time.Time]
+	// connections numbers the accepted connections; those up to silentUpTo never get an answer.
+	connections atomic.Int64
+	silentUpTo  atomic.Int64
+}
+
+// Start opens the sockets and serves; it returns the error of a socket. The cleanup function waits for running requests.
+func Start(cfg Config) (s *Server, cleanup func(), err error) {
+	defer func() {
+		if err != nil {
+			err = oops.Wrapf(err, "start backend server")
+		}
+	}()
+	cfg = cfg.withDefaults()
+	s = &Server{cfg: cfg, flows: newFlows(cfg.FlowTTL), records: newRecords(), slots: make(chan struct{}, cfg.Slots)}
+	var listen net.ListenConfig
+	if s.listener, err = listen.Listen(context.Background(), "tcp", cfg.HTTPAddress.String()); err != nil {
+		return nil, nil, err
+	}
+	if s.udp, err = net.ListenUDP("udp4", net.UDPAddrFromAddrPort(cfg.FlowAddress)); err != nil {
+		return nil, nil, errors.Join(err, s.listener.Close())
+	}
+	s.http = &http.Server{Handler: s.handler(), ConnContext: s.numberConnection, ReadHeaderTimeout: time.Minute}
+	ctx, cancel := context.WithCancel(context.Background())
+	s.wg.Go(s.serveHTTP)
+	s.wg.Go(func() { s.readFlows(ctx) })
+	s.wg.Go(func() { s.notifyLoop(ctx) })
+	return s, func() { s.stop(cancel) }, nil
+}
+
+// HTTPAddress returns the bound HTTP address.
+func (s *Server) HTTPAddress() netip.AddrPort { return s.listener.Addr().(*net.TCPAddr).AddrPort() }
+
+// FlowAddress returns the bound flow address.
+func (s *Server) FlowAddress() netip.AddrPort { return s.udp.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func (s *Server) stop(cancel context.CancelFunc) {
+	cancel()
+	ctx, done := context.WithTimeout(context.Background(), stopTimeout)
+	defer done()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.cfg.Log.Warn().Err(err).Msg("requests cut off at stop")
+		_ = s.http.Close()
+	}
+	_ = s.udp.Close()
+	s.wg.Wait()
+}
+
+func (s *Server) serveHTTP() {
+	if err := s.http.Serve(s.listener); !errors.Is(err, http.ErrServerClosed) {
+		s.cfg.Log.Error().Err(err).Msg("http server ended")
+	}
+}
+
+type connectionKey struct{}
+
+// numberConnection numbers connections, so that those open at a fault can be told from later ones.
+func (s *Server) numberConnection(ctx context.Context, _ net.Conn) context.Context {
+	return context.WithValue(ctx, connectionKey{}, s.connections.Add(1))
+}
+
+func (s *Server) isSilent(ctx context.Context) bool {
+	number, ok := ctx.Value(connectionKey{}).(int64)
+	return ok && number <= s.silentUpTo.Load()
+}
+
+func (s *Server) isDraining() bool { return s.drainedAt.Load() != nil }
--- /dev/null
+++ b/internal/standin/standbackend/work.go
@@ -0,0 +1,117 @@
+package standbackend
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// maxRequestBody bounds a request body in bytes.
+const maxRequestBody = 64 << 10
+
+// Answer is the body of an answer; it lets a caller check that the answer belongs to its request.
+type Answer struct {
+	// ID repeats the query parameter id of the request.
+	ID      string          `json:"id"`
+	Method  string          `json:"method"`
+	Path    string          `json:"path"`
+	Backend pimid.BackendID `json:"backend"`
+	// BodyBytes is the length of the request body.
+	BodyBytes int `json:"body_bytes"`
+	// Padding fills the answer to the length in the query parameter bytes.
+	Padding string `json:"padding,omitempty"`
+}
+
+// work runs one request in a slot or sheds it.
+func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
+	if err != nil {
+		http.Error(w, "cannot read body", http.StatusBadRequest)
+		return
+	}
+	select {
+	case s.slots <- struct{}{}:
+		defer func() { <-s.slots }()
+	default:
+		s.shed(w)
+		return
+	}
+	ctx, cancel := withDeadline(r)
+	defer cancel()
+	s.records.began(r.Method, r.URL.Query().Get("id"), s.drainedAt.Load())
+	if !s.process(ctx, w) {
+		s.records.cancelled.Add(1)
+		http.Error(w, "deadline passed", http.StatusGatewayTimeout)
+		return
+	}
+	if s.isSilent(r.Context()) {
+		<-r.Context().Done()
+		return
+	}
+	s.answer(w, r, len(body))
+}
+
+func (s *Server) shed(w http.ResponseWriter) {
+	s.records.shed.Add(1)
+	seconds := int64((s.cfg.RetryAfter + time.Second - 1) / time.Second)
+	w.Header().Set("Retry-After", strconv.FormatInt(seconds, 10))
+	w.WriteHeader(http.StatusServiceUnavailable)
+}
+
+// withDeadline applies the deadline of the request; an absent or invalid one means none.
+func withDeadline(r *http.Request) (context.Context, context.CancelFunc) {
+	ms, err := strconv.ParseInt(r.Header.Get("Request-Timeout-Ms"), 10, 64)
+	if err != nil || ms <= 0 {
+		return context.WithCancel(r.Context())
+	}
+	return context.WithTimeout(r.Context(), time.Duration(ms)*time.Millisecond)
+}
+
+// process takes the service time and sends interim answers meanwhile; ok is false if the request ended early.
+func (s *Server) process(ctx context.Context, w http.ResponseWriter) (ok bool) {
+	end := time.NewTimer(s.cfg.ServiceTime)
+	defer end.Stop()
+	progress := time.NewTicker(progressInterval)
+	defer progress.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return false
+		case <-end.C:
+			return true
+		case <-progress.C:
+			if !s.isSilent(ctx) {
+				w.WriteHeader(http.StatusProcessing)
+			}
+		}
+	}
+}
+
+func (s *Server) answer(w http.ResponseWriter, r *http.Request, bodyBytes int) {
+	a := Answer{
+		ID:        r.URL.Query().Get("id"),
+		Method:    r.Method,
+		Path:      r.URL.Path,
+		Backend:   s.cfg.ID,
+		BodyBytes: bodyBytes,
+	}
+	encoded, err := json.Marshal(a)
+	if err != nil {
+		http.Error(w, "cannot encode answer", http.StatusInternalServerError)
+		return
+	}
+	if size, err := strconv.Atoi(r.URL.Query().Get("bytes")); err == nil && size > len(encoded) {
+		a.Padding = string(bytes.Repeat([]byte{'.'}, size-len(encoded)))
+		encoded, _ = json.Marshal(a)
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(encoded)))
+	if _, err = w.Write(encoded); err != nil {
+		s.cfg.Log.Debug().Err(err).Msg("answer not written")
+	}
+}
--- /dev/null
+++ b/internal/standin/standfabric/config.go
@@ -0,0 +1,54 @@
+package standfabric
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Route is the published address of one service.
+type Route struct {
+	Service pimid.ServiceID
+	// Listen is the address that callers send to.
+	Listen netip.AddrPort
+	// EdgePort is the port on which every VM serves the service; zero means the port of Listen.
+	EdgePort uint16
+}
+
+// Config holds the settings of a stand-in fabric.
+type Config struct {
+	Routes []Route
+	// VMs are the addresses of the VMs until the list has been polled.
+	VMs []netip.Addr
+	// Targets are edge addresses for single services; they replace VMs for these services.
+	Targets map[pimid.ServiceID][]netip.AddrPort
+	// ListURL is the URL of GET /v1/vms; empty means that the static VMs stay.
+	ListURL string
+	// PollInterval is the time between polls of the list.
+	PollInterval time.Duration
+	Impairment   Impairment
+	// Seed seeds the choice of VMs and the impairments.
+	Seed uint64
+	Log  zerolog.Logger
+}
+
+// Impairment describes faults of the network; they apply to each direction.
+type Impairment struct {
+	// Loss and Duplication are probabilities from 0 to 1.
+	Loss        float64
+	Duplication float64
+	// MaxDelay bounds a delay that is uniformly distributed; unequal delays reorder datagrams.
+	MaxDelay time.Duration
+}
+
+const defaultPollInterval = 500 * time.Millisecond
+
+func (c Config) withDefaults() Config {
+	if c.PollInterval <= 0 {
+		c.PollInterval = defaultPollInterval
+	}
+	return c
+}
