--- a/internal/pimsettings/read.go
+++ b/internal/pimsettings/read.go
@@ -2,13 +2,14 @@
 
 import (
 	"os"
+	"path/filepath"
 
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/pimtoml"
 )
 
-// Read reads, decodes and validates a settings file; the error is pimtoml.Faults if its content is wrong.
+// Read reads, decodes and validates a settings file; a relative path in it starts at the directory of the file. The error is pimtoml.Faults if its content is wrong.
 func Read(file string) (s Settings, err error) {
 	defer func() { err = oops.In("pimsettings").Wrap(err) }()
 	data, err := os.ReadFile(file)
@@ -16,6 +17,9 @@
 		return s, err
 	}
 	s, faults := Decode(file, data)
+	if f := s.Cluster.SecretFile; f != "" && !filepath.IsAbs(f) {
+		s.Cluster.SecretFile = filepath.Join(filepath.Dir(file), f)
+	}
 	return s, faults.Err()
 }
 
@@ -24,7 +28,9 @@
 	s = Default()
 	doc, faults := pimtoml.Decode(file, data, &s)
 	v := validator{doc: doc, faults: faults}
-	v.settings(&s)
+	if !doc.Broken() {
+		v.settings(&s)
+	}
 	v.faults.Sort()
 	return s, v.faults
 }
--- a/internal/pimtoml/decode.go
+++ b/internal/pimtoml/decode.go
@@ -17,8 +17,11 @@
 func Decode[T any](file string, data []byte, v *T) (doc *Document, faults Faults) {
 	defaults := *v
 	doc = NewDocument(file)
-	spans, lines := index(data)
+	spans, lines, ok := index(data)
 	doc.lines = lines
+	if !ok {
+		spans = nil
+	}
 	data = bytes.Clone(data)
 	for len(faults) < maxFaults {
 		*v = defaults
@@ -30,6 +33,7 @@
 			return doc, faults
 		}
 	}
+	doc.broken = true
 	return doc, faults
 }
 
@@ -48,8 +52,11 @@
 		}
 		return faults, false
 	case errors.As(err, &wrong):
-		return d.explainValue(wrong, spans, data)
+		faults, again = d.explainValue(wrong, spans, data)
+		d.broken = !again
+		return faults, again
 	default:
+		d.broken = true
 		return Faults{{File: d.file, Line: 1, Reason: err.Error()}}, false
 	}
 }
@@ -66,12 +73,21 @@
 	return Faults{f}, blank(data, value)
 }
 
-// wrongType matches the message of a value of the wrong type, which names Go types that operators don't know.
-var wrongType = regexp.MustCompile(`^cannot decode TOML (\S+) into .* of type (\S+)$`)
+// rewrites replace messages that name Go types, which operators don't know.
+var rewrites = []struct {
+	pattern *regexp.Regexp
+	text    string
+}{
+	{regexp.MustCompile(`^cannot decode TOML (\S+) into .*$`), "a value of type $1 is not allowed here"},
+	{regexp.MustCompile(`^integer value (\S+) cannot be stored in .*$`), "$1 is out of range"},
+}
 
 func reason(err *toml.DecodeError) string {
 	text := strings.TrimPrefix(err.Error(), "toml: ")
-	return wrongType.ReplaceAllString(text, "found $1, want $2")
+	for _, r := range rewrites {
+		text = r.pattern.ReplaceAllString(text, r.text)
+	}
+	return text
 }
 
 // offset converts a position that counts from 1 to a byte offset.
--- a/internal/pimtoml/document.go
+++ b/internal/pimtoml/document.go
@@ -11,6 +11,8 @@
 	file   string
 	lines  map[string]int
 	faulty map[string]bool
+	// broken is set if the file could not be decoded to its end.
+	broken bool
 }
 
 // NewDocument returns the document of a file without keys, for values that were built in memory.
@@ -21,6 +23,9 @@
 // File returns the name of the file.
 func (d *Document) File() string { return d.file }
 
+// Broken reports whether the file could not be decoded to its end, so that keys may be missing.
+func (d *Document) Broken() bool { return d.broken }
+
 // Has reports whether the file sets the key.
 func (d *Document) Has(key string) bool {
 	_, ok := d.lines[key]
@@ -62,8 +67,8 @@
 	end int
 }
 
-// index lists the keys of a document in file order; it stops at the first syntax error.
-func index(data []byte) (spans []span, lines map[string]int) {
+// index lists the keys of a document in file order; ok is false if the document has a syntax error.
+func index(data []byte) (spans []span, lines map[string]int, ok bool) {
 	lines = map[string]int{}
 	p := unstable.Parser{}
 	p.Reset(data)
@@ -72,5 +77,5 @@
 		s.expression(p.Expression())
 	}
 	s.end(len(data))
-	return s.spans, lines
+	return s.spans, lines, p.Error() == nil
 }
--- a/pkg/pimcontract/plan.go
+++ b/pkg/pimcontract/plan.go
@@ -1,16 +1,44 @@
 package pimcontract
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+)
 
 // TermsAt returns the terms in force at t: those of the active plan, or the contract's own.
 func (c *Contract) TermsAt(t time.Time) Terms {
+	terms, _ := c.termsAt(t)
+	return terms
+}
+
+// termsAt also returns the key of the terms below the contract.
+func (c *Contract) termsAt(t time.Time) (terms Terms, key string) {
 	at := timeOfDay(t, time.Duration(c.UTCOffset))
 	for i := range c.Plans {
 		if c.Plans[i].active(at) {
-			return c.Plans[i].Terms
+			return c.Plans[i].Terms, fmt.Sprintf("plan[%d].terms", i)
+		}
+	}
+	return c.Terms, "terms"
+}
+
+// Changes returns the times of one day, in UTC, at which the terms of some contract may change; midnight UTC is
+// included.
+func Changes(contracts []Contract) (times []time.Time) {
+	midnight := time.Unix(0, 0).UTC()
+	times = append(times, midnight)
+	for i := range contracts {
+		c := &contracts[i]
+		for _, p := range c.Plans {
+			for _, local := range []Duration{p.From, p.To} {
+				at := midnight.Add(time.Duration(local) - time.Duration(c.UTCOffset))
+				times = append(times, midnight.Add(timeOfDay(at, 0)))
+			}
 		}
 	}
-	return c.Terms
+	slices.SortFunc(times, time.Time.Compare)
+	return slices.CompactFunc(times, time.Time.Equal)
 }
 
 // timeOfDay returns the time since midnight at the given offset from UTC.
--- a/pkg/pimcontract/read.go
+++ b/pkg/pimcontract/read.go
@@ -42,7 +42,9 @@
 		var part Publication
 		doc, found := pimtoml.Decode(s.Name, s.Data, &part)
 		faults = append(faults, found...)
-		v.add(doc, &part)
+		if !doc.Broken() {
+			v.add(doc, &part)
+		}
 	}
 	v.validate()
 	faults = append(faults, v.faults...)
--- a/pkg/pimcontract/validator.go
+++ b/pkg/pimcontract/validator.go
@@ -12,6 +12,16 @@
 	key string
 }
 
+// below returns the origin of a table inside the element.
+func (o origin) below(key string) origin {
+	return origin{doc: o.doc, key: o.key + "." + key}
+}
+
+// element returns the origin of one element of an array inside the element.
+func (o origin) element(key string, i int) origin {
+	return origin{doc: o.doc, key: fmt.Sprintf("%s.%s[%d]", o.key, key, i)}
+}
+
 // validator checks a publication and keeps the origin of each element.
 type validator struct {
 	pub    *Publication
@@ -39,11 +49,51 @@
 	return to
 }
 
-// fault reports a fault at a key below the element, unless the value there could not be decoded anyway.
+// fault reports a fault at a key below the element, or at the element itself if key is empty, unless the value there could not be decoded anyway.
 func (v *validator) fault(o origin, key, format string, args ...any) {
-	if f, ok := o.doc.Fault(o.key+"."+key, fmt.Sprintf(format, args...)); ok {
+	at := o.key
+	if key != "" {
+		at += "." + key
+	}
+	if f, ok := o.doc.Fault(at, fmt.Sprintf(format, args...)); ok {
 		v.faults = append(v.faults, f)
 	}
 }
 
-func (v *validator) validate() {}
+func (v *validator) check(ok bool, o origin, key, format string, args ...any) {
+	if !ok {
+		v.fault(o, key, format, args...)
+	}
+}
+
+func (v *validator) validate() {
+	v.checkServices()
+	v.checkBackends()
+	v.checkNodes()
+	v.checkContracts()
+	v.checkSources()
+	v.checkGuarantees()
+}
+
+// unique reports values that two elements share.
+type unique[K comparable] struct {
+	v    *validator
+	seen map[K]origin
+}
+
+func newUnique[K comparable](v *validator) unique[K] {
+	return unique[K]{v: v, seen: map[K]origin{}}
+}
+
+func (u unique[K]) check(value K, o origin, key string) {
+	var missing K
+	if value == missing {
+		return
+	}
+	if first, ok := u.seen[value]; ok {
+		u.v.fault(o, key, "%v is used by %s already (%s:%d)",
+			value, first.key, first.doc.File(), first.doc.Line(first.key+"."+key))
+		return
+	}
+	u.seen[value] = o
+}
