feat: keep spare quota at the owner and simulate a data centre

Cause: with all capacity divided among the members, chance maxima at one VM were refused while others had permits. Change: members get rates up to their demand; the rest stays at the owner and is fetched when a bucket runs empty. Permits in advance only from one per member.

--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -65,7 +65,7 @@
 	if now.Before(a.urgentAt) {
 		return false
 	}
-	return a.wanted > 0 || len(a.queue) > 0 || a.grant.rate == 0 && a.grant.depth >= 1 && a.grant.tokens < 1
+	return a.wanted > 0 || len(a.queue) > 0 || a.grant.depth >= 1 && a.grant.tokens < 1
 }
 
 // backOff adapts the gap to whether the owner had permits for what was asked.
--- a/internal/coordination/pimquota/maxmin.go
+++ b/internal/coordination/pimquota/maxmin.go
@@ -3,8 +3,7 @@
 import "slices"
 
 // maxMin divides capacity among demands: no demand gets more than it asks for, and what is left after the smaller
-// demands is divided equally among the larger ones. Spare capacity is then added in equal parts, so that a member
-// whose demand rises does not wait for its next request.
+// demands is divided equally among the larger ones.
 func maxMin(capacity float64, demands []float64) (parts []float64) {
 	parts = make([]float64, len(demands))
 	order := make([]int, len(demands))
@@ -22,8 +21,5 @@
 		parts[i] = min(demands[i], left/float64(len(order)-n))
 		left -= parts[i]
 	}
-	for i := range parts {
-		parts[i] += left / float64(len(parts))
-	}
 	return parts
 }
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -9,6 +9,10 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
+// tokenParts is the divisor for the owner's permits that go to a member with a rate at once. Capacity beyond the demands
+// stays at the owner, which gives it to whichever member has a chance maximum.
+const tokenParts = 4
+
 // sharedPool is the owner's pool of one contract: the shares that members lend, less what they have been granted.
 // Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
@@ -94,9 +98,9 @@
 	if part := p.target(now, b, rate); rate > 0 && depth*part/rate >= rateDepth {
 		g.rate = min(part, freeRate)
 		g.depth = min(depth*part/rate, freeDepth)
-		g.added = max(min(p.tokens, g.depth-d.GetHeld()), 0)
+		g.added = max(min(p.tokens/tokenParts, g.depth-d.GetHeld()), 0)
 	} else {
-		want := p.permits(d, depth*part/max(rate, rounding))
+		want := p.permits(d, depth/float64(len(p.borrowers)))
 		g.added = min(want, math.Floor(max(freeDepth-d.GetHeld(), 0)+rounding))
 		g.depth = min(d.GetHeld()+g.added, freeDepth)
 	}
@@ -113,8 +117,8 @@
 }
 
 // permits returns the whole permits for a member without a rate: those it lacks now, and those it will probably need
-// until its next request, as far as its part of the depth holds them. Parts below one permit are not granted in advance,
-// since members that do not use them would keep them from the others.
+// until its next request, as far as an equal part of the depth holds them. With less than one permit per member nothing
+// is granted in advance, since members that do not use a permit would keep it from the others.
 func (p *sharedPool) permits(d *pimpb.QuotaDemand, part float64) float64 {
 	ahead := min(d.GetRate()*borrowPeriod.Seconds()+1, part)
 	want := max(d.GetPermits(), math.Floor(ahead-d.GetHeld()))
--- /dev/null
+++ b/internal/coordination/pimquota/sim_test.go
@@ -0,0 +1,173 @@
+package pimquota
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const (
+	simStep     = time.Millisecond
+	simContract = pimid.ContractID(1)
+	// simPatience is how long a request waits for permits.
+	simPatience = 20 * time.Millisecond
+)
+
+// limiter is what the simulation compares: pooled shares and the baselines.
+type limiter interface {
+	request(now pimclock.Instant, vm int, admit func())
+	tick(now pimclock.Instant, vm int)
+}
+
+// sim is one data centre on a manual clock with a lossy network.
+type sim struct {
+	clock pimclock.Manual
+	rng   *rand.Rand
+	vms   []*simVM
+	// live lists the VMs as seen by each VM, for the choice of the owner.
+	live  func(vm int) []int
+	split func(a, b int) bool
+	loss  float64
+	delay time.Duration
+	mail  []letter
+	// admitted holds the times of all admissions.
+	admitted []pimclock.Instant
+	offered  int
+}
+
+type simVM struct {
+	pool   *Pool
+	up     bool
+	paused bool
+	weight float64
+}
+
+type letter struct {
+	at      pimclock.Instant
+	from    int
+	to      int
+	deliver func(now pimclock.Instant)
+}
+
+func newSim(seed uint64, n int) *sim {
+	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
+	s.split = func(int, int) bool { return false }
+	s.live = func(int) []int { return s.up() }
+	for i := range n {
+		s.vms = append(s.vms, &simVM{up: true, weight: 1, pool: s.newPool(i, 1)})
+	}
+	return s
+}
+
+func (s *sim) newPool(vm int, incarnation pimid.Incarnation) *Pool {
+	return New(Config{
+		Self: pimid.NodeID(vm), Incarnation: incarnation,
+		OwnerOf: func(pimid.ContractID) pimid.NodeID { return pimid.NodeID(s.live(vm)[0]) },
+		Send: func(to pimid.NodeID, req *pimpb.BorrowQuotaRequest) {
+			s.post(vm, int(to), func(now pimclock.Instant) {
+				reply := s.vms[to].pool.Borrow(now, req)
+				s.post(int(to), vm, func(now pimclock.Instant) { s.vms[vm].pool.Deliver(now, to, reply) })
+			})
+		},
+	})
+}
+
+func (s *sim) up() (ids []int) {
+	for i, vm := range s.vms {
+		if vm.up {
+			ids = append(ids, i)
+		}
+	}
+	return ids
+}
+
+func (s *sim) post(from, to int, deliver func(now pimclock.Instant)) {
+	if s.split(from, to) || s.rng.Float64() < s.loss {
+		return
+	}
+	d := time.Duration(float64(s.delay) * (0.5 + s.rng.ExpFloat64()/2))
+	s.mail = append(s.mail, letter{at: s.clock.Now().Add(d), from: from, to: to, deliver: deliver})
+}
+
+// publish gives a VM a list of n VMs.
+func (s *sim) publish(vm, n int, limit Limit) {
+	s.vms[vm].pool.Publish(s.clock.Now(), Publication{
+		Nodes: n, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: limit},
+	})
+}
+
+// run offers rate requests per second for d, spread over the VMs by weight.
+func (s *sim) run(d time.Duration, rate float64, l limiter) {
+	for end := s.clock.Now().Add(d); s.clock.Now().Before(end); {
+		s.clock.Advance(simStep)
+		now := s.clock.Now()
+		s.deliver(now)
+		for i, vm := range s.vms {
+			if vm.up && !vm.paused {
+				l.tick(now, i)
+			}
+		}
+		for n := s.poisson(rate * simStep.Seconds()); n > 0; n-- {
+			if vm := s.spray(); vm >= 0 {
+				s.offered++
+				l.request(now, vm, func() { s.admitted = append(s.admitted, s.clock.Now()) })
+			}
+		}
+	}
+}
+
+func (s *sim) deliver(now pimclock.Instant) {
+	due := s.mail
+	s.mail = nil
+	slices.SortStableFunc(due, func(a, b letter) int { return int(a.at.Sub(b.at)) })
+	for _, m := range due {
+		switch {
+		case !s.vms[m.to].up:
+		case now.Before(m.at) || s.vms[m.to].paused:
+			s.mail = append(s.mail, m)
+		default:
+			m.deliver(now)
+		}
+	}
+}
+
+func (s *sim) poisson(mean float64) (n int) {
+	for t := s.rng.ExpFloat64(); t < mean; t += s.rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
+
+// spray picks the VM that receives a packet; the fabric drops packets to VMs that are down or paused.
+func (s *sim) spray() int {
+	var sum float64
+	for _, vm := range s.vms {
+		sum += vm.weight
+	}
+	x := s.rng.Float64() * sum
+	for i, vm := range s.vms {
+		if x -= vm.weight; x < 0 {
+			if vm.up && !vm.paused {
+				return i
+			}
+			return -1
+		}
+	}
+	return -1
+}
+
+// worst returns the largest number of admissions in any window of one second.
+func worst(admitted []pimclock.Instant) (most int) {
+	first := 0
+	for i, at := range admitted {
+		for at.Sub(admitted[first]) >= time.Second {
+			first++
+		}
+		most = max(most, i-first+1)
+	}
+	return most
+}
