feat: find contracts by binary search over disjoint spans

Cause: the first lookup scanned all prefixes of a service. Ruled out: a trie per service, which costs several times the memory per prefix and a cache miss per level.

--- /dev/null
+++ b/internal/coordination/pimroute/ranges.go
@@ -0,0 +1,98 @@
+package pimroute
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// source is one prefix of a contract.
+type source struct {
+	prefix   netip.Prefix
+	contract pimid.ContractID
+}
+
+// span is the part of the address space from start to the start of the next span.
+type span struct {
+	start netip.Addr
+	owner owner
+}
+
+// owner is a contract id plus one; zero means that no contract covers the span.
+type owner uint32
+
+func ownerOf(id pimid.ContractID) owner { return owner(id) + 1 }
+
+// normalise returns the prefix without host bits and as IPv4 if it covers IPv4-mapped addresses only.
+func normalise(p netip.Prefix) (q netip.Prefix, ok bool) {
+	const mappedBits = 96
+	if p.Addr().Is4In6() && p.Bits() >= mappedBits {
+		p = netip.PrefixFrom(p.Addr().Unmap(), p.Bits()-mappedBits)
+	}
+	return p.Masked(), p.IsValid()
+}
+
+// flattener turns nested prefixes of one address family into disjoint spans, in which a binary search finds the longest
+// prefix.
+type flattener struct {
+	spans []span
+	// open holds the prefixes around the current position, the innermost last.
+	open []source
+}
+
+// flatten returns the spans of the sources of one address family. Of two contracts with the same prefix, the one with
+// the lower id wins at every VM.
+func flatten(sources []source) []span {
+	slices.SortFunc(sources, func(a, b source) int {
+		return cmp.Or(a.prefix.Addr().Compare(b.prefix.Addr()), cmp.Compare(a.prefix.Bits(), b.prefix.Bits()),
+			cmp.Compare(b.contract, a.contract))
+	})
+	var f flattener
+	for _, s := range sources {
+		f.closeBefore(s.prefix.Addr())
+		f.emit(s.prefix.Addr(), ownerOf(s.contract))
+		f.open = append(f.open, s)
+	}
+	f.closeBefore(netip.Addr{})
+	return f.spans
+}
+
+// closeBefore ends all prefixes that do not contain addr.
+func (f *flattener) closeBefore(addr netip.Addr) {
+	for len(f.open) > 0 {
+		top := f.open[len(f.open)-1]
+		if top.prefix.Contains(addr) {
+			return
+		}
+		f.open = f.open[:len(f.open)-1]
+		if next := lastAddr(top.prefix).Next(); next.IsValid() {
+			f.emit(next, f.innermost())
+		}
+	}
+}
+
+func (f *flattener) innermost() owner {
+	if len(f.open) == 0 {
+		return 0
+	}
+	return ownerOf(f.open[len(f.open)-1].contract)
+}
+
+func (f *flattener) emit(start netip.Addr, o owner) {
+	if n := len(f.spans); n > 0 && f.spans[n-1].start == start {
+		f.spans[n-1].owner = o
+		return
+	}
+	f.spans = append(f.spans, span{start: start, owner: o})
+}
+
+func lastAddr(p netip.Prefix) netip.Addr {
+	raw := p.Addr().AsSlice()
+	for bit := p.Bits(); bit < len(raw)*8; bit++ {
+		raw[bit/8] |= 1 << (7 - bit%8)
+	}
+	last, _ := netip.AddrFromSlice(raw)
+	return last
+}
