feat: scan the contracts once for each change

Cause: a changed contract scanned all contracts three times. Ruled out: comparing revisions per contract; the view has none. Change: each table lists its contracts, so only the comparison scans all; removed ones are searched if some are missing.

--- a/internal/coordination/pimroute/index.go
+++ b/internal/coordination/pimroute/index.go
@@ -24,62 +24,93 @@
 		old = &index{}
 	}
 	x := &index{tables: slices.Clone(old.tables), contracts: v.Contracts}
-	for service, sources := range x.changedSources(old) {
-		x.set(service, sources)
+	for service, candidates := range x.changes(old) {
+		x.rebuild(service, candidates)
 	}
 	return x
 }
 
-func (x *index) set(service pimid.ServiceID, sources []source) {
-	if missing := int(service) + 1 - len(x.tables); missing > 0 {
-		x.tables = append(x.tables, make([]*table, missing)...)
-	}
-	x.tables[service] = nil
-	if len(sources) > 0 {
-		x.tables[service] = newTable(sources)
-	}
-}
-
-// changedSources returns all sources of each service that has a contract that differs from old.
-func (x *index) changedSources(old *index) map[pimid.ServiceID][]source {
-	changed := make(map[pimid.ServiceID][]source)
+// changes returns the services with a contract that differs from old, and for each the contracts that it had or may
+// have now.
+func (x *index) changes(old *index) map[pimid.ServiceID][]pimid.ContractID {
+	changed := make(map[pimid.ServiceID][]pimid.ContractID)
+	kept := 0
 	for id, c := range x.contracts {
 		was, ok := old.contracts[id]
+		if ok {
+			kept++
+		}
 		if ok && was.Service == c.Service && slices.Equal(was.Sources, c.Sources) {
 			continue
 		}
-		changed[c.Service] = nil
 		if ok {
-			changed[was.Service] = nil
+			old.touch(changed, was.Service)
 		}
+		old.touch(changed, c.Service)
+		changed[c.Service] = append(changed[c.Service], id)
+	}
+	if kept < len(old.contracts) {
+		x.addRemoved(changed, old)
 	}
+	return changed
+}
+
+func (x *index) addRemoved(changed map[pimid.ServiceID][]pimid.ContractID, old *index) {
 	for id, was := range old.contracts {
 		if _, ok := x.contracts[id]; !ok {
-			changed[was.Service] = nil
+			old.touch(changed, was.Service)
 		}
 	}
-	if len(changed) > 0 {
-		x.collect(changed)
+}
+
+// touch marks a service as changed, with the contracts that it has in x.
+func (x *index) touch(changed map[pimid.ServiceID][]pimid.ContractID, service pimid.ServiceID) {
+	if _, ok := changed[service]; ok {
+		return
+	}
+	changed[service] = nil
+	if t := x.table(service); t != nil {
+		changed[service] = slices.Clone(t.contracts)
 	}
-	return changed
 }
 
-func (x *index) collect(changed map[pimid.ServiceID][]source) {
-	for id, c := range x.contracts {
-		list, ok := changed[c.Service]
-		if !ok {
+// rebuild replaces the table of a service.
+func (x *index) rebuild(service pimid.ServiceID, candidates []pimid.ContractID) {
+	if missing := int(service) + 1 - len(x.tables); missing > 0 {
+		x.tables = append(x.tables, make([]*table, missing)...)
+	}
+	x.tables[service] = nil
+	slices.Sort(candidates)
+	var ids []pimid.ContractID
+	var sources []source
+	for _, id := range slices.Compact(candidates) {
+		c, ok := x.contracts[id]
+		if !ok || c.Service != service {
 			continue
 		}
+		ids = append(ids, id)
 		for _, p := range c.Sources {
-			list = append(list, source{prefix: p, contract: id})
+			sources = append(sources, source{prefix: p, contract: id})
 		}
-		changed[c.Service] = list
 	}
+	if len(ids) > 0 {
+		x.tables[service] = newTable(sources)
+		x.tables[service].contracts = ids
+	}
+}
+
+// table returns the table of a service; nil if it has no contracts.
+func (x *index) table(service pimid.ServiceID) *table {
+	if int(service) >= len(x.tables) {
+		return nil
+	}
+	return x.tables[service]
 }
 
 func (x *index) lookup(service pimid.ServiceID, addr netip.Addr) (id pimid.ContractID, ok bool) {
-	if int(service) >= len(x.tables) || x.tables[service] == nil {
+	t := x.table(service)
+	if t == nil {
 		return 0, false
 	}
-	return x.tables[service].lookup(addr)
+	return t.lookup(addr)
 }
--- a/internal/coordination/pimroute/table.go
+++ b/internal/coordination/pimroute/table.go
@@ -14,6 +14,8 @@
 	owners4 []owner
 	starts6 []address6
 	owners6 []owner
+	// contracts are those of the service, in ascending order.
+	contracts []pimid.ContractID
 }
 
 // address6 is an IPv6 address as two numbers, which compare faster than bytes.
