--- a/internal/coordination/pimroute/post.go
+++ b/internal/coordination/pimroute/post.go
@@ -74,9 +74,13 @@
 }
 
 // renewToken adds a token with this VM as home and a new flow id, since request tags are unique per flow id and the
-// caller may number its requests anew. It keeps the flow of the old token.
+// caller may number its requests anew. It keeps the flow of the old token, unless that has expired.
 func (d *decision) renewToken() {
 	t := d.a.Token
+	if t.CheckFlow(d.unixNow) != nil {
+		d.issueRequestToken()
+		return
+	}
 	t.Flow = d.newFlow()
 	d.issue(&t)
 }
