--- a/internal/coordination/pimroute/index.go
+++ b/internal/coordination/pimroute/index.go
@@ -2,37 +2,115 @@
 
 import (
 	"net/netip"
+	"slices"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // index finds the contract of a source address at a service.
 type index struct {
-	tables map[pimid.ServiceID][]source
+	// tables are addressed by service id; a service without contracts has none.
+	tables []*table
+	// contracts are those of the view that the index was built from.
+	contracts map[pimid.ContractID]pimcontract.Contract
 }
 
-type source struct {
-	prefix   netip.Prefix
-	contract pimid.ContractID
+// newIndex builds the index of a view and takes the tables of services whose contracts did not change from old, which
+// may be nil.
+func newIndex(v *pimview.View, old *index) *index {
+	if old == nil {
+		old = &index{}
+	}
+	x := &index{tables: slices.Clone(old.tables), contracts: v.Contracts}
+	for service, candidates := range x.changes(old) {
+		x.rebuild(service, candidates)
+	}
+	return x
+}
+
+// changes returns the services with a contract that differs from old, and for each the contracts that it had or may
+// have now.
+func (x *index) changes(old *index) map[pimid.ServiceID][]pimid.ContractID {
+	changed := make(map[pimid.ServiceID][]pimid.ContractID)
+	kept := 0
+	for id, c := range x.contracts {
+		was, ok := old.contracts[id]
+		if ok {
+			kept++
+		}
+		if ok && was.Service == c.Service && slices.Equal(was.Sources, c.Sources) {
+			continue
+		}
+		if ok {
+			old.touch(changed, was.Service)
+		}
+		old.touch(changed, c.Service)
+		changed[c.Service] = append(changed[c.Service], id)
+	}
+	if kept < len(old.contracts) {
+		x.addRemoved(changed, old)
+	}
+	return changed
+}
+
+func (x *index) addRemoved(changed map[pimid.ServiceID][]pimid.ContractID, old *index) {
+	for id, was := range old.contracts {
+		if _, ok := x.contracts[id]; !ok {
+			old.touch(changed, was.Service)
+		}
+	}
 }
 
-func newIndex(v *pimview.View, _ *index) *index {
-	x := &index{tables: make(map[pimid.ServiceID][]source)}
-	for id, c := range v.Contracts {
+// touch marks a service as changed, with the contracts that it has in x.
+func (x *index) touch(changed map[pimid.ServiceID][]pimid.ContractID, service pimid.ServiceID) {
+	if _, ok := changed[service]; ok {
+		return
+	}
+	changed[service] = nil
+	if t := x.table(service); t != nil {
+		changed[service] = slices.Clone(t.contracts)
+	}
+}
+
+// rebuild replaces the table of a service.
+func (x *index) rebuild(service pimid.ServiceID, candidates []pimid.ContractID) {
+	if missing := int(service) + 1 - len(x.tables); missing > 0 {
+		x.tables = append(x.tables, make([]*table, missing)...)
+	}
+	x.tables[service] = nil
+	slices.Sort(candidates)
+	var ids []pimid.ContractID
+	var sources []source
+	for _, id := range slices.Compact(candidates) {
+		c, ok := x.contracts[id]
+		if !ok || c.Service != service {
+			continue
+		}
+		ids = append(ids, id)
 		for _, p := range c.Sources {
-			x.tables[c.Service] = append(x.tables[c.Service], source{prefix: p, contract: id})
+			sources = append(sources, source{prefix: p, contract: id})
 		}
 	}
-	return x
+	if len(ids) > 0 {
+		x.tables[service] = newTable(sources)
+		x.tables[service].contracts = ids
+	}
+}
+
+// table returns the table of a service; nil if it has no contracts.
+func (x *index) table(service pimid.ServiceID) *table {
+	if int(service) >= len(x.tables) {
+		return nil
+	}
+	return x.tables[service]
 }
 
 func (x *index) lookup(service pimid.ServiceID, addr netip.Addr) (id pimid.ContractID, ok bool) {
-	bits := -1
-	for _, s := range x.tables[service] {
-		if s.prefix.Contains(addr.Unmap()) && s.prefix.Bits() > bits {
-			id, ok, bits = s.contract, true, s.prefix.Bits()
-		}
+	t := x.table(service)
+	if t == nil {
+		return 0, false
 	}
-	return id, ok
+	return t.lookup(addr)
 }
