fix: let a restarted fleet use its shares of an old list at once

Change: entries of the VM list carry the time of their last change; a VM that starts uses its share at once if that is longer ago than the delay. A leaving VM is not counted and has no share. Conclusion: the delay now applies only to lists that other VMs may not know.

--- a/internal/coordination/pimquota/limit.go
+++ b/internal/coordination/pimquota/limit.go
@@ -23,21 +23,36 @@
 	Nodes int
 	// Listed reports whether this VM is one of them.
 	Listed bool
-	Limits map[pimid.ContractID]Limit
+	// InForce is how long the list has been published, zero if that is not known. A VM that has just started uses its
+	// share at once if every other VM has known the list for the growth delay.
+	InForce time.Duration
+	Limits  map[pimid.ContractID]Limit
 }
 
 // PublicationOf extracts the limits in force at the wall time t for one VM.
 func PublicationOf(view *pimview.View, self pimid.NodeID, dataCentre pimid.DataCentre, t time.Time) Publication {
 	p := Publication{Limits: make(map[pimid.ContractID]Limit, len(view.Contracts))}
 	centres := map[pimid.DataCentre]bool{}
+	var changed time.Time
+	isDated := true
 	for id, n := range view.Nodes {
 		centres[n.DataCentre] = true
 		if n.DataCentre != dataCentre {
 			continue
 		}
+		isDated = isDated && !n.PublishedAt.IsZero()
+		if n.PublishedAt.After(changed) {
+			changed = n.PublishedAt
+		}
+		if n.State == pimview.NodeLeaving {
+			continue
+		}
 		p.Nodes++
 		p.Listed = p.Listed || id == self
 	}
+	if isDated && p.Nodes > 0 {
+		p.InForce = t.Sub(changed)
+	}
 	for id, c := range view.Contracts {
 		terms := c.TermsAt(t)
 		p.Limits[id] = Limit{
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -33,8 +33,10 @@
 
 func (m *member) publish(now pimclock.Instant, pub Publication) {
 	if len(m.fraction.published) == 0 {
-		m.fraction.publish(now, 0)
 		m.ticked = now
+		if pub.InForce < m.growthDelay {
+			m.fraction.publish(now, 0)
+		}
 	}
 	m.nodes = pub.Nodes
 	m.fraction.publish(now, pub.fraction())
--- a/internal/state/pimview/view.go
+++ b/internal/state/pimview/view.go
@@ -61,6 +61,8 @@
 	// PeerAddress serves drpc over TCP and receives gossip over UDP.
 	PeerAddress netip.AddrPort `json:"peer_address"`
 	State       NodeState      `json:"state"`
+	// PublishedAt is when the platform last changed this entry.
+	PublishedAt time.Time `json:"published_at,omitzero"`
 }
 
 // Key is a token key in force; Secret holds 16 bytes.
