--- a/internal/protocol/pimedge/decode.go
+++ b/internal/protocol/pimedge/decode.go
@@ -14,6 +14,9 @@
 // maxOptions bounds the options of one message; a path of 16 segments and as many query parameters fit.
 const maxOptions = 40
 
+// maxOptionValue is the length limit of the options that address a resource in bytes (RFC 7252, 5.10).
+const maxOptionValue = 255
+
 // headerSize is the length of the fixed CoAP header in bytes.
 const headerSize = 4
 
@@ -115,6 +118,10 @@
 		case message.RequestTag:
 			d.pkt.Tag, d.pkt.HasTag = tagOf(o.Value), true
 		case message.URIHost, message.URIPort, message.URIPath, message.URIQuery, message.Accept:
+			// The codec keeps some of these options beyond their length limit.
+			if len(o.Value) > maxOptionValue {
+				return false, ErrOption
+			}
 		default:
 			if isCritical(o.ID) {
 				return false, ErrOption
