fix: forward a flow packet without an allocation

Cause: every flow packet allocated its responder. Ruled out: sync.Pool for the encapsulators, which drops entries at random under the race detector and at each collection. Change: each read loop reuses one responder for flow packets and Retain copies it; idle encapsulators wait in a channel.

--- a/internal/transport/pimudp/config.go
+++ b/internal/transport/pimudp/config.go
@@ -20,16 +20,18 @@
 	Address netip.AddrPort
 }
 
-// Responder answers or forwards one packet; it is safe for concurrent use and outlives the handler.
+// Responder answers or forwards one packet; it is safe for concurrent use.
 type Responder interface {
 	pimedge.Responder
 	// Forward sends the packet to the flow address of a backend server.
-	// For a packet kept after the handler returned, it needs the packet's clone.
 	Forward(pkt *pimedge.Packet, flowAddress netip.AddrPort) error
+	// Retain returns a responder for use after the handler has returned.
+	Retain() Responder
 }
 
-// Handler handles one packet. Flow packets are handled in the read loop, so the handler must not block, and the packet
-// is valid until it returns. Requests are handled in a goroutine of their own that owns the packet.
+// Handler handles one packet. Flow packets are handled in the read loop, so the handler must not block; their packet and
+// responder are valid until it returns, and Clone and Retain keep them. Requests are handled in a goroutine of their own,
+// and their packet and responder stay valid.
 type Handler func(ctx context.Context, pkt *pimedge.Packet, r Responder)
 
 // Config holds the settings of a server.
--- a/internal/transport/pimudp/reader.go
+++ b/internal/transport/pimudp/reader.go
@@ -15,6 +15,8 @@
 	sock    *socket
 	decoder *pimedge.Decoder
 	buf     []byte
+	// responder is reused for all flow packets.
+	responder responder
 }
 
 func newReader(s *Server, sock *socket) *reader {
@@ -42,9 +44,10 @@
 		l.reject(source, err)
 		return
 	}
-	r := &responder{server: l.server, sock: l.sock, source: source, exchange: pkt.Exchange()}
+	r := responder{server: l.server, sock: l.sock, source: source, exchange: pkt.Exchange()}
 	if pkt.Kind == pimedge.KindFlow {
-		l.server.cfg.Handler(ctx, pkt, r)
+		l.responder = r
+		l.server.cfg.Handler(ctx, pkt, &l.responder)
 		return
 	}
 	l.dispatch(ctx, pkt, r)
@@ -52,7 +55,7 @@
 
 // dispatch runs a request in a goroutine of its own; beyond the limit, the request is refused at once. A POST with a
 // token is dropped instead: another copy of it may be running, so a refusal could be false, and the caller repeats it.
-func (l *reader) dispatch(ctx context.Context, pkt *pimedge.Packet, r *responder) {
+func (l *reader) dispatch(ctx context.Context, pkt *pimedge.Packet, r responder) {
 	select {
 	case l.server.requests <- struct{}{}:
 	default:
@@ -81,10 +84,10 @@
 type job struct {
 	server    *Server
 	pkt       *pimedge.Packet
-	responder *responder
+	responder responder
 }
 
 func (j *job) run(ctx context.Context) {
 	defer func() { <-j.server.requests }()
-	j.server.cfg.Handler(ctx, j.pkt, j.responder)
+	j.server.cfg.Handler(ctx, j.pkt, &j.responder)
 }
--- a/internal/transport/pimudp/responder.go
+++ b/internal/transport/pimudp/responder.go
@@ -2,16 +2,12 @@
 
 import (
 	"net/netip"
-	"sync"
 
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 )
 
-// encapsulators holds idle encapsulators, since a responder may be used from any goroutine.
-var encapsulators = sync.Pool{New: func() any { return NewEncapsulator() }}
-
 // responder answers one packet from the socket that received it.
 type responder struct {
 	server   *Server
@@ -20,6 +16,12 @@
 	exchange pimedge.Exchange
 }
 
+// Retain returns a responder for use after the handler has returned.
+func (r *responder) Retain() Responder {
+	kept := *r
+	return &kept
+}
+
 // Reply sends the reply to the caller; it returns the error of the socket or of the encoder.
 func (r *responder) Reply(reply pimedge.Reply) (err error) {
 	defer func() {
@@ -45,8 +47,8 @@
 			err = oops.Wrapf(err, "forward flow packet")
 		}
 	}()
-	e := encapsulators.Get().(*Encapsulator)
-	defer encapsulators.Put(e)
+	e := r.server.takeEncapsulator()
+	defer r.server.giveEncapsulator(e)
 	packet, err := e.Encapsulate(pkt.Source, r.sock.service.Address, pkt.Raw)
 	if err != nil {
 		return err
--- a/internal/transport/pimudp/server.go
+++ b/internal/transport/pimudp/server.go
@@ -18,8 +18,10 @@
 	log      zerolog.Logger
 	sockets  map[pimid.ServiceID]*socket
 	requests chan struct{}
-	wg       sync.WaitGroup
-	counters counters
+	// encapsulators holds idle encapsulators, since a responder may be used from any goroutine.
+	encapsulators chan *Encapsulator
+	wg            sync.WaitGroup
+	counters      counters
 }
 
 // socket is one service socket.
@@ -39,10 +41,11 @@
 	cfg = cfg.withDefaults()
 	ctx, cancel := context.WithCancel(context.Background())
 	s = &Server{
-		cfg:      cfg,
-		log:      cfg.Log,
-		sockets:  make(map[pimid.ServiceID]*socket, len(cfg.Services)),
-		requests: make(chan struct{}, cfg.MaxRequests),
+		cfg:           cfg,
+		log:           cfg.Log,
+		sockets:       make(map[pimid.ServiceID]*socket, len(cfg.Services)),
+		requests:      make(chan struct{}, cfg.MaxRequests),
+		encapsulators: make(chan *Encapsulator, len(cfg.Services)*cfg.ReadLoops),
 	}
 	cleanup = func() {
 		cancel()
@@ -96,3 +99,19 @@
 		}
 	}
 }
+
+func (s *Server) takeEncapsulator() *Encapsulator {
+	select {
+	case e := <-s.encapsulators:
+		return e
+	default:
+		return NewEncapsulator()
+	}
+}
+
+func (s *Server) giveEncapsulator(e *Encapsulator) {
+	select {
+	case s.encapsulators <- e:
+	default:
+	}
+}
