feat: pace fractional guaranteed slots by use and add the flood scenario

Cause: an owner has 2 to 10 slots, so a guarantee is a fraction of a slot; charging the expected duration of each request to a start tag lost part of the guarantee when a whole slot became free beside a fractional one. Change: the start tag of a fractional slot advances while the slot is in use, over owned slots only; owners of the own data centre are preferred; add the simulated order desk with a FIFO baseline.

--- /dev/null
+++ b/internal/coordination/pimpick/backoff.go
@@ -0,0 +1,47 @@
+package pimpick
+
+import (
+	"sync"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// BackOff keeps an entry VM from asking slot owners for a contract that they have just refused; it is safe for
+// concurrent use.
+type BackOff struct {
+	mu    sync.Mutex
+	until map[pimid.ContractID]pimclock.Instant
+}
+
+// maxBackOff bounds the time without a request to any owner, so that freed slots are found soon.
+const maxBackOff = time.Second
+
+// NewBackOff returns an empty table.
+func NewBackOff() *BackOff { return &BackOff{until: map[pimid.ContractID]pimclock.Instant{}} }
+
+// Refused records a refusal with the estimated wait of a request that allowed the given timeout: until the difference
+// has passed, an equal request would be refused again.
+func (b *BackOff) Refused(now pimclock.Instant, c pimid.ContractID, wait, timeout time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if d := min(wait-timeout, maxBackOff); d > 0 {
+		b.until[c] = max(b.until[c], now.Add(d))
+	}
+}
+
+// Allows reports whether owners may be asked, and otherwise the time until they may.
+func (b *BackOff) Allows(now pimclock.Instant, c pimid.ContractID) (ok bool, retryAfter time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	until, blocked := b.until[c]
+	if !blocked {
+		return true, 0
+	}
+	if !now.Before(until) {
+		delete(b.until, c)
+		return true, 0
+	}
+	return false, until.Sub(now)
+}
--- a/internal/coordination/pimpick/owners.go
+++ b/internal/coordination/pimpick/owners.go
@@ -16,6 +16,8 @@
 type Owner struct {
 	Node  pimid.NodeID
 	Slots pimid.Slots
+	// Far marks an owner in another data centre.
+	Far bool
 }
 
 // Owners chooses slot owners by the estimated wait that they piggyback on replies; it is safe for concurrent use.
@@ -23,6 +25,9 @@
 	mu     sync.Mutex
 	policy Policy
 	seen   map[ownerKey]*ownerState
+	nodes  map[pimid.NodeID]estimate
+	near   []Owner
+	far    []Owner
 }
 
 type ownerKey struct {
@@ -30,59 +35,79 @@
 	contract pimid.ContractID
 }
 
-// ownerState is what one VM knows about one owner for one contract.
-type ownerState struct {
+// estimate is a wait that an owner reported at an instant.
+type estimate struct {
 	wait time.Duration
 	at   pimclock.Instant
+}
+
+// ownerState is what one VM knows about one owner for one contract.
+type ownerState struct {
+	estimate
 	// pending counts the requests of this VM that wait for the owner's decision or use one of its slots.
 	pending int
 }
 
-// forgetOwner is the age at which an estimate without pending requests is dropped.
-const forgetOwner = time.Minute
+const (
+	// forgetOwner is the age at which an estimate without pending requests is dropped.
+	forgetOwner = time.Minute
+	// freshEstimate is the age at which the estimate for a contract gives way to the last one for any contract.
+	freshEstimate = 200 * time.Millisecond
+)
 
 // NewOwners returns an empty table with the given policy.
 func NewOwners(policy Policy) *Owners {
-	return &Owners{policy: policy, seen: map[ownerKey]*ownerState{}}
+	return &Owners{policy: policy, seen: map[ownerKey]*ownerState{}, nodes: map[pimid.NodeID]estimate{}}
 }
 
-// Pick chooses an owner outside the excluded ones and counts a pending request, which Done ends.
+// Pick chooses an owner outside the excluded ones and counts a pending request, which Done ends. An owner in another
+// data centre is chosen only if the own one has none left: a slot that is used from afar stays occupied for two more
+// round trips, so in a flood of all data centres a choice by wait alone lost up to 12% of the goodput in simulation.
+// The error is ErrNoOwner if none is left.
 func (o *Owners) Pick(now pimclock.Instant, c pimid.ContractID, candidates []Owner, exclude []pimid.NodeID, rnd *rand.Rand) (id pimid.NodeID, err error) {
 	defer func() { err = oops.In("pimpick").Wrapf(err, "pick slot owner") }()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	left := candidates
-	if len(exclude) > 0 {
-		left = slices.DeleteFunc(slices.Clone(candidates), func(w Owner) bool { return slices.Contains(exclude, w.Node) })
+	o.split(candidates, exclude)
+	from := o.near
+	if len(from) == 0 {
+		from = o.far
 	}
-	left = withSlots(left)
-	if len(left) == 0 {
+	if len(from) == 0 {
 		return 0, ErrNoOwner
 	}
-	w := left[o.policy.Choose(rnd, len(left), func(i int) float64 { return o.load(now, left[i], c) })]
+	w := from[o.policy.Choose(rnd, len(from), func(i int) float64 { return o.load(now, from[i], c) })]
 	o.state(w.Node, c).pending++
 	return w.Node, nil
 }
 
-// withSlots drops owners without a slot; it copies only if there is one.
-func withSlots(owners []Owner) []Owner {
-	none := func(w Owner) bool { return w.Slots <= 0 }
-	if !slices.ContainsFunc(owners, none) {
-		return owners
+// split sorts the owners that may be asked into those of the own and of other data centres.
+func (o *Owners) split(candidates []Owner, exclude []pimid.NodeID) {
+	o.near, o.far = o.near[:0], o.far[:0]
+	for _, w := range candidates {
+		switch {
+		case w.Slots <= 0 || slices.Contains(exclude, w.Node):
+		case w.Far:
+			o.far = append(o.far, w)
+		default:
+			o.near = append(o.near, w)
+		}
 	}
-	return slices.DeleteFunc(slices.Clone(owners), none)
 }
 
 // load is the estimated wait, reduced by its age since queues drain, plus the wait that own pending requests cause.
 func (o *Owners) load(now pimclock.Instant, w Owner, c pimid.ContractID) float64 {
 	// pendingCost is the assumed duration of one pending request; it breaks ties between owners without a wait.
 	const pendingCost = 50 * time.Millisecond
-	s := o.seen[ownerKey{w.Node, c}]
-	if s == nil {
-		return 0
+	e, pending := o.nodes[w.Node], 0
+	if s := o.seen[ownerKey{w.Node, c}]; s != nil {
+		pending = s.pending
+		if now.Sub(s.at) <= freshEstimate {
+			e = s.estimate
+		}
 	}
-	wait := max(0, s.wait-now.Sub(s.at))
-	return float64(wait) + float64(s.pending)*float64(pendingCost)/float64(w.Slots)
+	wait := max(0, e.wait-now.Sub(e.at))
+	return float64(wait) + float64(pending)*float64(pendingCost)/float64(w.Slots)
 }
 
 func (o *Owners) state(node pimid.NodeID, c pimid.ContractID) *ownerState {
@@ -99,8 +124,9 @@
 func (o *Owners) Observe(now pimclock.Instant, node pimid.NodeID, c pimid.ContractID, wait time.Duration) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	s := o.state(node, c)
-	s.wait, s.at = wait, now
+	e := estimate{wait: wait, at: now}
+	o.state(node, c).estimate = e
+	o.nodes[node] = e
 }
 
 // Fail records that an owner did not answer; it is avoided for the given time.
@@ -126,4 +152,9 @@
 			delete(o.seen, k)
 		}
 	}
+	for id, e := range o.nodes {
+		if now.Sub(e.at) > forgetOwner {
+			delete(o.nodes, id)
+		}
+	}
 }
--- a/internal/coordination/pimslot/config.go
+++ b/internal/coordination/pimslot/config.go
@@ -8,6 +8,9 @@
 	MaxQueue int
 	// MaxQueued is the largest number of waiting requests of all contracts.
 	MaxQueued int
+	// ShareCredit is the time over which an unused fraction of a guaranteed slot can be used later. Requests reach an
+	// owner unevenly, so without credit a contract would lose part of its guarantee.
+	ShareCredit time.Duration
 	// GrantGrace is added to the deadline to obtain the expiry of a grant.
 	GrantGrace time.Duration
 	// SlowStart is the time over which a cold host reaches its full slots.
@@ -31,6 +34,7 @@
 	return Config{
 		MaxQueue:        256,
 		MaxQueued:       4096,
+		ShareCredit:     500 * time.Millisecond,
 		GrantGrace:      time.Second,
 		SlowStart:       10 * time.Second,
 		InitialDuration: 50 * time.Millisecond,
--- a/internal/coordination/pimslot/contract.go
+++ b/internal/coordination/pimslot/contract.go
@@ -20,8 +20,8 @@
 	id    pimid.ContractID
 	terms pimcontract.Terms
 	queue []*entry
-	// running counts all granted slots, borrowed those that were granted beyond the guarantee.
-	running, borrowed int
+	// owned counts the guaranteed slots in use, borrowed those that were granted beyond the guarantee.
+	owned, borrowed   int
 	guarantee, borrow pacer
 	// lend is the number of idle guaranteed slots that others may use.
 	lend float64
@@ -29,8 +29,15 @@
 	poolTag float64
 }
 
+// account charges the use of fractional slots up to now.
+func (c *contract) account(now pimclock.Instant) {
+	c.guarantee.account(now, c.owned)
+	c.borrow.account(now, c.borrowed)
+}
+
 // scale sets the limits of the contract to its part of the owner's slots.
-func (c *contract) scale(capacity, total float64) {
+func (c *contract) scale(now pimclock.Instant, capacity, total float64) {
+	c.account(now)
 	part := capacity / total
 	c.guarantee.limit = float64(c.terms.GuaranteedSlots) * part
 	c.borrow.limit = float64(c.terms.BorrowLimit) * part
@@ -39,7 +46,7 @@
 
 // reserved returns the idle guaranteed slots that are not lent.
 func (c *contract) reserved() float64 {
-	return max(0, c.guarantee.limit-float64(c.running)-c.lend)
+	return max(0, c.guarantee.limit-float64(c.owned)-c.lend)
 }
 
 func (c *contract) weight() float64 {
@@ -50,9 +57,9 @@
 }
 
 // activate is called when the queue becomes non-empty.
-func (c *contract) activate(now pimclock.Instant, virtual float64, mean time.Duration) {
-	// A credit of one request lets a contract that was idle start a second request without a pause.
-	c.guarantee.activate(now, c.guarantee.stretch(mean))
+func (c *contract) activate(now pimclock.Instant, virtual float64, credit time.Duration) {
+	c.account(now)
+	c.guarantee.activate(now, credit)
 	c.borrow.activate(now, 0)
 	c.poolTag = max(c.poolTag, virtual)
 }
--- a/internal/coordination/pimslot/core.go
+++ b/internal/coordination/pimslot/core.go
@@ -11,8 +11,10 @@
 // Core schedules the slots of the owned hosts; it is not safe for concurrent use. Each method returns decisions that
 // are valid until the next call.
 type Core struct {
-	cfg       Config
-	services  map[pimid.ServiceID]*service
+	cfg      Config
+	services map[pimid.ServiceID]*service
+	// ordered lists the services in the order of their first use.
+	ordered   []*service
 	hosts     map[pimid.BackendID]*host
 	grants    map[GrantID]*grant
 	offers    map[OfferID]*entry
@@ -28,8 +30,8 @@
 	host     *host
 	expires  pimclock.Instant
 	expected time.Duration
-	// pool and paced say how the slot was charged.
-	pool, paced, lending bool
+	// pool marks an unowned or lent slot.
+	pool bool
 	// generation is that of the host at the time of the grant.
 	generation pimid.Generation
 }
@@ -131,7 +133,7 @@
 			c.end(now, g, 0)
 		}
 	}
-	for _, s := range c.services {
+	for _, s := range c.ordered {
 		s.refresh(now)
 		c.expire(now, s)
 		c.dispatch(now, s)
@@ -148,3 +150,21 @@
 	s.refresh(now)
 	return min(s.wait(now, s.contracts[contract]), c.cfg.MaxRetryAfter)
 }
+
+// Load is the state of one service at one owner.
+type Load struct {
+	Waiting, Running, Capacity int
+}
+
+// Load returns the waiting and running requests and the usable slots of a service.
+func (c *Core) Load(id pimid.ServiceID) (l Load) {
+	s := c.services[id]
+	if s == nil {
+		return l
+	}
+	l.Running, l.Capacity = s.running, s.capacity
+	for _, ct := range s.active {
+		l.Waiting += len(ct.queue)
+	}
+	return l
+}
--- a/internal/coordination/pimslot/dispatch.go
+++ b/internal/coordination/pimslot/dispatch.go
@@ -26,9 +26,7 @@
 		id: c.lastGrant, service: s, contract: ct, host: p.host, generation: p.host.Generation,
 		expires: e.req.Deadline.Add(c.cfg.GrantGrace), expected: s.duration, pool: p.pool,
 	}
-	s.charge(g)
-	ct.running++
-	s.running++
+	s.charge(now, g)
 	p.host.inFlight++
 	p.host.lastGrant = g.id
 	c.grants[g.id] = g
@@ -40,15 +38,16 @@
 	}})
 }
 
-// charge accounts the slot to the guarantee or to the pool.
-func (s *service) charge(g *grant) {
+// charge accounts a slot before it is counted as running.
+func (s *service) charge(now pimclock.Instant, g *grant) {
 	c := g.contract
+	c.account(now)
+	s.lending.account(now, s.running)
+	s.running++
 	if !g.pool {
-		g.paced = c.guarantee.charge(c.running, g.expected)
+		c.owned++
 		return
 	}
-	g.paced = c.borrow.charge(c.borrowed, g.expected)
-	g.lending = s.lending.charge(s.running, g.expected)
 	c.borrowed++
 	s.virtual[c.terms.Priority] = max(s.virtual[c.terms.Priority], c.poolTag)
 	c.poolTag += g.expected.Seconds() / c.weight()
@@ -58,34 +57,27 @@
 func (c *Core) end(now pimclock.Instant, g *grant, observed time.Duration) {
 	delete(c.grants, g.id)
 	g.host.inFlight--
-	g.service.running--
-	g.contract.running--
 	if observed <= 0 {
 		observed = g.expected
 	}
-	g.service.settle(g, observed)
+	g.service.settle(now, g, observed)
 	if g.host.gone && g.host.inFlight == 0 {
 		c.forget(now, g.host)
 	}
 }
 
-// settle replaces the expected duration in the charges of a grant by the observed one.
-func (s *service) settle(g *grant, observed time.Duration) {
+// settle ends the use of a slot and replaces the expected duration in its start tag by the observed one.
+func (s *service) settle(now pimclock.Instant, g *grant, observed time.Duration) {
 	c := g.contract
+	c.account(now)
+	s.lending.account(now, s.running)
+	s.running--
 	if !g.pool {
-		if g.paced {
-			c.guarantee.correct(g.expected, observed)
-		}
+		c.owned--
 		return
 	}
 	c.borrowed--
 	c.poolTag += (observed - g.expected).Seconds() / c.weight()
-	if g.paced {
-		c.borrow.correct(g.expected, observed)
-	}
-	if g.lending {
-		s.lending.correct(g.expected, observed)
-	}
 }
 
 // expire refuses the waiting requests whose deadline has passed.
--- a/internal/coordination/pimslot/hosts.go
+++ b/internal/coordination/pimslot/hosts.go
@@ -25,7 +25,7 @@
 			c.forget(now, h)
 		}
 	}
-	for _, s := range c.services {
+	for _, s := range c.ordered {
 		s.refresh(now)
 		c.dispatch(now, s)
 	}
@@ -62,7 +62,7 @@
 func (c *Core) SetPolicy(now pimclock.Instant, p Policy) []Decision {
 	c.decisions = c.decisions[:0]
 	s := c.service(p.Service)
-	for _, e := range s.setPolicy(p) {
+	for _, e := range s.setPolicy(now, p) {
 		delete(c.offers, e.id)
 		c.refuse(e.id, pimedge.ReasonNoContract, 0)
 	}
@@ -97,6 +97,7 @@
 	if s == nil {
 		s = newService(&c.cfg, id)
 		c.services[id] = s
+		c.ordered = append(c.ordered, s)
 	}
 	return s
 }
--- a/internal/coordination/pimslot/order.go
+++ b/internal/coordination/pimslot/order.go
@@ -25,7 +25,7 @@
 
 func (s *service) nextGuaranteed(now pimclock.Instant) (best pick, ok bool) {
 	for _, c := range s.active {
-		if !c.guarantee.allows(now, c.running) || (ok && !ownsSooner(c, best.contract)) {
+		if !c.guarantee.allows(now, c.owned) || (ok && !ownsSooner(c, best.contract)) {
 			continue
 		}
 		if h, i := s.place(now, c); h != nil {
@@ -38,12 +38,12 @@
 // ownsSooner orders contracts with an available guaranteed slot: whole slots before fractional ones, the smaller used
 // part of the guarantee among whole ones and the earlier start tag among fractional ones.
 func ownsSooner(a, b *contract) bool {
-	wholeA, wholeB := a.running < a.guarantee.whole(), b.running < b.guarantee.whole()
+	wholeA, wholeB := a.owned < a.guarantee.whole(), b.owned < b.guarantee.whole()
 	if wholeA != wholeB {
 		return wholeA
 	}
 	if wholeA {
-		return float64(a.running)*b.guarantee.limit < float64(b.running)*a.guarantee.limit
+		return float64(a.owned)*b.guarantee.limit < float64(b.owned)*a.guarantee.limit
 	}
 	return a.guarantee.tag < b.guarantee.tag
 }
@@ -76,6 +76,7 @@
 	for _, c := range s.reserving {
 		reserved += c.reserved()
 	}
+	s.lending.account(now, s.running)
 	s.lending.limit = math.Max(0, float64(s.capacity)-reserved)
 	return s.lending.allows(now, s.running)
 }
--- a/internal/coordination/pimslot/pacer.go
+++ b/internal/coordination/pimslot/pacer.go
@@ -8,18 +8,22 @@
 )
 
 // pacer holds a fractional number of slots as an average over time. Whole slots are always available; the last,
-// fractional slot is available when its start tag has been reached. Tags are instants: capacity is counted in slots, so
-// the virtual time of start-time fair queueing advances with the clock.
+// fractional slot is available once its start tag has been reached. Tags are instants: capacity is counted in slots, so
+// the virtual time of start-time fair queueing advances with the clock. The tag advances while the fractional slot is
+// in use, so no request duration needs to be estimated.
 type pacer struct {
 	limit float64
 	tag   pimclock.Instant
+	// at is the instant up to which the use has been accounted.
+	at pimclock.Instant
 }
 
-// slotEpsilon absorbs rounding in sums of slot fractions.
-const slotEpsilon = 1e-6
-
-// minFraction is the smallest fraction that is served; it keeps tags within the range of an Instant.
-const minFraction = 1e-3
+const (
+	// slotEpsilon absorbs rounding in sums of slot fractions.
+	slotEpsilon = 1e-6
+	// minFraction is the smallest fraction that is served; it keeps tags within the range of an Instant.
+	minFraction = 1e-3
+)
 
 func (p *pacer) whole() int { return int(math.Floor(p.limit + slotEpsilon)) }
 
@@ -34,29 +38,18 @@
 	return running == whole && p.fraction() >= minFraction && !now.Before(p.tag)
 }
 
-// charge accounts one slot of the given expected duration; it returns whether the fractional slot was used.
-func (p *pacer) charge(running int, cost time.Duration) (fractional bool) {
-	if running < p.whole() {
-		return false
+// account charges the use since the last call; it precedes each change of the running slots and of the limit.
+func (p *pacer) account(now pimclock.Instant, running int) {
+	used := now.Sub(p.at)
+	p.at = now
+	f := p.fraction()
+	if running <= p.whole() || f < minFraction {
+		return
 	}
-	p.tag = p.tag.Add(p.stretch(cost))
-	return true
-}
-
-// correct replaces the expected duration of a charge by the observed one.
-func (p *pacer) correct(expected, observed time.Duration) {
-	p.tag = p.tag.Add(p.stretch(observed - expected))
+	p.tag = p.tag.Add(time.Duration(float64(used) / f))
 }
 
 // activate forgets unused time beyond the credit; it is called when the contract becomes backlogged.
 func (p *pacer) activate(now pimclock.Instant, credit time.Duration) {
 	p.tag = max(p.tag, now.Add(-credit))
 }
-
-func (p *pacer) stretch(cost time.Duration) time.Duration {
-	f := p.fraction()
-	if f < minFraction {
-		return 0
-	}
-	return time.Duration(float64(cost) / f)
-}
--- a/internal/coordination/pimslot/service.go
+++ b/internal/coordination/pimslot/service.go
@@ -14,6 +14,8 @@
 	policy    Policy
 	hosts     []*host
 	contracts map[pimid.ContractID]*contract
+	// ordered lists the contracts in the order of the policy, so that equal inputs give equal decisions.
+	ordered []*contract
 	// active lists the contracts with waiting requests.
 	active []*contract
 	// reserving lists the contracts that do not lend all of their guaranteed slots.
@@ -39,9 +41,10 @@
 }
 
 // setPolicy replaces the terms; contracts that are no longer named keep only their running requests.
-func (s *service) setPolicy(p Policy) (dropped []*entry) {
+func (s *service) setPolicy(now pimclock.Instant, p Policy) (dropped []*entry) {
 	s.policy = p
 	named := make(map[pimid.ContractID]bool, len(p.Contracts))
+	s.ordered = s.ordered[:0]
 	for _, t := range p.Contracts {
 		named[t.ID] = true
 		c := s.contracts[t.ID]
@@ -50,6 +53,7 @@
 			s.contracts[t.ID] = c
 		}
 		c.terms = t.Terms
+		s.ordered = append(s.ordered, c)
 	}
 	for id, c := range s.contracts {
 		if !named[id] {
@@ -59,7 +63,7 @@
 		}
 	}
 	s.active = slices.DeleteFunc(s.active, func(c *contract) bool { return len(c.queue) == 0 })
-	s.rescale()
+	s.rescale(now)
 	return dropped
 }
 
@@ -71,23 +75,23 @@
 	}
 	if capacity != s.capacity {
 		s.capacity = capacity
-		s.rescale()
+		s.rescale(now)
 	}
 }
 
 // rescale divides the owner's slots; guarantees that exceed the service are reduced in proportion.
-func (s *service) rescale() {
+func (s *service) rescale(now pimclock.Instant) {
 	total, guaranteed := float64(s.policy.TotalSlots), 0.0
 	if total <= 0 {
 		total = float64(s.capacity)
 	}
-	for _, c := range s.contracts {
+	for _, c := range s.ordered {
 		guaranteed += float64(c.terms.GuaranteedSlots)
 	}
 	total = max(total, guaranteed, 1)
 	s.reserving = s.reserving[:0]
-	for _, c := range s.contracts {
-		c.scale(float64(s.capacity), total)
+	for _, c := range s.ordered {
+		c.scale(now, float64(s.capacity), total)
 		if c.lend+slotEpsilon < c.guarantee.limit {
 			s.reserving = append(s.reserving, c)
 		}
@@ -98,7 +102,7 @@
 func (s *service) enqueue(now pimclock.Instant, e *entry) {
 	c := e.contract
 	if len(c.queue) == 0 {
-		c.activate(now, s.virtual[c.terms.Priority], s.duration)
+		c.activate(now, s.virtual[c.terms.Priority], s.cfg.ShareCredit)
 		s.active = append(s.active, c)
 	}
 	c.push(e)
--- a/internal/coordination/pimslot/wait.go
+++ b/internal/coordination/pimslot/wait.go
@@ -22,7 +22,7 @@
 }
 
 func (s *service) admissible(now pimclock.Instant, c *contract) bool {
-	return c.guarantee.allows(now, c.running) || (len(s.active) == 0 && c.borrow.allows(now, c.borrowed) && s.poolAllows(now))
+	return c.guarantee.allows(now, c.owned) || (len(s.active) == 0 && c.borrow.allows(now, c.borrowed) && s.poolAllows(now))
 }
 
 func (s *service) freeSlot(now pimclock.Instant) bool {
@@ -52,8 +52,8 @@
 	}
 	first := s.inSlots(1, float64(s.capacity))
 	switch {
-	case c.running < g.whole():
-	case g.fraction() >= minFraction && c.running == g.whole():
+	case c.owned < g.whole():
+	case g.fraction() >= minFraction && c.owned == g.whole():
 		first = max(first, g.tag.Sub(now))
 	default:
 		first = s.inSlots(1, g.limit)
@@ -65,7 +65,7 @@
 func (s *service) poolWait(c *contract) time.Duration {
 	slots, ahead := float64(s.capacity), float64(len(c.queue))
 	for _, o := range s.active {
-		slots -= math.Min(o.guarantee.limit, float64(o.running+len(o.queue)))
+		slots -= math.Min(o.guarantee.limit, float64(o.owned+len(o.queue)))
 		ahead += s.precedes(o, c)
 	}
 	slots = math.Min(slots, c.borrow.limit)
--- /dev/null
+++ b/internal/scenario/pimflood/config.go
@@ -0,0 +1,119 @@
+package pimflood
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// The contracts of the order desk.
+const (
+	Plants    pimid.ContractID = 1
+	Workshops pimid.ContractID = 2
+	Clerks    pimid.ContractID = 3
+)
+
+// Names gives the contracts' names in reports.
+var Names = map[pimid.ContractID]string{Plants: "plants", Workshops: "workshops", Clerks: "clerks"}
+
+const (
+	service      pimid.ServiceID = 1
+	dataCentres                  = 3
+	nodes                        = 8
+	hosts                        = 15
+	slotsPerHost                 = 2
+	totalSlots                   = hosts * slotsPerHost
+	// localDelay is the one-way delay between VMs and hosts of one data centre.
+	localDelay = 250 * time.Microsecond
+	// farDelay is the one-way delay between data centres.
+	farDelay = 5 * time.Millisecond
+	// callerDelay is the one-way delay between callers and VMs.
+	callerDelay = 3 * time.Millisecond
+	// meanDuration, minDuration and maxDuration describe the requests: exponential within bounds.
+	meanDuration = 50 * time.Millisecond
+	minDuration  = 5 * time.Millisecond
+	maxDuration  = 250 * time.Millisecond
+	// timeout is the callers' deadline.
+	timeout = time.Second
+	// tickPeriod is the period of the owners' ticks.
+	tickPeriod = 5 * time.Millisecond
+	// maxRetries is how often a caller repeats a refused request.
+	maxRetries = 2
+	// capacity is the number of requests per second that all slots can run.
+	capacity = float64(totalSlots) / (float64(meanDuration) / float64(time.Second))
+)
+
+// terms are the contracts of the order desk; 6 of the 30 slots are unowned.
+func terms() []pimslot.ContractTerms {
+	return []pimslot.ContractTerms{
+		{ID: Plants, Terms: pimcontract.Terms{
+			GuaranteedSlots: 12, LendLimit: 12, BorrowLimit: totalSlots, ShareWeight: 2, Priority: 1,
+		}},
+		{ID: Workshops, Terms: pimcontract.Terms{
+			GuaranteedSlots: 9, LendLimit: 9, BorrowLimit: totalSlots, ShareWeight: 1, Priority: 2,
+		}},
+		{ID: Clerks, Terms: pimcontract.Terms{
+			GuaranteedSlots: 3, LendLimit: 3, BorrowLimit: totalSlots, ShareWeight: 1, Priority: 3,
+		}},
+	}
+}
+
+func guaranteedSlots(id pimid.ContractID) float64 {
+	for _, t := range terms() {
+		if t.ID == id {
+			return float64(t.Terms.GuaranteedSlots)
+		}
+	}
+	return 0
+}
+
+// Guaranteed returns the requests per second that the contract's guaranteed slots run.
+func Guaranteed(id pimid.ContractID) float64 { return capacity * guaranteedSlots(id) / totalSlots }
+
+// Policy names the scheduling under test.
+type Policy string
+
+// The policies.
+const (
+	// Shares is pimslot.
+	Shares Policy = "shares"
+	// FIFO is one queue for each owner, without shares.
+	FIFO Policy = "fifo"
+)
+
+// Phase is a part of the run with its own flooding contracts.
+type Phase struct {
+	Name   string
+	Length time.Duration
+	Flood  []pimid.ContractID
+}
+
+// Config describes one run.
+type Config struct {
+	Seed   uint64
+	Policy Policy
+	// Load is the offered load of a contract that does not flood, as a part of its guarantee.
+	Load float64
+	// FloodFactor is the offered load of a flooding contract, as a multiple of the whole capacity.
+	FloodFactor float64
+	Phases      []Phase
+}
+
+// DefaultConfig returns floods of the least urgent work, of the most urgent work and of both, each followed by a calm
+// phase.
+func DefaultConfig(seed uint64, policy Policy, flood, calm time.Duration) Config {
+	return Config{
+		Seed: seed, Policy: policy, Load: 0.9, FloodFactor: 10,
+		Phases: []Phase{
+			{Name: "calm", Length: calm},
+			{Name: "least_urgent", Length: flood, Flood: []pimid.ContractID{Clerks}},
+			{Name: "calm_after_least", Length: calm},
+			{Name: "most_urgent", Length: flood, Flood: []pimid.ContractID{Plants}},
+			{Name: "calm_after_most", Length: calm},
+			{Name: "both", Length: flood, Flood: []pimid.ContractID{Plants, Clerks}},
+			{Name: "calm_after_both", Length: calm},
+		},
+	}
+}
--- /dev/null
+++ b/internal/scenario/pimflood/fifo.go
@@ -0,0 +1,48 @@
+package pimflood
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// scheduler is what an owner's scheduling offers to the simulation.
+type scheduler interface {
+	Offer(now pimclock.Instant, id pimslot.OfferID, r pimslot.SlotRequest) []pimslot.Decision
+	Release(now pimclock.Instant, id pimslot.GrantID, r pimslot.Result) ([]pimslot.Decision, error)
+	Tick(now pimclock.Instant) []pimslot.Decision
+	Wait(now pimclock.Instant, service pimid.ServiceID, c pimid.ContractID) time.Duration
+	Load(service pimid.ServiceID) pimslot.Load
+}
+
+// everyone is the only contract of the FIFO baseline.
+const everyone pimid.ContractID = 0
+
+// fifo is the baseline: one queue for all contracts, with the same limits and deadlines.
+type fifo struct{ *pimslot.Core }
+
+func newFIFO(now pimclock.Instant, core *pimslot.Core) fifo {
+	core.SetPolicy(now, pimslot.Policy{Service: service, TotalSlots: totalSlots, Contracts: []pimslot.ContractTerms{
+		{ID: everyone, Terms: pimcontract.Terms{BorrowLimit: totalSlots}},
+	}})
+	return fifo{core}
+}
+
+// Offer queues the request without regard to its contract.
+func (f fifo) Offer(now pimclock.Instant, id pimslot.OfferID, r pimslot.SlotRequest) []pimslot.Decision {
+	r.Contract = everyone
+	return f.Core.Offer(now, id, r)
+}
+
+// Wait estimates the wait in the only queue.
+func (f fifo) Wait(now pimclock.Instant, s pimid.ServiceID, _ pimid.ContractID) time.Duration {
+	return f.Core.Wait(now, s, everyone)
+}
+
+var (
+	_ scheduler = fifo{}
+	_ scheduler = (*pimslot.Core)(nil)
+)
--- /dev/null
+++ b/internal/scenario/pimflood/flood_test.go
@@ -0,0 +1,69 @@
+package pimflood
+
+import (
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	testFlood = 10 * time.Second
+	testCalm  = 4 * time.Second
+	// target is the part of its guarantee that every contract keeps (design page, 1.4).
+	target = 0.95
+)
+
+// TestGuaranteesHoldInFloods guards against shares that a flood erodes; the FIFO baseline must fail the same check.
+func TestGuaranteesHoldInFloods(t *testing.T) {
+	cases := []struct {
+		name string
+		seed uint64
+		load float64
+	}{
+		{"below the guarantee, seed 1", 1, 0.9},
+		{"below the guarantee, seed 2", 2, 0.9},
+		{"above the guarantee, seed 1", 1, 1.2},
+		{"above the guarantee, seed 2", 2, 1.2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			shares, fifo := runBoth(c.seed, c.load)
+			kept, steady := shares.WorstKept()
+			baseline, baselineSteady := fifo.WorstKept()
+			t.Logf("kept %.3f, steady %.3f; fifo: kept %.3f, steady %.3f", kept, steady, baseline, baselineSteady)
+			is.True(kept >= target)                               // a contract lost part of its guarantee
+			is.True(steady >= target)                             // a contract lost part of its guarantee while queues were full
+			is.True(baseline < target && baselineSteady < target) // the check does not detect missing shares
+		})
+	}
+}
+
+func runBoth(seed uint64, load float64) (shares, fifo Report) {
+	cfg := DefaultConfig(seed, Shares, testFlood, testCalm)
+	cfg.Load = load
+	shares = Run(cfg)
+	cfg.Policy = FIFO
+	return shares, Run(cfg)
+}
+
+// TestSlotsStayBusy guards against slots that idle beside waiting requests, and against retries that outlive a flood.
+func TestSlotsStayBusy(t *testing.T) {
+	is := is.New(t)
+	const maxStorm = 3.0
+	r := Run(DefaultConfig(3, Shares, testFlood, testCalm))
+	for _, p := range r.Phases {
+		is.True(p.IdleWhileWaiting < 0.001) // a free slot was not given to a waiting request
+	}
+	is.True(r.Phases[5].Busy > 0.99) // both floods together do not fill the slots
+	_, storm := r.WorstRecovery()
+	is.True(storm <= maxStorm) // repeated requests doubled the load for too long after a flood
+}
+
+// TestRunsRepeat guards against hidden sources of randomness: one seed gives one report.
+func TestRunsRepeat(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultConfig(4, Shares, time.Second, time.Second)
+	is.Equal(Run(cfg), Run(cfg))
+}
--- /dev/null
+++ b/internal/scenario/pimflood/report.go
@@ -0,0 +1,129 @@
+package pimflood
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Report is the result of one run.
+type Report struct {
+	Seed   uint64        `json:"seed"`
+	Policy Policy        `json:"policy"`
+	Load   float64       `json:"load"`
+	Phases []PhaseReport `json:"phases"`
+	// Sheds counts requests that a host refused for lack of slots.
+	Sheds int `json:"sheds"`
+}
+
+// PhaseReport is the result of one phase.
+type PhaseReport struct {
+	Name string `json:"name"`
+	// Busy is the used part of all slots.
+	Busy float64 `json:"busy"`
+	// IdleWhileWaiting is the part of all slots that was free at an owner with waiting requests.
+	IdleWhileWaiting float64 `json:"idle_while_waiting"`
+	// RecoverySeconds is the time from the end of a flood to the last refusal of a contract that did not flood.
+	RecoverySeconds float64 `json:"recovery_seconds"`
+	// StormSeconds is the time from the end of a flood until repeated requests no longer double the offered load.
+	StormSeconds float64          `json:"storm_seconds"`
+	Contracts    []ContractReport `json:"contracts"`
+}
+
+// ContractReport is the result of one contract in one phase.
+type ContractReport struct {
+	Contract string `json:"contract"`
+	Flooding bool   `json:"flooding"`
+	Offered  int    `json:"offered"`
+	Answered int    `json:"answered"`
+	Refusals int    `json:"refusals"`
+	// Kept is the answered part of the slot time that the contract guarantees, or of what was offered if that is less.
+	Kept float64 `json:"kept"`
+	// Steady is the same by the time of the answer, without the first second of the phase.
+	Steady float64 `json:"steady"`
+	// WaitP99Millis is the 99th percentile of the wait for a slot in milliseconds.
+	WaitP99Millis float64 `json:"wait_p99_ms"`
+}
+
+// WorstKept returns the smallest kept and steady parts of a contract that did not flood, over the phases with a flood.
+func (r Report) WorstKept() (kept, steady float64) {
+	kept, steady = 1, 1
+	for _, p := range r.Phases {
+		flood := slices.ContainsFunc(p.Contracts, func(c ContractReport) bool { return c.Flooding })
+		for _, c := range p.Contracts {
+			if flood && !c.Flooding {
+				kept, steady = min(kept, c.Kept), min(steady, c.Steady)
+			}
+		}
+	}
+	return kept, steady
+}
+
+// WorstRecovery returns the longest recovery and the longest storm in seconds.
+func (r Report) WorstRecovery() (recovery, storm float64) {
+	for _, p := range r.Phases {
+		recovery, storm = max(recovery, p.RecoverySeconds), max(storm, p.StormSeconds)
+	}
+	return recovery, storm
+}
+
+func (s *stats) report() Report {
+	r := Report{Seed: s.cfg.Seed, Policy: s.cfg.Policy, Load: s.cfg.Load, Sheds: s.sheds}
+	for i, p := range s.cfg.Phases {
+		r.Phases = append(r.Phases, s.phaseReport(i, p))
+	}
+	return r
+}
+
+func (s *stats) phaseReport(i int, p Phase) PhaseReport {
+	u := s.uses[i]
+	pr := PhaseReport{
+		Name:             p.Name,
+		Busy:             float64(u.running) / float64(max(u.capacity, 1)),
+		IdleWhileWaiting: float64(u.idleWhileWaiting) / float64(max(u.capacity, 1)),
+		StormSeconds:     s.storm(i),
+	}
+	for _, id := range []pimid.ContractID{Plants, Workshops, Clerks} {
+		c := s.counts[i][id]
+		if len(p.Flood) == 0 && i > 0 && c.lastRefusal > 0 && !slices.Contains(s.cfg.Phases[i-1].Flood, id) {
+			pr.RecoverySeconds = max(pr.RecoverySeconds, c.lastRefusal.Sub(s.ends[i-1]).Seconds())
+		}
+		pr.Contracts = append(pr.Contracts, ContractReport{
+			Contract: Names[id], Flooding: slices.Contains(p.Flood, id),
+			Offered: c.offered, Answered: c.answered, Refusals: c.refusals,
+			Kept:          kept(c.answeredWork, c.offeredWork, id, p.Length),
+			Steady:        kept(c.steadyAnswered, c.steadyOffered, id, p.Length-settling),
+			WaitP99Millis: float64(c.wait.ValueAtQuantile(99)) / float64(time.Millisecond/time.Microsecond),
+		})
+	}
+	return pr
+}
+
+// storm returns the seconds in a calm phase after a flood until the arrivals stay below twice the offered load.
+func (s *stats) storm(i int) (seconds float64) {
+	if i == 0 || len(s.cfg.Phases[i].Flood) > 0 {
+		return 0
+	}
+	offered := 0.0
+	for id := range Names {
+		offered += s.cfg.Load * Guaranteed(id)
+	}
+	start := int(time.Duration(s.ends[i-1]) / time.Second)
+	end := min(int(time.Duration(s.ends[i])/time.Second), len(s.attempts))
+	for second := start; second < end; second++ {
+		if float64(s.attempts[second]) > 2*offered {
+			seconds = float64(second + 1 - start)
+		}
+	}
+	return seconds
+}
+
+// kept divides the answered work by the offered work or, if that is less, by the work of the guaranteed slots.
+func kept(answered, offered time.Duration, id pimid.ContractID, length time.Duration) float64 {
+	due := min(offered.Seconds(), guaranteedSlots(id)*length.Seconds())
+	if due <= 0 {
+		return 1
+	}
+	return min(answered.Seconds()/due, 1)
+}
--- /dev/null
+++ b/internal/scenario/pimflood/request.go
@@ -0,0 +1,124 @@
+package pimflood
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// request is one question of a caller with its repetitions.
+type request struct {
+	contract pimid.ContractID
+	phase    int
+	created  pimclock.Instant
+	// arrived is when the current attempt reached its entry VM.
+	arrived  pimclock.Instant
+	deadline pimclock.Instant
+	duration time.Duration
+	entry    *node
+	tried    []pimid.NodeID
+	retries  int
+}
+
+// arrive handles a request at a random VM, as the fabric delivers it.
+func (f *fleet) arrive(r *request) {
+	r.entry = f.nodes[f.Rand.IntN(len(f.nodes))]
+	r.arrived = f.Now()
+	f.stats.attempt(f.Now())
+	r.deadline = f.Now().Add(timeout)
+	r.tried = nil
+	if ok, retry := r.entry.backOff.Allows(f.Now(), r.contract); !ok {
+		f.refused(r, retry)
+		return
+	}
+	f.ask(r)
+}
+
+// ask acquires a slot from an owner of the entry VM's data centre.
+func (f *fleet) ask(r *request) {
+	e := r.entry
+	id, err := e.owners.Pick(f.Now(), r.contract, f.candidates[e.centre], r.tried, f.Rand)
+	if err != nil {
+		f.refused(r, timeout)
+		return
+	}
+	owner := f.nodes[id-1]
+	r.tried = append(r.tried, id)
+	f.After(delay(e, owner), func() { f.offer(r, owner) })
+}
+
+func (f *fleet) offer(r *request, owner *node) {
+	owner.last++
+	owner.waiting[owner.last] = func(d pimslot.Decision) {
+		f.After(delay(r.entry, owner), func() { f.decided(r, owner, d) })
+	}
+	req := pimslot.SlotRequest{Service: service, Contract: r.contract, Deadline: r.deadline}
+	f.deliver(owner, owner.sched.Offer(f.Now(), owner.last, req))
+}
+
+// decided handles the owner's answer at the entry VM; a refusal is tried at one other owner.
+func (f *fleet) decided(r *request, owner *node, d pimslot.Decision) {
+	e := r.entry
+	if d.Refusal == nil {
+		e.owners.Observe(f.Now(), owner.id, r.contract, d.Grant.Wait)
+		f.After(delay(e, owner), func() { f.run(r, owner, d.Grant) })
+		return
+	}
+	e.owners.Observe(f.Now(), owner.id, r.contract, d.Refusal.Wait)
+	e.owners.Done(owner.id, r.contract)
+	if len(r.tried) < 2 && f.Now().Before(r.deadline) {
+		f.ask(r)
+		return
+	}
+	e.backOff.Refused(f.Now(), r.contract, d.Refusal.Wait, timeout)
+	f.refused(r, d.Refusal.RetryAfter)
+}
+
+// run executes the request on its host.
+func (f *fleet) run(r *request, owner *node, g pimslot.Grant) {
+	b := f.backends[g.Backend]
+	if b.running >= slotsPerHost {
+		f.stats.sheds++
+		f.finish(r, owner, g, pimslot.Result{Outcome: pimedge.OutcomeNotRun, Shed: true})
+		return
+	}
+	b.running++
+	f.stats.started(r, f.Now())
+	f.After(r.duration, func() {
+		b.running--
+		f.finish(r, owner, g, pimslot.Result{Outcome: pimedge.OutcomeAnswered, Duration: r.duration + 2*delay(r.entry, owner)})
+	})
+}
+
+// finish brings the answer to the entry VM and the release to the owner.
+func (f *fleet) finish(r *request, owner *node, g pimslot.Grant, result pimslot.Result) {
+	d := delay(r.entry, owner)
+	f.After(d, func() {
+		r.entry.owners.Done(owner.id, r.contract)
+		if result.Shed {
+			f.refused(r, timeout)
+		} else {
+			f.stats.answered(r, f.Now())
+		}
+		d := delay(r.entry, owner)
+		f.After(d, func() {
+			decisions, err := owner.sched.Release(f.Now(), g.ID, result)
+			if err == nil {
+				f.deliver(owner, decisions)
+			}
+		})
+	})
+}
+
+// refused tells the caller, which repeats the request after the advised time.
+func (f *fleet) refused(r *request, retry time.Duration) {
+	f.stats.refused(r, f.Now())
+	if r.retries == maxRetries {
+		return
+	}
+	r.retries++
+	f.After(callerDelay+f.Jitter(retry, 0.5)+callerDelay, func() { f.arrive(r) })
+}
--- /dev/null
+++ b/internal/scenario/pimflood/stats.go
@@ -0,0 +1,122 @@
+package pimflood
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// count holds the counters of one contract in one phase.
+type count struct {
+	offered, answered, refusals int
+	// offeredWork and answeredWork are sums of request durations: a guarantee is given in slots, not in requests.
+	offeredWork, answeredWork time.Duration
+	// steadyOffered and steadyAnswered leave out the first second of the phase and count answers when they arrive.
+	steadyOffered, steadyAnswered time.Duration
+	wait                          *hdrhistogram.Histogram
+	lastRefusal                   pimclock.Instant
+}
+
+// use sums the slots of all owners over the samples of one phase.
+type use struct {
+	running, capacity, idleWhileWaiting int
+}
+
+type stats struct {
+	cfg    Config
+	ends   []pimclock.Instant
+	counts []map[pimid.ContractID]*count
+	uses   []use
+	sheds  int
+	// attempts counts the arrivals of requests and their repetitions in each second of the run.
+	attempts []int
+}
+
+func newStats(cfg Config) *stats {
+	s := &stats{cfg: cfg, uses: make([]use, len(cfg.Phases))}
+	end := pimclock.Instant(0)
+	for _, p := range cfg.Phases {
+		end = end.Add(p.Length)
+		s.ends = append(s.ends, end)
+		m := map[pimid.ContractID]*count{}
+		for id := range Names {
+			m[id] = &count{wait: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+		}
+		s.counts = append(s.counts, m)
+	}
+	return s
+}
+
+func (s *stats) end() pimclock.Instant { return s.ends[len(s.ends)-1] }
+
+func (s *stats) phaseAt(now pimclock.Instant) int {
+	for i, end := range s.ends {
+		if now.Before(end) {
+			return i
+		}
+	}
+	return len(s.ends) - 1
+}
+
+// settling is the part of each phase that the steady counters leave out, while queues grow or drain.
+const settling = time.Second
+
+// steady reports whether an instant lies behind the settling time of its phase.
+func (s *stats) steady(now pimclock.Instant) bool {
+	i := s.phaseAt(now)
+	return !now.Before(s.ends[i].Add(settling - s.cfg.Phases[i].Length))
+}
+
+func (s *stats) offered(r *request) {
+	c := s.counts[r.phase][r.contract]
+	c.offered++
+	c.offeredWork += r.duration
+	if s.steady(r.created) {
+		c.steadyOffered += r.duration
+	}
+}
+
+// attempt counts one arrival at an entry VM.
+func (s *stats) attempt(now pimclock.Instant) {
+	second := int(time.Duration(now) / time.Second)
+	for len(s.attempts) <= second {
+		s.attempts = append(s.attempts, 0)
+	}
+	s.attempts[second]++
+}
+
+// started records the wait from the arrival of the attempt to its start at the host.
+func (s *stats) started(r *request, now pimclock.Instant) {
+	wait := now.Sub(r.arrived)
+	c := s.counts[s.phaseAt(now)][r.contract]
+	_ = c.wait.RecordValue(int64(wait / time.Microsecond))
+}
+
+// answered counts goodput in the phase in which the request was created, and steady goodput in the current one.
+func (s *stats) answered(r *request, now pimclock.Instant) {
+	c := s.counts[r.phase][r.contract]
+	c.answered++
+	c.answeredWork += r.duration
+	if s.steady(now) {
+		s.counts[s.phaseAt(now)][r.contract].steadyAnswered += r.duration
+	}
+}
+
+func (s *stats) refused(r *request, now pimclock.Instant) {
+	c := s.counts[s.phaseAt(now)][r.contract]
+	c.refusals++
+	c.lastRefusal = now
+}
+
+func (s *stats) sample(now pimclock.Instant, l pimslot.Load) {
+	u := &s.uses[s.phaseAt(now)]
+	u.running += l.Running
+	u.capacity += l.Capacity
+	if l.Waiting > 0 {
+		u.idleWhileWaiting += max(l.Capacity-l.Running, 0)
+	}
+}
