test: prove the hard limits in every fault and pair of faults

Cause: the sum of all shares and grants must never exceed the limit, whatever fails. Change: 8 faults alone and all 28 pairs, baselines in the same run, limits below one permit per VM. Conclusion: pooled shares hold the limit.

--- a/internal/coordination/pimquota/baseline_test.go
+++ b/internal/coordination/pimquota/baseline_test.go
@@ -23,7 +23,7 @@
 type static struct{ buckets []bucket }
 
 func newStatic(n int, limit Limit) *static {
-	s := &static{buckets: make([]bucket, n)}
+	s := &static{buckets: make([]bucket, simMaxVMs)}
 	for i := range s.buckets {
 		s.buckets[i] = bucket{rate: float64(limit.Rate) / float64(n), depth: limit.Burst / float64(n)}
 	}
@@ -46,7 +46,7 @@
 }
 
 func newSingle(s *sim, limit Limit) *single {
-	l := &single{s: s, buckets: make([]bucket, len(s.vms)+1)}
+	l := &single{s: s, buckets: make([]bucket, simMaxVMs)}
 	for i := range l.buckets {
 		l.buckets[i] = bucket{rate: float64(limit.Rate), depth: limit.Burst, tokens: limit.Burst}
 	}
@@ -54,7 +54,7 @@
 }
 
 func (l *single) request(now pimclock.Instant, vm int, admit func()) {
-	owner := l.s.live(vm)[0]
+	owner := l.s.owner(vm)
 	if o := l.s.vms[owner]; o.up && !o.paused && !l.s.split(vm, owner) && l.buckets[owner].take(now, 1) {
 		admit()
 	}
--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -5,10 +5,12 @@
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // borrower is the owner's record of one member.
 type borrower struct {
+	node   pimid.NodeID
 	demand float64
 	seen   pimclock.Instant
 
--- /dev/null
+++ b/internal/coordination/pimquota/fault_test.go
@@ -0,0 +1,227 @@
+package pimquota
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+const (
+	faultVMs     = 8
+	faultWarmUp  = 17 * time.Second
+	faultRun     = 45 * time.Second
+	faultAt      = 5 * time.Second
+	detection    = 3 * time.Second
+	listDelay    = 5 * time.Second
+	unusedShare  = 1.0 / faultVMs
+	ownerOutage  = 1500 * time.Millisecond
+	steadyLoss   = 0.02
+	overloadRate = 1.5
+	partitionFor = 20 * time.Second
+	// faultMost is the largest number of admissions that the limit allows in one second.
+	faultMost = 240
+)
+
+var faultLimit = Limit{Rate: 200, Burst: 40, Part: 1}
+
+// fault is one disturbance; lost is the bound on the part of the limit that goes unused because of it, in seconds.
+type fault struct {
+	name   string
+	inject func(s *sim)
+	lost   float64
+}
+
+// learn runs do for every VM at a random time within the publication lag.
+func (s *sim) learn(after time.Duration, do func(vm int)) {
+	for vm := range s.vms {
+		lag := time.Duration(s.rng.Float64() * float64(publicationLag))
+		s.after(after+lag, func() { do(vm) })
+	}
+}
+
+// suspect makes all VMs but the suspected ones believe that it is dead, each at its own time.
+func (s *sim) suspect(dead int, after time.Duration) {
+	for vm := range s.vms {
+		skew := time.Duration(s.rng.Float64() * float64(time.Second))
+		s.after(after+skew, func() { s.down[vm][dead] = vm != dead })
+	}
+}
+
+// drop removes a VM from the published list; the VM itself keeps its old list while it cannot learn.
+func (s *sim) drop(dead int) {
+	s.learn(listDelay, func(vm int) {
+		if vm != dead {
+			s.publish(vm, len(s.vms)-1)
+		}
+	})
+}
+
+func faults() []fault {
+	listed := (listDelay + publicationLag + DefaultGrowthDelay).Seconds()
+	return []fault{
+		{"uneven spray", func(s *sim) {
+			for i, vm := range s.vms {
+				vm.weight = []float64{8, 4, 1, 1, 0.5, 0.5, 0.1, 0}[i%8]
+			}
+		}, 0},
+		{"owner death", func(s *sim) {
+			owner := s.owner(0)
+			s.vms[owner].up = false
+			s.suspect(owner, detection)
+			s.drop(owner)
+		}, 2*ownerOutage.Seconds() + unusedShare*listed},
+		{"join", func(s *sim) {
+			vm := s.join(2)
+			s.learn(0, func(other int) { s.publish(other, len(s.vms)) })
+			s.publish(vm, len(s.vms))
+		}, ownerOutage.Seconds() + unusedShare*(publicationLag+DefaultGrowthDelay).Seconds()},
+		{"view skew", func(s *sim) {
+			for i := range 20 {
+				vm, dead := s.rng.IntN(4), s.owner(0)
+				s.after(time.Duration(i)*time.Second, func() { s.down[vm][dead] = !s.down[vm][dead] })
+			}
+		}, 20 * ownerOutage.Seconds() / 4},
+		{"partition", func(s *sim) {
+			s.split = func(a, b int) bool { return (a < 4) != (b < 4) }
+			s.after(partitionFor, func() { s.split = func(int, int) bool { return false } })
+			for vm := range s.vms {
+				for other := range s.vms {
+					if (vm < 4) != (other < 4) {
+						s.after(detection, func() { s.down[vm][other] = true })
+						s.after(partitionFor+time.Second, func() { s.down[vm][other] = false })
+					}
+				}
+			}
+		}, 3 * ownerOutage.Seconds()},
+		{"pause of the owner", pause(faultVMs - 1), 4*ownerOutage.Seconds() + unusedShare*(listed+DefaultGrowthDelay.Seconds())},
+		{"pause of a member", pause(2), unusedShare * (listed + DefaultGrowthDelay.Seconds())},
+		{"lagging list", func(s *sim) {
+			s.vms[1].up = false
+			s.after(20*time.Second, func() { s.drop(1) })
+		}, unusedShare * faultRun.Seconds()},
+	}
+}
+
+// pause stops a VM for longer than the list and the growth delay take; it wakes up with its old view and mail.
+func pause(paused int) func(s *sim) {
+	return func(s *sim) {
+		s.vms[paused].paused = true
+		s.suspect(paused, detection)
+		s.drop(paused)
+		s.after(38*time.Second, func() { s.vms[paused].paused = false })
+	}
+}
+
+// outcome is what one limiter admitted under one set of faults.
+type outcome struct {
+	worst int
+	lost  float64
+}
+
+func (o outcome) String() string { return fmt.Sprintf("worst %4d lost %6.2f s", o.worst, o.lost) }
+
+func play(seed uint64, faults []fault, build func(s *sim) limiter) outcome {
+	s := newSim(seed, faultVMs, faultLimit)
+	s.loss = 0.02
+	for vm := range s.vms {
+		s.publish(vm, faultVMs)
+	}
+	l := build(s)
+	s.run(faultWarmUp, 0, l)
+	start := s.clock.Now()
+	s.after(faultAt, func() {
+		for _, f := range faults {
+			f.inject(s)
+		}
+	})
+	s.run(faultRun, overloadRate*float64(faultLimit.Rate), l)
+	seconds := s.clock.Now().Sub(start).Seconds()
+	return outcome{worst: worst(s.admitted), lost: seconds - float64(len(s.admitted))/float64(faultLimit.Rate)}
+}
+
+func buildPooled(s *sim) limiter { return pooled{s} }
+
+// Guards against admission above the limit in any window of one second, and against use below the stated bound, in
+// every fault alone and in every pair of faults.
+func TestLimitHoldsInEveryFault(t *testing.T) {
+	all := faults()
+	for i, a := range all {
+		for j := i; j < len(all); j++ {
+			set, bound := []fault{a}, a.lost
+			if j > i {
+				set, bound = append(set, all[j]), bound+all[j].lost
+			}
+			t.Run(a.name+" and "+all[j].name, func(t *testing.T) {
+				t.Parallel()
+				is := is.New(t)
+				got := play(uint64(100*i+j), set, buildPooled)
+				bound += steadyLoss*faultRun.Seconds() + splitLoss(set)
+				t.Logf("pooled %v bound %.2f s", got, bound)
+				is.True(got.worst <= faultMost) // over-admission
+				is.True(got.lost <= bound)      // under-use
+			})
+		}
+	}
+}
+
+// splitLoss is the part of the limit that one side of a partition cannot use while the callers arrive on the other.
+func splitLoss(set []fault) float64 {
+	if len(set) == 2 && set[0].name == "uneven spray" && set[1].name == "partition" {
+		const demandOfSmallSide = 1.1 / 15.1 * overloadRate
+		return (0.5 - demandOfSmallSide) * partitionFor.Seconds()
+	}
+	return 0
+}
+
+// Guards against a change that makes pooled shares no better than the alternatives: fixed parts leave the limit unused
+// under an uneven spray, one limiter per contract exceeds it when VMs disagree about the owner.
+func TestBaselinesFail(t *testing.T) {
+	is := is.New(t)
+	for i, f := range faults() {
+		set, seed := []fault{f}, uint64(101*i)
+		pooled := play(seed, set, buildPooled)
+		static := play(seed, set, func(*sim) limiter { return newStatic(faultVMs, faultLimit) })
+		single := play(seed, set, func(s *sim) limiter { return newSingle(s, faultLimit) })
+		t.Logf("%-20s pooled %v; static %v; single %v", f.name, pooled, static, single)
+		switch f.name {
+		case "uneven spray":
+			is.True(static.lost > 10*pooled.lost)
+		case "view skew", "partition", "pause of the owner":
+			is.True(single.worst > faultMost)
+		}
+	}
+}
+
+// Guards against limits with less than one permit per VM that cannot be used, or that drift over time: the pool admits
+// what one limiter without faults admits, which loses permits only while its bucket is full.
+func TestSmallLimits(t *testing.T) {
+	for _, limit := range []Limit{
+		{Rate: 2, Burst: 2, Part: 1},
+		{Rate: 2, Burst: 1, Part: 1},
+		{Rate: 0.5, Burst: 1, Part: 1},
+		{Rate: 100, Burst: 10, Part: 1},
+		{Rate: 1000, Burst: 10, Part: 1},
+	} {
+		is := is.New(t)
+		load := 2*float64(limit.Rate) + 16
+		pooled, most := playSmall(limit, load, buildPooled)
+		single, _ := playSmall(limit, load, func(s *sim) limiter { return newSingle(s, limit) })
+		t.Logf("limit %v burst %v: pooled %d, single %d in 100 s, worst second %d", limit.Rate, limit.Burst, pooled, single, most)
+		is.True(float64(pooled) >= 0.97*float64(single)-1)
+		is.True(float64(pooled) <= 100*float64(limit.Rate)+limit.Burst)
+		is.True(most <= int(float64(limit.Rate)+limit.Burst))
+	}
+}
+
+func playSmall(limit Limit, load float64, build func(s *sim) limiter) (admitted, most int) {
+	s := newSim(7, faultVMs, limit)
+	for vm := range s.vms {
+		s.publish(vm, faultVMs)
+	}
+	l := build(s)
+	s.run(faultWarmUp, 0, l)
+	s.run(100*time.Second, load, l)
+	return len(s.admitted), worst(s.admitted)
+}
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
@@ -18,13 +19,15 @@
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
 type sharedPool struct {
 	borrowers map[pimid.NodeID]*borrower
-	tokens    float64
-	last      pimclock.Instant
+	// order lists the borrowers in the order of their first request, so that sums do not depend on map iteration.
+	order  []*borrower
+	tokens float64
+	last   pimclock.Instant
 }
 
 // capacity returns the rate and depth of the shares whose leases last until the instant.
 func (p *sharedPool) capacity(until pimclock.Instant) (rate, depth float64) {
-	for _, b := range p.borrowers {
+	for _, b := range p.order {
 		if !b.leaseEnd.Before(until) {
 			rate, depth = rate+b.lentRate, depth+b.lentDepth
 		}
@@ -34,7 +37,7 @@
 
 // granted returns the rate and depth that members may be using, without one of them.
 func (p *sharedPool) granted(now pimclock.Instant, without *borrower) (rate, depth float64) {
-	for _, b := range p.borrowers {
+	for _, b := range p.order {
 		if b != without {
 			r, d := b.active(now)
 			rate, depth = rate+r, depth+d
@@ -62,8 +65,9 @@
 func (p *sharedPool) borrower(node pimid.NodeID) *borrower {
 	b := p.borrowers[node]
 	if b == nil {
-		b = &borrower{}
+		b = &borrower{node: node}
 		p.borrowers[node] = b
+		p.order = append(p.order, b)
 	}
 	return b
 }
@@ -77,7 +81,7 @@
 // target returns the member's part of the rate by demand.
 func (p *sharedPool) target(now pimclock.Instant, b *borrower, capacity float64) float64 {
 	demands, at := make([]float64, 0, len(p.borrowers)), 0
-	for _, o := range p.borrowers {
+	for _, o := range p.order {
 		if o == b {
 			at = len(demands)
 		}
@@ -127,9 +131,11 @@
 
 // forget drops members that neither lend, use nor want anything.
 func (p *sharedPool) forget(now pimclock.Instant) {
-	for node, b := range p.borrowers {
+	p.order = slices.DeleteFunc(p.order, func(b *borrower) bool {
 		if b.idle(now) {
-			delete(p.borrowers, node)
+			delete(p.borrowers, b.node)
+			return true
 		}
-	}
+		return false
+	})
 }
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -11,8 +11,9 @@
 )
 
 const (
-	simStep     = time.Millisecond
+	simStep     = 2 * time.Millisecond
 	simContract = pimid.ContractID(1)
+	simMaxVMs   = 16
 	// simPatience is how long a request waits for permits.
 	simPatience = 20 * time.Millisecond
 )
@@ -28,12 +29,14 @@
 	clock pimclock.Manual
 	rng   *rand.Rand
 	vms   []*simVM
-	// live lists the VMs as seen by each VM, for the choice of the owner.
-	live  func(vm int) []int
-	split func(a, b int) bool
-	loss  float64
-	delay time.Duration
-	mail  []letter
+	// down holds the VMs that each VM believes to be dead; the highest one that is not dead owns the contract.
+	down   []map[int]bool
+	split  func(a, b int) bool
+	limit  Limit
+	events []event
+	loss   float64
+	delay  time.Duration
+	mail   []letter
 	// admitted holds the times of all admissions.
 	admitted []pimclock.Instant
 	offered  int
@@ -53,20 +56,60 @@
 	deliver func(now pimclock.Instant)
 }
 
-func newSim(seed uint64, n int) *sim {
-	s := &sim{rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
+func newSim(seed uint64, n int, limit Limit) *sim {
+	s := &sim{limit: limit, rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
 	s.split = func(int, int) bool { return false }
-	s.live = func(int) []int { return s.up() }
-	for i := range n {
-		s.vms = append(s.vms, &simVM{up: true, weight: 1, pool: s.newPool(i, 1)})
+	for range n {
+		s.join(1)
 	}
 	return s
 }
 
+// join adds a VM that every other VM knows at once.
+func (s *sim) join(incarnation pimid.Incarnation) (vm int) {
+	vm = len(s.vms)
+	s.vms = append(s.vms, &simVM{up: true, weight: 1, pool: s.newPool(vm, incarnation)})
+	s.down = append(s.down, map[int]bool{})
+	return vm
+}
+
+// owner returns the owner of the contract as one VM sees it.
+func (s *sim) owner(vm int) int {
+	for o := len(s.vms) - 1; o >= 0; o-- {
+		if !s.down[vm][o] {
+			return o
+		}
+	}
+	return vm
+}
+
+// event is a change of the simulated system.
+type event struct {
+	at pimclock.Instant
+	do func()
+}
+
+// after schedules an event.
+func (s *sim) after(d time.Duration, do func()) {
+	s.events = append(s.events, event{at: s.clock.Now().Add(d), do: do})
+}
+
+func (s *sim) fire(now pimclock.Instant) {
+	due := s.events
+	s.events = nil
+	for _, e := range due {
+		if now.Before(e.at) {
+			s.events = append(s.events, e)
+			continue
+		}
+		e.do()
+	}
+}
+
 func (s *sim) newPool(vm int, incarnation pimid.Incarnation) *Pool {
 	return New(Config{
 		Self: pimid.NodeID(vm), Incarnation: incarnation,
-		OwnerOf: func(pimid.ContractID) pimid.NodeID { return pimid.NodeID(s.live(vm)[0]) },
+		OwnerOf: func(pimid.ContractID) pimid.NodeID { return pimid.NodeID(s.owner(vm)) },
 		Send: func(to pimid.NodeID, req *pimpb.BorrowQuotaRequest) {
 			s.post(vm, int(to), func(now pimclock.Instant) {
 				reply := s.vms[to].pool.Borrow(now, req)
@@ -76,15 +119,6 @@
 	})
 }
 
-func (s *sim) up() (ids []int) {
-	for i, vm := range s.vms {
-		if vm.up {
-			ids = append(ids, i)
-		}
-	}
-	return ids
-}
-
 func (s *sim) post(from, to int, deliver func(now pimclock.Instant)) {
 	if s.split(from, to) || s.rng.Float64() < s.loss {
 		return
@@ -94,9 +128,9 @@
 }
 
 // publish gives a VM a list of n VMs.
-func (s *sim) publish(vm, n int, limit Limit) {
+func (s *sim) publish(vm, n int) {
 	s.vms[vm].pool.Publish(s.clock.Now(), Publication{
-		Nodes: n, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: limit},
+		Nodes: n, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: s.limit},
 	})
 }
 
@@ -105,6 +139,7 @@
 	for end := s.clock.Now().Add(d); s.clock.Now().Before(end); {
 		s.clock.Advance(simStep)
 		now := s.clock.Now()
+		s.fire(now)
 		s.deliver(now)
 		for i, vm := range s.vms {
 			if vm.up && !vm.paused {
