test: prove that a post is written at most once

Cause: net/http repeats requests by itself on reused connections that were closed. Ruled out: counting only whole requests at the server, which misses partial ones; counting before the connections are served to their end. Change: a stand-in server closes the connection of a request at every byte of its answer and at points of the request, with FIN and RST, on new and on reused connections, for three body sizes. Tests for the seal of a connection, outcomes, deadlines, cancellation, silent connections, health and load; negative counts in a load answer are rejected.

--- /dev/null
+++ b/internal/transport/pimhttp/conn_test.go
@@ -0,0 +1,67 @@
+package pimhttp
+
+import (
+	"io"
+	"net"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// closeHook calls before when the connection is closed.
+type closeHook struct {
+	net.Conn
+	before func()
+}
+
+func (c *closeHook) Close() error {
+	c.before()
+	return c.Conn.Close()
+}
+
+// Guards against a claim that nothing was sent while net/http can still write: its write loop may run after the
+// cancelled request has returned.
+func TestSealMakesTheClaimFinal(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	pair := func() (c *conn, peer net.Conn) {
+		mine, peer := net.Pipe()
+		c = &conn{Conn: mine, clock: clock}
+		c.arm(clock.Now() + 1)
+		return c, peer
+	}
+	c, peer := pair()
+	inner := &closeHook{Conn: c.Conn}
+	c.Conn = inner
+	inner.before = func() {
+		_, err := c.Write([]byte("POST")) // the write loop runs between the answer of seal and the close
+		is.True(err != nil)
+	}
+	is.True(!c.seal())
+	_, err := peer.Read(make([]byte, 1))
+	is.Equal(err, io.EOF) // nothing arrived
+
+	c, peer = pair()
+	go func() { _, _ = io.ReadFull(peer, make([]byte, 2)) }()
+	_, err = c.Write([]byte("PO"))
+	is.NoErr(err)
+	is.True(c.seal()) // a written byte is admitted
+
+	c, peer = pair()
+	is.NoErr(peer.Close())
+	_, err = c.Write([]byte("POST"))
+	is.True(err != nil)
+	is.True(!c.seal()) // a write that delivered nothing does not count
+}
+
+// Guards against panics and accepted trailing data for any answer of a load endpoint.
+func FuzzDecodeLoad(f *testing.F) {
+	f.Fuzz(func(t *testing.T, body []byte) {
+		l, err := decodeLoad(body)
+		if err != nil && l != (Load{}) {
+			t.Fatalf("value %+v with error %v", l, err)
+		}
+	})
+}
--- a/internal/transport/pimhttp/load.go
+++ b/internal/transport/pimhttp/load.go
@@ -7,8 +7,13 @@
 	"io"
 )
 
-// ErrTrailingData means that a load answer goes on after its JSON object.
-var ErrTrailingData = errors.New("trailing data")
+// The errors of a load answer that is not rejected by the JSON decoder.
+var (
+	// ErrTrailingData means that a load answer goes on after its JSON object.
+	ErrTrailingData = errors.New("trailing data")
+	// ErrNegative means that a count is below zero.
+	ErrNegative = errors.New("negative count")
+)
 
 // decodeLoad rejects unknown keys, since a changed format must not be read as an idle server.
 func decodeLoad(body []byte) (l Load, err error) {
@@ -20,5 +25,8 @@
 	if _, err = d.Token(); !errors.Is(err, io.EOF) {
 		return Load{}, ErrTrailingData
 	}
+	if l.InFlight < 0 || l.Connections < 0 {
+		return Load{}, ErrNegative
+	}
 	return l, nil
 }
--- /dev/null
+++ b/internal/transport/pimhttp/once_test.go
@@ -0,0 +1,131 @@
+package pimhttp
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+)
+
+func newClient(t *testing.T, cfg Config) *Client {
+	t.Helper()
+	c, cleanup := NewClient(cfg)
+	t.Cleanup(cleanup)
+	return c
+}
+
+func soon() pimclock.Instant { return pimclock.Boot{}.Now().Add(time.Minute) }
+
+func post(t *testing.T, c *Client, b pimview.Backend, body []byte) Result {
+	t.Helper()
+	return c.Do(context.Background(), b, http.MethodPost, "/orders", body, soon())
+}
+
+// closePoint says when a stand-in server closes the connection of the second request.
+type closePoint struct {
+	name string
+	// limit is the number of bytes of the request that are read; negative reads all.
+	limit int
+	// answer is sent before the close.
+	answer string
+	abort  bool
+}
+
+// closePoints returns the points for a request with a body of the given size; a point beyond the end would only wait.
+func closePoints(bodySize int) []closePoint {
+	points := []closePoint{
+		{name: "after the first answer", limit: 0},
+		{name: "after the whole request", limit: -1},
+		{name: "after an interim answer", limit: -1, answer: "HTTP/1.1 102 Processing\r\n\r\n"},
+	}
+	limits := []int{1, 4, 20, 60, 90}
+	if bodySize > 1000 {
+		limits = append(limits, 1000, bodySize)
+	}
+	for _, limit := range limits {
+		points = append(points, closePoint{name: fmt.Sprintf("after %d bytes", limit), limit: limit})
+	}
+	full := "HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nhello"
+	for size := 1; size < len(full); size++ {
+		points = append(points, closePoint{name: fmt.Sprintf("after %d answer bytes", size), limit: -1, answer: full[:size]})
+	}
+	for _, p := range points {
+		p.abort = true
+		p.name += ", reset"
+		points = append(points, p)
+	}
+	return points
+}
+
+// Guards against a POST that net/http repeats by itself, above all on a reused connection that the server closed, and
+// against a wrong claim about whether it was sent. The server closes the connection of the second request at every
+// possible point; connections after it would answer a repetition.
+func TestPostIsNeverSentTwice(t *testing.T) {
+	bodies := map[string][]byte{"empty": nil, "small": []byte("order"), "large": bytes.Repeat([]byte("o"), 50_000)}
+	for name, body := range bodies {
+		for _, p := range closePoints(len(body)) {
+			for _, reused := range []bool{true, false} {
+				t.Run(fmt.Sprintf("%s/%s/reused=%v", name, p.name, reused), func(t *testing.T) {
+					checkOnce(t, p, body, reused)
+				})
+			}
+		}
+	}
+}
+
+func checkOnce(t *testing.T, p closePoint, body []byte, reused bool) {
+	is := is.New(t)
+	s, b := startRaw(t, func(s *rawServer, n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		if n == 1 && reused {
+			s.read(r, -1)
+			answer(c, okAnswer)
+		}
+		if n > 1 {
+			s.read(r, -1)
+			answer(c, okAnswer)
+			return
+		}
+		if p.abort {
+			reset(c)
+		}
+		if p.limit != 0 && s.read(r, p.limit) {
+			answer(c, p.answer)
+		}
+	})
+	c := newClient(t, Config{})
+	before := 0
+	if reused {
+		is.Equal(post(t, c, b, body).Outcome, pimedge.OutcomeAnswered)
+		before = 1
+	}
+	res := post(t, c, b, body)
+	s.drain()
+	heads, whole := s.counts()
+	t.Logf("outcome %s, %d attempts", res.Outcome, heads-before)
+	attempts := heads - before
+	is.True(attempts <= 1)
+	if res.Outcome == pimedge.OutcomeNotRun {
+		is.True(res.NotSent)
+		is.Equal(attempts, 0)
+		return
+	}
+	if res.Outcome == pimedge.OutcomeAnswered {
+		// Only a new connection can have answered, after nothing was written to the closed one.
+		is.Equal(string(res.Body), "ok")
+		is.Equal(whole-before, 1)
+		return
+	}
+	is.Equal(res.Outcome, pimedge.OutcomeUnknown)
+	is.True(!res.NotSent)
+}
--- /dev/null
+++ b/internal/transport/pimhttp/progress_test.go
@@ -0,0 +1,95 @@
+package pimhttp
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Guards against a silent connection that holds its request until the deadline or is used again.
+func TestSilentConnectionIsClosedAndNotReused(t *testing.T) {
+	is := is.New(t)
+	closed := make(chan struct{})
+	s, b := startRaw(t, func(s *rawServer, n int, c net.Conn) {
+		r := bufio.NewReader(c)
+		s.read(r, -1)
+		if n > 1 {
+			answer(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
+			return
+		}
+		answer(c, okAnswer)
+		s.read(r, -1)
+		_, _ = r.ReadByte() // silent until the client closes
+		close(closed)
+	})
+	c := newClient(t, Config{SilenceLimit: 20 * time.Millisecond})
+	is.Equal(post(t, c, b, nil).Outcome, pimedge.OutcomeAnswered)
+	res := post(t, c, b, []byte("order"))
+	is.Equal(res.Outcome, pimedge.OutcomeUnknown)
+	is.True(res.NoProgress)
+	is.True(errors.Is(res.Err, ErrNoProgress))
+	<-closed
+	is.Equal(post(t, c, b, nil).Outcome, pimedge.OutcomeAnswered) // on a new connection
+	_, whole := s.counts()
+	is.Equal(whole, 4) // two answers, the silent request and one probe
+}
+
+// Guards against a slow server that is taken for a silent connection when new connections do not work either, and
+// against interim answers that do not count as progress.
+func TestSlowServerIsNotSilent(t *testing.T) {
+	is := is.New(t)
+	const limit = 10 * time.Millisecond
+	probes := make(chan struct{}, 100)
+	_, b := startRaw(t, func(s *rawServer, n int, c net.Conn) {
+		s.read(bufio.NewReader(c), -1)
+		if n > 1 {
+			probes <- struct{}{}
+			return // every probe fails
+		}
+		<-probes
+		<-probes
+		for range 20 { // more interim answers than net/http accepts without a hook
+			answer(c, "HTTP/1.1 102 Processing\r\n\r\n")
+		}
+		answer(c, okAnswer)
+	})
+	res := post(t, newClient(t, Config{SilenceLimit: limit}), b, []byte("order"))
+	is.Equal(res.Outcome, pimedge.OutcomeAnswered)
+	is.True(!res.NoProgress)
+}
+
+// Guards against load reports that are misread, and against a probe that reuses a connection.
+func TestHealthAndLoad(t *testing.T) {
+	is := is.New(t)
+	load := `{"in_flight":1,"connections":20,"draining":true,"generation":3}`
+	s, b := startRaw(t, func(s *rawServer, _ int, c net.Conn) {
+		r := bufio.NewReader(c)
+		for s.read(r, -1) {
+			answer(c, fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(load), load))
+		}
+	})
+	c := newClient(t, Config{})
+	_, err := c.Health(context.Background(), b)
+	is.NoErr(err)
+	l, err := c.Load(context.Background(), b)
+	is.NoErr(err)
+	is.Equal(l, Load{InFlight: 1, Connections: 20, Draining: true, Generation: pimid.Generation(3)})
+	heads, _ := s.counts()
+	is.Equal(heads, 2)
+	is.Equal(s.connectionCount(), 2)
+	for _, bad := range []string{"", "{", `{"in_flight":1,"new_key":2}`, `{"in_flight":-1}`, load + load, strings.Repeat(" ", maxReport) + load} {
+		if _, err = decodeLoad([]byte(bad)[:min(len(bad), maxReport)]); err == nil {
+			t.Errorf("no error for %.40q", bad)
+		}
+	}
+}
--- /dev/null
+++ b/internal/transport/pimhttp/server_test.go
@@ -0,0 +1,118 @@
+package pimhttp
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"testing"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+)
+
+// rawServer is a stand-in server that controls every byte of a connection and counts what it receives.
+type rawServer struct {
+	listener net.Listener
+	// serve handles one connection; connections are numbered from 1.
+	serve func(n int, c net.Conn)
+	wg    sync.WaitGroup
+
+	mu sync.Mutex
+	// heads counts request lines of which at least one byte arrived, whole those that arrived with their body.
+	heads, whole, connections int
+	open                      []net.Conn
+}
+
+func startRaw(t *testing.T, serve func(s *rawServer, n int, c net.Conn)) (*rawServer, pimview.Backend) {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &rawServer{listener: listener}
+	s.serve = func(n int, c net.Conn) { serve(s, n, c) }
+	s.wg.Go(s.run)
+	t.Cleanup(s.close)
+	return s, pimview.Backend{ID: 1, HTTPAddress: netip.MustParseAddrPort(listener.Addr().String())}
+}
+
+func (s *rawServer) run() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.connections++
+		n := s.connections
+		s.open = append(s.open, c)
+		s.mu.Unlock()
+		s.wg.Go(func() {
+			s.serve(n, c)
+			_ = c.Close()
+		})
+	}
+}
+
+func (s *rawServer) close() {
+	_ = s.listener.Close()
+	s.mu.Lock()
+	for _, c := range s.open {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// drain stops accepting and waits until every connection has been served to its end.
+func (s *rawServer) drain() {
+	_ = s.listener.Close()
+	s.wg.Wait()
+}
+
+// counts returns the number of requests that were begun and that arrived whole.
+func (s *rawServer) counts() (heads, whole int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.heads, s.whole
+}
+
+func (s *rawServer) connectionCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.connections
+}
+
+// read reads at most limit bytes of one request; a negative limit reads the whole request.
+func (s *rawServer) read(r *bufio.Reader, limit int) bool {
+	if _, err := r.Peek(1); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.heads++
+	s.mu.Unlock()
+	if limit >= 0 {
+		_, err := io.CopyN(io.Discard, r, int64(limit))
+		return err == nil
+	}
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return false
+	}
+	if _, err = io.Copy(io.Discard, req.Body); err != nil {
+		return false
+	}
+	s.mu.Lock()
+	s.whole++
+	s.mu.Unlock()
+	return true
+}
+
+// reset makes the close of the connection an abortive one (RST).
+func reset(c net.Conn) { _ = c.(*net.TCPConn).SetLinger(0) }
+
+func answer(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
+
+const okAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
