test: run callers, fabric, edge and backend servers together

Cause: repetition, at most once and flow identity only show on the whole path. Ruled out: waiting for events with sleeps; the stand-in caller logs opened and broken flows, and the test waits for them.

--- /dev/null
+++ b/internal/standin/standcaller/edge_test.go
@@ -0,0 +1,171 @@
+package standcaller
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standfabric"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimhttp"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const service = pimid.ServiceID(1)
+
+var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+
+// edge is a minimal fleet: its VMs share one table of POST requests in place of home VMs.
+type edge struct {
+	client   *pimhttp.Client
+	backends []pimview.Backend
+	// moved sends all flows to the other backend server.
+	moved atomic.Bool
+	// swap answers each request with the answer of the one before it.
+	swap bool
+
+	mu       sync.Mutex
+	posts    map[string]*record
+	previous pimedge.Reply
+}
+
+// record is one POST request; reply is valid after done is closed.
+type record struct {
+	done  chan struct{}
+	reply pimedge.Reply
+}
+
+// handle uses the token as the index of the backend server.
+func (e *edge) handle(ctx context.Context, p *pimedge.Packet, r pimudp.Responder) {
+	switch {
+	case len(p.Token) == 0:
+		token := []byte{byte(int(p.MessageID) % len(e.backends))}
+		_ = r.Reply(pimedge.Reply{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonNoToken, Token: token})
+	case p.Kind == pimedge.KindFlow:
+		_ = r.Forward(p, e.backends[e.flowBackend(p.Token[0])].FlowAddress)
+	case p.Kind == pimedge.KindPost:
+		_ = r.Reply(e.once(ctx, p))
+	default:
+		_ = r.Reply(e.send(ctx, p, "GET"))
+	}
+}
+
+func (e *edge) move() { e.moved.Store(true) }
+
+func (e *edge) flowBackend(token byte) int {
+	if e.moved.Load() {
+		return (int(token) + 1) % len(e.backends)
+	}
+	return int(token)
+}
+
+func (e *edge) once(ctx context.Context, p *pimedge.Packet) pimedge.Reply {
+	key := p.Source.String() + p.Path
+	e.mu.Lock()
+	rec, known := e.posts[key]
+	if !known {
+		rec = &record{done: make(chan struct{})}
+		e.posts[key] = rec
+	}
+	e.mu.Unlock()
+	if known {
+		<-rec.done
+		return rec.reply
+	}
+	rec.reply = e.send(ctx, p, "POST")
+	close(rec.done)
+	return rec.reply
+}
+
+func (e *edge) send(ctx context.Context, p *pimedge.Packet, method string) pimedge.Reply {
+	deadline := pimclock.Boot{}.Now().Add(p.Timeout)
+	res := e.client.Do(ctx, e.backends[p.Token[0]], method, p.Path, p.Body, deadline)
+	reply := pimedge.Reply{
+		Outcome: res.Outcome, Reason: res.Reason, RetryAfter: res.RetryAfter, Status: res.Status, Body: res.Body,
+	}
+	if !e.swap {
+		return reply
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.previous, reply = reply, e.previous
+	return reply
+}
+
+// system is a whole system on loopback.
+type system struct {
+	edge     *edge
+	fabric   *standfabric.Fabric
+	backends []*standbackend.Server
+}
+
+func startSystem(t *testing.T, vms int, impairment standfabric.Impairment) *system {
+	t.Helper()
+	client, cleanup := pimhttp.NewClient(pimhttp.Config{})
+	t.Cleanup(cleanup)
+	s := &system{edge: &edge{client: client, posts: make(map[string]*record)}}
+	for id := range pimid.BackendID(2) {
+		s.startBackend(t, id+1)
+	}
+	targets := make([]netip.AddrPort, 0, vms)
+	for range vms {
+		targets = append(targets, s.startVM(t))
+	}
+	cfg := standfabric.Config{
+		Routes:     []standfabric.Route{{Service: service, Listen: loopback}},
+		Targets:    map[pimid.ServiceID][]netip.AddrPort{service: targets},
+		Impairment: impairment,
+		Seed:       1,
+	}
+	fabric, cleanupFabric, err := standfabric.Start(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanupFabric)
+	s.fabric = fabric
+	return s
+}
+
+func (s *system) startBackend(t *testing.T, id pimid.BackendID) {
+	t.Helper()
+	b, cleanup, err := standbackend.Start(standbackend.Config{
+		ID: id, HTTPAddress: loopback, FlowAddress: loopback, Slots: 1000, Notify: 20 * time.Millisecond,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	s.backends = append(s.backends, b)
+	s.edge.backends = append(s.edge.backends, pimview.Backend{
+		ID: id, HTTPAddress: b.HTTPAddress(), FlowAddress: b.FlowAddress(),
+	})
+}
+
+func (s *system) startVM(t *testing.T) netip.AddrPort {
+	t.Helper()
+	vm, cleanup, err := pimudp.Listen(pimudp.Config{
+		Services: []pimudp.Service{{ID: service, Listen: loopback, Address: loopback}},
+		Handler:  s.edge.handle,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	addr, _ := vm.Address(service)
+	return addr
+}
+
+func (s *system) config() Config {
+	addr, _ := s.fabric.Address(service)
+	return Config{
+		Service: addr, Local: netip.MustParseAddr("127.0.0.9"), Duration: 400 * time.Millisecond, Rate: 200,
+		PostShare: 0.5, BodyBytes: 10, Timeout: 30 * time.Second, AckTimeout: 20 * time.Millisecond, Seed: 7,
+	}
+}
--- a/internal/standin/standcaller/flows.go
+++ b/internal/standin/standcaller/flows.go
@@ -36,6 +36,7 @@
 		return
 	}
 	r.tally.opened()
+	r.cfg.Log.Debug().Str("identity", f.Identity()).Msg("flow opened")
 	w := &flowWatch{run: r, flow: f}
 	r.wg.Go(func() { w.loop(ctx) })
 }
@@ -66,5 +67,6 @@
 func (w *flowWatch) ended() {
 	if err := w.flow.Err(); !errors.Is(err, pimcaller.ErrFlowClosed) {
 		w.run.tally.broken(err)
+		w.run.cfg.Log.Warn().Err(err).Str("identity", w.flow.Identity()).Msg("flow broken")
 	}
 }
