feat: add history checks of at-most-once execution under faults

Cause: "at most once" and "not run" need proof under lost, duplicated, late and crossed packets, dead, paused and partitioned homes, planned stops and lost handovers. Change: add pimhistory with an invariant check and a porcupine model, and the variant that deduplicates at entry VMs.

--- a/internal/coordination/pimonce/handover.go
+++ b/internal/coordination/pimonce/handover.go
@@ -82,8 +82,14 @@
 // ErrOtherSuccessor for a second successor, since two of them could run the same request.
 func (h *Home) Export(successor Origin) (batches []Batch, err error) {
 	defer func() { err = oops.In("pimonce").Wrapf(err, "export records") }()
+	var notices []func()
 	h.mu.Lock()
-	defer h.mu.Unlock()
+	defer func() {
+		h.mu.Unlock()
+		for _, notice := range notices {
+			notice()
+		}
+	}()
 	switch {
 	case !h.stopped:
 		return nil, ErrNotStopped
@@ -93,9 +99,23 @@
 	h.sealed, h.successor = true, successor
 	now := h.clock.Now()
 	h.store.sweep(now)
+	notices = h.concludeAll()
 	return h.batches(now), nil
 }
 
+// concludeAll makes the replies of running requests final; the lock is held and the notices are called without it.
+func (h *Home) concludeAll() (notices []func()) {
+	for _, r := range h.store.records {
+		if r.phase == phaseDone {
+			continue
+		}
+		reply := unsettled(r.phase)
+		waiting := h.conclude(r, reply)
+		notices = append(notices, func() { notifyAll(waiting, reply) })
+	}
+	return notices
+}
+
 // batches splits the records by origin and size; the lock is held.
 func (h *Home) batches(now pimclock.Instant) (batches []Batch) {
 	open := map[Origin]*batchWriter{h.self: {origin: h.self}}
@@ -105,9 +125,6 @@
 		}
 	}
 	for k, r := range h.store.records {
-		if r.phase != phaseDone {
-			h.conclude(r, unsettled(r.phase))
-		}
 		if w := open[k.origin]; w != nil {
 			w.add(Record{Key: k.key, Reply: r.reply, Keep: r.expires.Sub(now)}, r.size())
 		}
--- a/internal/coordination/pimonce/home.go
+++ b/internal/coordination/pimonce/home.go
@@ -1,7 +1,6 @@
 package pimonce
 
 import (
-	"context"
 	"sync"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
@@ -30,23 +29,8 @@
 	return &Home{clock: clock, unix: unix, self: self, store: newStore(cfg), adopted: map[Origin]*adoption{}}
 }
 
-// Run executes the request if it is the first under its key; a duplicate gets the recorded reply or waits for it.
-func (h *Home) Run(ctx context.Context, req Request, exec Exec) pimedge.Reply {
-	rec, first, reply := h.begin(req)
-	switch {
-	case rec == nil:
-		return reply
-	case first:
-		return h.execute(ctx, rec, exec)
-	default:
-		return h.join(ctx, rec)
-	}
-}
-
-// begin finds or creates the record; without a record, the reply is final.
+// begin finds or creates the record; without a record, the reply is final. The lock is held.
 func (h *Home) begin(req Request) (rec *record, first bool, reply pimedge.Reply) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
 	now := h.clock.Now()
 	h.store.sweep(now)
 	k := recordKey{origin: req.Home, key: req.Key}
@@ -66,7 +50,7 @@
 	case !h.store.hasRoom():
 		return nil, false, h.refuse(k, end, pimedge.ReasonOverload)
 	}
-	rec = &record{expires: end, done: make(chan struct{})}
+	rec = &record{expires: end}
 	h.store.add(k, rec)
 	h.running++
 	return rec, true, reply
@@ -83,51 +67,6 @@
 	return reply
 }
 
-// execute runs the request in the goroutine of its first packet.
-func (h *Home) execute(ctx context.Context, rec *record, exec Exec) (reply pimedge.Reply) {
-	defer func() { reply = h.finish(rec, reply) }()
-	return exec(ctx, &handoff{home: h, rec: rec})
-}
-
-// finish records the final reply; a record that was exported keeps the reply given to the successor.
-func (h *Home) finish(rec *record, reply pimedge.Reply) pimedge.Reply {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.running--
-	if h.running == 0 && h.idle != nil {
-		close(h.idle)
-		h.idle = nil
-	}
-	if rec.phase == phaseDone {
-		if reply.Outcome == pimedge.OutcomeNotRun || reply.Outcome == "" {
-			return rec.reply
-		}
-		return reply
-	}
-	reply = settle(rec.phase, reply)
-	h.conclude(rec, reply)
-	return reply
-}
-
-// conclude makes the reply final and wakes the duplicates; the lock is held.
-func (h *Home) conclude(rec *record, reply pimedge.Reply) {
-	h.store.change(rec, func() { rec.phase, rec.reply = phaseDone, reply })
-	close(rec.done)
-}
-
-// join waits for the reply of the first run.
-func (h *Home) join(ctx context.Context, rec *record) pimedge.Reply {
-	if rec.done == nil {
-		return rec.reply
-	}
-	select {
-	case <-rec.done:
-		return rec.reply
-	case <-ctx.Done():
-		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}
-	}
-}
-
 // Len returns the number of records and their accounted bytes.
 func (h *Home) Len() (records, bytes int) {
 	h.mu.Lock()
--- a/internal/coordination/pimonce/record.go
+++ b/internal/coordination/pimonce/record.go
@@ -28,8 +28,8 @@
 	refusal bool
 	expires pimclock.Instant
 	reply   pimedge.Reply
-	// done is closed when the reply is final; it is nil for refusals and imported records.
-	done chan struct{}
+	// notify is called for each duplicate once the reply is final.
+	notify []func(pimedge.Reply)
 }
 
 // recordBytes is the approximate memory of a record without its answer.
--- /dev/null
+++ b/internal/scenario/pimhistory/history.go
@@ -0,0 +1,97 @@
+package pimhistory
+
+import (
+	"fmt"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// History holds what backend servers ran and what callers were told.
+type History struct {
+	ops     int
+	opOf    map[pimonce.Key]int
+	runs    map[pimonce.Key]int
+	replies []told
+	events  []porcupine.Operation
+}
+
+// told is one reply that reached a caller.
+type told struct {
+	key   pimonce.Key
+	reply pimedge.Reply
+}
+
+// Counts summarises a history.
+type Counts struct {
+	Operations, Runs, Answered, NotRun, Unknown int
+}
+
+func (h *History) begin() int {
+	h.ops++
+	return h.ops
+}
+
+func (h *History) tag(op int, k pimonce.Key) {
+	if h.opOf == nil {
+		h.opOf, h.runs = map[pimonce.Key]int{}, map[pimonce.Key]int{}
+	}
+	h.opOf[k] = op
+}
+
+func (h *History) ran(k pimonce.Key, now pimclock.Instant) {
+	h.runs[k]++
+	h.events = append(h.events, porcupine.Operation{Input: k, Output: ranEvent, Call: int64(now), Return: int64(now)})
+}
+
+func (h *History) replied(k pimonce.Key, p pimedge.Reply, sent, now pimclock.Instant) {
+	h.replies = append(h.replies, told{k, p})
+	h.events = append(h.events, porcupine.Operation{Input: k, Output: p.Outcome, Call: int64(sent), Return: int64(now)})
+}
+
+// Counts returns the numbers of operations, runs and replies.
+func (h *History) Counts() (c Counts) {
+	c.Operations = h.ops
+	for _, n := range h.runs {
+		c.Runs += n
+	}
+	for _, t := range h.replies {
+		switch t.reply.Outcome {
+		case pimedge.OutcomeAnswered:
+			c.Answered++
+		case pimedge.OutcomeNotRun:
+			c.NotRun++
+		case pimedge.OutcomeUnknown, pimedge.OutcomeFailed:
+			c.Unknown++
+		}
+	}
+	return c
+}
+
+// Violations returns what contradicts at-most-once execution and honest replies, by invariant.
+func (h *History) Violations() (v []string) {
+	perOp := map[int]int{}
+	for k, n := range h.runs {
+		perOp[h.opOf[k]] += n
+		if n > 1 {
+			v = append(v, fmt.Sprintf("request %v ran %d times", k, n))
+		}
+	}
+	for op, n := range perOp {
+		if n > 1 {
+			v = append(v, fmt.Sprintf("operation %d ran %d times", op, n))
+		}
+	}
+	for _, t := range h.replies {
+		switch {
+		case t.reply.Outcome == pimedge.OutcomeNotRun && h.runs[t.key] > 0:
+			v = append(v, fmt.Sprintf("request %v was reported as not run and ran", t.key))
+		case t.reply.Outcome == pimedge.OutcomeAnswered && string(t.reply.Body) != answerTo(t.key):
+			v = append(v, fmt.Sprintf("request %v received the answer %s", t.key, t.reply.Body))
+		}
+	}
+	return v
+}
--- /dev/null
+++ b/internal/scenario/pimhistory/history_test.go
@@ -0,0 +1,31 @@
+package pimhistory
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestAtMostOnce guards against double runs, false "not run" replies and foreign answers under lost, duplicated and
+// late packets, dead, paused and partitioned homes, and handovers.
+func TestAtMostOnce(t *testing.T) {
+	for seed := range uint64(6) {
+		is := is.New(t)
+		h := Run(DefaultConfig(seed+1, HomeVM))
+		c := h.Counts()
+		t.Logf("seed %d: %+v", seed+1, c)
+		is.True(c.Runs > 100 && c.NotRun > 50 && c.Unknown > 50) // the run reaches all outcomes
+		is.Equal(h.Violations(), nil)                            // invariants
+		is.True(h.Linearizable())                                // a legal order exists for every request
+	}
+}
+
+// TestCheckerFindsDoubleRuns guards against a checker that accepts everything: deduplication at each entry VM must fail
+// both checks.
+func TestCheckerFindsDoubleRuns(t *testing.T) {
+	is := is.New(t)
+	h := Run(DefaultConfig(1, EntryVM))
+	t.Logf("%d violations in %+v", len(h.Violations()), h.Counts())
+	is.True(len(h.Violations()) > 0) // invariants
+	is.True(!h.Linearizable())       // no legal order
+}
