test: guard records, permits, limits, handover and execution order

Cause: the history checks do not reach the skew margin, the adoption limit and the order of the executor.

--- /dev/null
+++ b/internal/coordination/pimonce/home_test.go
@@ -0,0 +1,222 @@
+package pimonce
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+var (
+	selfOrigin = Origin{Node: 1, Incarnation: 10}
+	nextOrigin = Origin{Node: 2, Incarnation: 20}
+	wallStart  = time.Unix(1_000_000, 0)
+	answered   = pimedge.Reply{Outcome: pimedge.OutcomeAnswered, Status: 200, Body: []byte("ok")}
+)
+
+// newHome returns a home whose wall clock differs from that of the tokens by skew.
+func newHome(clock *pimclock.Manual, self Origin, cfg Config, skew time.Duration) *Home {
+	return NewHome(cfg, self, clock, NewUnixClock(clock.Now(), wallStart.Add(time.Duration(clock.Now())+skew)))
+}
+
+func request(tag pimid.RequestTag) Request {
+	return Request{Key: Key{Flow: 7, Tag: tag}, Home: selfOrigin, IssuedAt: uint32(wallStart.Unix())}
+}
+
+// executor counts its runs and answers.
+func executor(runs *atomic.Int32) Exec {
+	return func(_ context.Context, h Handoff) pimedge.Reply {
+		if err := h.Commit(); err != nil {
+			return notRun(pimedge.ReasonDraining)
+		}
+		runs.Add(1)
+		return answered
+	}
+}
+
+// TestDuplicatesJoin guards against a second run while the first is in flight, and against lost or foreign replies.
+func TestDuplicatesJoin(t *testing.T) {
+	is := is.New(t)
+	h := newHome(&pimclock.Manual{}, selfOrigin, DefaultConfig(), 0)
+	var runs atomic.Int32
+	var group sync.WaitGroup
+	for range 64 {
+		group.Go(func() {
+			reply := h.Run(t.Context(), request(1), executor(&runs))
+			if string(reply.Body) != "ok" {
+				t.Errorf("a duplicate was answered %+v", reply)
+			}
+		})
+	}
+	group.Wait()
+	is.Equal(runs.Load(), int32(1)) // one run for all duplicates
+}
+
+// TestReplyMatchesHandoff guards against "not run" for a request that may have run.
+func TestReplyMatchesHandoff(t *testing.T) {
+	refused := notRun(pimedge.ReasonNoSlot)
+	cases := []struct {
+		name  string
+		steps func(h Handoff) pimedge.Reply
+		want  pimedge.Outcome
+	}{
+		{"not committed", func(Handoff) pimedge.Reply { return refused }, pimedge.OutcomeNotRun},
+		{"committed", func(h Handoff) pimedge.Reply { _ = h.Commit(); return refused }, pimedge.OutcomeUnknown},
+		{"retracted", func(h Handoff) pimedge.Reply { _ = h.Commit(); h.Retract(); return refused }, pimedge.OutcomeNotRun},
+		{"no reply", func(h Handoff) pimedge.Reply { _ = h.Commit(); return pimedge.Reply{} }, pimedge.OutcomeUnknown},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			h := newHome(&pimclock.Manual{}, selfOrigin, DefaultConfig(), 0)
+			for range 2 {
+				reply := h.Run(t.Context(), request(1), func(_ context.Context, h Handoff) pimedge.Reply { return c.steps(h) })
+				is.Equal(reply.Outcome, c.want) // the first run and its duplicate
+			}
+		})
+	}
+}
+
+// TestPanicSettles guards against duplicates that wait forever after a panic in the execution.
+func TestPanicSettles(t *testing.T) {
+	is := is.New(t)
+	h := newHome(&pimclock.Manual{}, selfOrigin, DefaultConfig(), 0)
+	func() {
+		defer func() { _ = recover() }()
+		h.Run(t.Context(), request(1), func(_ context.Context, f Handoff) pimedge.Reply {
+			_ = f.Commit()
+			panic("send failed")
+		})
+	}()
+	var runs atomic.Int32
+	is.Equal(h.Run(t.Context(), request(1), executor(&runs)).Outcome, pimedge.OutcomeUnknown) // it may have run
+	is.NoErr(h.Drain(t.Context()))                                                            // and is no longer in flight
+}
+
+// TestPermitEnd guards against runs after the permit and against records that are dropped before its end.
+func TestPermitEnd(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	h := newHome(clock, selfOrigin, DefaultConfig(), 0)
+	var runs atomic.Int32
+	h.Run(t.Context(), request(1), executor(&runs))
+	clock.Advance(PermitLifetime - 1)
+	is.Equal(h.Run(t.Context(), request(1), executor(&runs)).Outcome, pimedge.OutcomeAnswered) // still recorded
+	clock.Advance(time.Second)
+	for tag := range pimid.RequestTag(2) {
+		reply := h.Run(t.Context(), request(tag+1), executor(&runs))
+		is.Equal(reply.Outcome, pimedge.OutcomeUnknown) // never run after the permit
+		is.Equal(reply.Reason, pimedge.ReasonExpired)   // permit ended
+	}
+	is.Equal(runs.Load(), int32(1))
+	records, bytes := h.Len()
+	is.Equal(records+bytes, 0) // expired records free their memory
+}
+
+// TestMemoryLimits guards against dropped records and unrecorded refusals when the memory is full.
+func TestMemoryLimits(t *testing.T) {
+	cases := []struct {
+		name   string
+		change func(c *Config)
+	}{
+		{"records", func(c *Config) { c.MaxRecords, c.MaxRefusals = 2, 1 }},
+		{"bytes", func(c *Config) { c.AnswerReserve, c.MaxBytes, c.MaxRefusals = 2, 2*(recordBytes+2), 1 }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			clock, cfg := &pimclock.Manual{}, DefaultConfig()
+			c.change(&cfg)
+			h := newHome(clock, selfOrigin, cfg, 0)
+			var runs atomic.Int32
+			want := []pimedge.Outcome{
+				pimedge.OutcomeAnswered, pimedge.OutcomeAnswered, pimedge.OutcomeNotRun, pimedge.OutcomeUnknown,
+			}
+			for range 2 {
+				for i, outcome := range want {
+					is.Equal(h.Run(t.Context(), request(pimid.RequestTag(i+1)), executor(&runs)).Outcome, outcome)
+				}
+			}
+			is.Equal(runs.Load(), int32(2)) // neither refused request ran
+		})
+	}
+}
+
+// TestHandover guards against runs of the same request at two homes.
+func TestHandover(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	first, second := newHome(clock, selfOrigin, DefaultConfig(), 0), newHome(clock, nextOrigin, DefaultConfig(), 0)
+	var runs atomic.Int32
+	first.Run(t.Context(), request(1), executor(&runs))
+	inFlight := first.Start(request(2), nil)
+	is.NoErr(inFlight.Commit())
+	queued := first.Start(request(3), nil)
+	_, err := first.Export(nextOrigin)
+	is.True(errors.Is(err, ErrNotStopped)) // records of an accepting home are incomplete
+	first.Stop()
+	is.Equal(first.Run(t.Context(), request(4), executor(&runs)).Reason, pimedge.ReasonDraining) // nothing new
+	batches, err := first.Export(nextOrigin)
+	is.NoErr(err)
+	_, err = first.Export(Origin{Node: 3})
+	is.True(errors.Is(err, ErrOtherSuccessor))      // two successors could both run a request
+	is.True(errors.Is(queued.Commit(), ErrStopped)) // nothing is handed over after the export
+
+	is.Equal(second.Run(t.Context(), request(5), executor(&runs)).Reason, pimedge.ReasonHomeLost) // before the transfer
+	for _, b := range batches {
+		is.NoErr(second.Import(b))
+	}
+	want := []pimedge.Outcome{
+		pimedge.OutcomeAnswered, pimedge.OutcomeUnknown, pimedge.OutcomeNotRun, pimedge.OutcomeNotRun, pimedge.OutcomeAnswered,
+	}
+	for i, outcome := range want {
+		is.Equal(second.Run(t.Context(), request(pimid.RequestTag(i+1)), executor(&runs)).Outcome, outcome)
+	}
+	is.Equal(first.Run(t.Context(), request(6), executor(&runs)).Reason, pimedge.ReasonHomeLost) // the successor may run it
+	is.Equal(runs.Load(), int32(2))                                                              // requests 1 and 5
+}
+
+// TestHandoverSkew guards against a second run when the successor's wall clock is behind and the predecessor has dropped
+// the record already.
+func TestHandoverSkew(t *testing.T) {
+	is := is.New(t)
+	clock, cfg := &pimclock.Manual{}, DefaultConfig()
+	var runs atomic.Int32
+	first := newHome(clock, selfOrigin, cfg, 0)
+	first.Run(t.Context(), request(1), executor(&runs))
+	clock.Advance(PermitLifetime)
+	first.Stop()
+	batches, err := first.Export(nextOrigin)
+	is.NoErr(err)
+	second := newHome(clock, nextOrigin, cfg, -(cfg.MaxSkew - time.Second))
+	for _, b := range batches {
+		is.NoErr(second.Import(b))
+	}
+	is.Equal(second.Run(t.Context(), request(1), executor(&runs)).Reason, pimedge.ReasonExpired)
+	clock.Advance(PermitLifetime)
+	fresh := request(2)
+	fresh.IssuedAt += uint32(2 * PermitLifetime / time.Second)
+	is.Equal(second.Run(t.Context(), fresh, executor(&runs)).Reason, pimedge.ReasonHomeLost) // no token is left
+	is.Equal(runs.Load(), int32(1))
+}
+
+// TestDrain guards against an export while requests are still in flight.
+func TestDrain(t *testing.T) {
+	is := is.New(t)
+	h := newHome(&pimclock.Manual{}, selfOrigin, DefaultConfig(), 0)
+	r := h.Start(request(1), nil)
+	h.Stop()
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	is.True(errors.Is(h.Drain(ended), context.Canceled)) // one request is in flight
+	go r.Finish(answered)
+	is.NoErr(h.Drain(t.Context()))
+}
