feat: relay flow packets of a stale view and prove flows in a simulated fleet

Ruled out: lifetimes for views, since a view must stay in force while the platform is down. Change: a VM whose view was not confirmed for 15 s relays flow packets to a peer with a newer view if there is one. The simulation replaces a quarter of the VMs and backend servers and the token key at the same moments, with three baselines.

--- a/internal/coordination/pimroute/action.go
+++ b/internal/coordination/pimroute/action.go
@@ -13,7 +13,9 @@
 
 // The kinds of actions.
 const (
-	// Forward sends the datagram unchanged to the flow address of a backend server.
+	// Forward sends the datagram unchanged to the flow address of a backend server. The encapsulated packet must keep the
+	// service address as its destination: if the flow address has been reused within the time that a change takes to
+	// reach all VMs, the backend server there discards the packet because the destination is not its own.
 	Forward ActionKind = iota + 1
 	// Execute runs the request at this VM; a POST goes through pimonce, a GET does not.
 	Execute
--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -19,6 +19,9 @@
 
 func (d *decision) decideFlow() {
 	t := &d.a.Token
+	if d.isStale() && d.relayToNewer(RuleStaleRelay) {
+		return
+	}
 	if t.CheckFlow(d.unixNow) != nil {
 		d.challenge(RuleFlowExpired)
 		return
@@ -129,11 +132,24 @@
 
 // viewBehind relays the packet once to a peer with a newer view; without one, the caller tries again.
 func (d *decision) viewBehind() {
-	if d.p.Hops == 0 {
-		if node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision); ok {
-			d.a.Kind, d.a.Rule, d.a.Node = Relay, RuleViewBehindRelay, node
-			return
-		}
+	if d.relayToNewer(RuleViewBehindRelay) {
+		return
 	}
 	refuse(d.a, d.p, RuleViewBehind, pimedge.ReasonViewBehind, viewBehindRetry)
 }
+
+// isStale reports whether changes may be in force that this view lacks. The address of a backend server may then belong
+// to another service.
+func (d *decision) isStale() bool { return d.unixNow-d.s.confirmedAt > propagationBound }
+
+// relayToNewer relays a packet that was not relayed before to a peer with a newer view, if there is one.
+func (d *decision) relayToNewer(rule Rule) bool {
+	if d.p.Hops > 0 {
+		return false
+	}
+	node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision)
+	if ok {
+		d.a.Kind, d.a.Rule, d.a.Node = Relay, rule, node
+	}
+	return ok
+}
--- a/internal/coordination/pimroute/flow_test.go
+++ b/internal/coordination/pimroute/flow_test.go
@@ -137,6 +137,13 @@
 		name: "unknown backend of an old token, newer peer", fakes: fakes{newer: 2}, kind: Relay,
 		rule: RuleViewBehindRelay, token: func(t *pimtoken.Token) { t.Backend = 77; t.IssuedAt -= 16 },
 	},
+	{
+		name: "stale view, newer peer", age: 16 * time.Second, fakes: fakes{newer: 2}, kind: Relay,
+		rule: RuleStaleRelay,
+	},
+	{
+		name: "stale view, no newer peer", age: 16 * time.Second, kind: Forward, rule: RuleEstablished,
+	},
 	{
 		name: "request token opens a flow", fakes: fakes{backend: 2}, kind: Reply, rule: RuleFlowOpened,
 		reason: pimedge.ReasonNoToken, token: func(t *pimtoken.Token) { t.Flags = 0 },
--- a/internal/coordination/pimroute/router.go
+++ b/internal/coordination/pimroute/router.go
@@ -51,8 +51,10 @@
 	return nil
 }
 
-// Confirm records that the current view was still the newest one at unixNow in unix seconds. Without it, a token that
-// names an unknown backend server and was issued after the last Update is answered `view_behind`, never `backend_gone`.
+// Confirm records that the current view was still the newest one at unixNow in unix seconds; it is called at least every
+// few seconds while the revision equals the newest announced one. A view that was not confirmed for 15 s sends flow
+// packets through a peer with a newer one, if there is one, and never concludes that a backend server unknown to it is
+// gone.
 func (r *Router) Confirm(unixNow int64) {
 	r.update.Lock()
 	defer r.update.Unlock()
--- a/internal/coordination/pimroute/rule.go
+++ b/internal/coordination/pimroute/rule.go
@@ -25,6 +25,8 @@
 	RuleOtherService
 	// RuleOtherContract means that the token was issued under another contract.
 	RuleOtherContract
+	// RuleStaleRelay means that this view was not confirmed for 15 s and a peer with a newer one was found.
+	RuleStaleRelay
 	// RuleEstablished means that the flow was forwarded to the backend server of its token.
 	RuleEstablished
 	// RuleFlowReissue means that the flow receives a new token at half of its lifetime.
@@ -76,6 +78,7 @@
 	RuleBadMAC:           "bad_mac",
 	RuleOtherService:     "other_service",
 	RuleOtherContract:    "other_contract",
+	RuleStaleRelay:       "stale_relay",
 	RuleEstablished:      "established",
 	RuleFlowReissue:      "flow_reissue",
 	RuleFlowExpired:      "flow_expired",
--- /dev/null
+++ b/internal/standin/pimflows/baseline.go
@@ -0,0 +1,85 @@
+package pimflows
+
+import (
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// maglevSize is the number of table entries per service; a prime well above 100 entries per backend server.
+const maglevSize = 4099
+
+// baselines is the state of one flow under the designs that were not chosen. Each has its own backend server.
+type baselines struct {
+	rendezvous, maglev pimid.BackendID
+	holder             *vm
+}
+
+// observe routes one packet of a flow at a VM by each baseline and counts it as broken if it would reach another backend
+// server than the packets before, or if the VM that holds the flow is gone.
+func (b *baselines) observe(m *vm, f *flow, r *Report) {
+	rendezvous := rendezvousPick(m.live[f.service], f.id)
+	r.Rendezvous += moved(&b.rendezvous, rendezvous)
+	r.Maglev += moved(&b.maglev, m.maglev[f.service][hash(f.id, 0)%maglevSize])
+	switch {
+	case b.holder == nil:
+		b.holder = m
+	case b.holder.dead:
+		r.Holder++
+		b.holder = m
+	}
+}
+
+// moved sets the backend server of a flow and returns 1 if it had another one.
+func moved(current *pimid.BackendID, next pimid.BackendID) int {
+	was := *current
+	*current = next
+	if was == 0 || was == next {
+		return 0
+	}
+	return 1
+}
+
+func hash(a, b uint64) uint64 {
+	var raw [16]byte
+	binary.LittleEndian.PutUint64(raw[:], a)
+	binary.LittleEndian.PutUint64(raw[8:], b)
+	return xxhash.Sum64(raw[:])
+}
+
+// rendezvousPick returns the backend server with the highest hash.
+func rendezvousPick(live []pimview.Backend, flow uint64) pimid.BackendID {
+	var best pimid.BackendID
+	var top uint64
+	for _, b := range live {
+		if h := hash(flow, uint64(b.ID)); h >= top {
+			best, top = b.ID, h
+		}
+	}
+	return best
+}
+
+// maglevTable fills the lookup table in which each backend server takes its next preferred free entry in turn.
+func maglevTable(live []pimview.Backend) []pimid.BackendID {
+	table := make([]pimid.BackendID, maglevSize)
+	if len(live) == 0 {
+		return table
+	}
+	position := make([]uint64, len(live))
+	for filled := 0; ; {
+		for i, b := range live {
+			offset, skip := hash(uint64(b.ID), 1)%maglevSize, hash(uint64(b.ID), 2)%(maglevSize-1)+1
+			entry := (offset + position[i]*skip) % maglevSize
+			for table[entry] != 0 {
+				position[i]++
+				entry = (offset + position[i]*skip) % maglevSize
+			}
+			table[entry] = b.ID
+			if filled++; filled == maglevSize {
+				return table
+			}
+		}
+	}
+}
--- /dev/null
+++ b/internal/standin/pimflows/change.go
@@ -0,0 +1,100 @@
+package pimflows
+
+import (
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// detectAfter is the time after which the platform removes a dead backend server, in seconds.
+const detectAfter = 10
+
+// fabricDelay is the time for which the fabric delivers packets to a dead VM, in seconds.
+const fabricDelay = 3
+
+// change replaces a quarter of the VMs and backend servers and the token key at the same moment.
+func (s *sim) change() {
+	s.w.publish(func(v *pimview.View) {
+		s.w.rotateKey(v)
+		for service := pimid.ServiceID(1); service <= services; service++ {
+			s.replaceHosts(v, service)
+		}
+	})
+	if s.cfg.Stuck {
+		s.fleet[0].stuckUntil = s.w.now + int64(2*s.cfg.ChangeEvery)
+	}
+	for i := 1; i < len(s.fleet); i += 4 {
+		s.fleet[i].dead = true
+		s.fleet[i].replaceAt = s.w.now
+		if s.cfg.Deaths {
+			s.fleet[i].replaceAt += fabricDelay
+		}
+	}
+}
+
+// replaceVMs starts new VMs for those that are gone.
+func (s *sim) replaceVMs() {
+	for i, m := range s.fleet {
+		if m.dead && s.w.now >= m.replaceAt {
+			s.fleet[i] = s.startVM()
+		}
+	}
+}
+
+func (s *sim) replaceHosts(v *pimview.View, service pimid.ServiceID) {
+	live := liveHosts(v, service)
+	for range s.cfg.Hosts / 4 {
+		i := s.w.rng.IntN(len(live))
+		b := live[i]
+		live = slices.Delete(live, i, i+1)
+		h := s.w.hosts[b.FlowAddress]
+		if s.cfg.Deaths {
+			h.dead, h.down = true, true
+			h.removedAt = s.w.now + detectAfter
+		} else {
+			b.State = pimview.BackendLeaving
+			v.Backends[b.ID] = b
+		}
+		s.w.leaving = append(s.w.leaving, h)
+		fresh := s.w.start(service, s.w.newAddress())
+		v.Backends[fresh.ID] = fresh
+	}
+}
+
+// removeHosts removes dead backend servers and drained ones without flows from the view.
+func (s *sim) removeHosts() {
+	s.w.leaving = slices.DeleteFunc(s.w.leaving, func(h *host) bool {
+		if h.dead && s.w.now < h.removedAt || !h.dead && len(h.flows) > 0 {
+			return false
+		}
+		h.removedAt, h.down = s.w.now, true
+		s.w.publish(func(v *pimview.View) { delete(v.Backends, h.backend.ID) })
+		s.w.removed = append(s.w.removed, h)
+		return true
+	})
+}
+
+// reuseAddresses gives the addresses of removed backend servers to the other service.
+func (s *sim) reuseAddresses() {
+	s.w.removed = slices.DeleteFunc(s.w.removed, func(h *host) bool {
+		if s.w.now < h.removedAt+int64(s.cfg.ReuseAfter) {
+			return false
+		}
+		b := s.w.start(services+1-h.backend.Service, h.backend.FlowAddress)
+		s.w.publish(func(v *pimview.View) { v.Backends[b.ID] = b })
+		return true
+	})
+}
+
+// liveHosts returns the live backend servers of a service, in the order of their ids.
+func liveHosts(v *pimview.View, service pimid.ServiceID) []pimview.Backend {
+	var live []pimview.Backend
+	for _, b := range v.Backends {
+		if b.Service == service && b.State == pimview.BackendLive {
+			live = append(live, b)
+		}
+	}
+	slices.SortFunc(live, func(a, b pimview.Backend) int { return int(a.ID) - int(b.ID) })
+	return live
+}
--- /dev/null
+++ b/internal/standin/pimflows/flow.go
@@ -0,0 +1,156 @@
+package pimflows
+
+import (
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const (
+	// sendEvery is the largest time between two packets of a flow, in seconds.
+	sendEvery = 10
+	// maxWaits is the number of `view_behind` replies and lost packets in a row after which a flow counts as broken.
+	maxWaits = 60
+	// maxChallenges is the number of new tokens that a caller accepts for one packet.
+	maxChallenges = 4
+)
+
+// flow is one caller with one long flow.
+type flow struct {
+	id      uint64
+	service pimid.ServiceID
+	source  netip.AddrPort
+	token   []byte
+	// host is where the flow was opened; nil before.
+	host   *host
+	waits  int
+	nextAt int64
+	base   baselines
+}
+
+func (s *sim) newFlow() *flow {
+	s.nextFlow++
+	id := s.nextFlow
+	customer := byte(id / services % customers)
+	address := netip.AddrFrom4([4]byte{10, customer, byte(id >> 8), byte(id)})
+	return &flow{
+		id: id, service: pimid.ServiceID(id%services + 1), source: netip.AddrPortFrom(address, uint16(id>>16)),
+		nextAt: s.w.now + int64(s.w.rng.IntN(sendEvery)),
+	}
+}
+
+// send sends one packet through a random VM and repeats it with each new token.
+func (s *sim) send(f *flow) {
+	f.nextAt = s.w.now + 1 + int64(s.w.rng.IntN(sendEvery))
+	p := &pimedge.Packet{Kind: pimedge.KindFlow, Service: f.service, Source: f.source}
+	for range maxChallenges {
+		m := s.fleet[s.w.rng.IntN(len(s.fleet))]
+		p.Token = f.token
+		s.report.Packets++
+		a := s.route(m, p)
+		if a == nil {
+			s.report.Lost++
+			s.wait(f)
+			return
+		}
+		if a.Kind == pimroute.Forward {
+			s.deliver(f, m, a)
+			return
+		}
+		if a.Reply.Reason != pimedge.ReasonNoToken {
+			s.refused(f, a)
+			return
+		}
+		if a.Rule == pimroute.RuleFlowReissue {
+			s.report.Reissued++
+		}
+		f.token = append([]byte(nil), a.Reply.Token...)
+	}
+	s.breakFlow(f)
+}
+
+// route decides at a VM and follows a relay; it returns nil if a VM on the way is dead.
+func (s *sim) route(m *vm, p *pimedge.Packet) *pimroute.Action {
+	if m.dead {
+		return nil
+	}
+	a := new(pimroute.Action)
+	m.router.Route(0, s.w.now, p, a)
+	if a.Kind != pimroute.Relay {
+		return a
+	}
+	s.report.Relayed++
+	relayed := *p
+	relayed.Hops, relayed.Contract = 1, a.Contract
+	for _, peer := range s.fleet {
+		if peer.home.Node == a.Node && peer.dead {
+			return nil
+		}
+		if peer.home.Node == a.Node {
+			peer.router.Route(0, s.w.now, &relayed, a)
+			return a
+		}
+	}
+	panic("relay to an unknown vm")
+}
+
+// deliver hands a forwarded packet to whatever runs at its address now.
+func (s *sim) deliver(f *flow, m *vm, a *pimroute.Action) {
+	h := s.w.hosts[a.Address]
+	switch {
+	case h.down:
+		s.report.Lost++
+		s.wait(f)
+	case h.backend.Service != f.service:
+		s.report.Misdirected++
+		s.wait(f)
+	case f.host == nil:
+		s.report.Opened++
+		f.host, h.flows[f] = h, true
+		f.base.observe(m, f, &s.report)
+	case !h.flows[f]:
+		s.breakFlow(f)
+	default:
+		f.waits = 0
+		f.base.observe(m, f, &s.report)
+	}
+}
+
+func (s *sim) refused(f *flow, a *pimroute.Action) {
+	if a.Reply.Reason == pimedge.ReasonViewBehind {
+		s.report.Delayed++
+		s.wait(f)
+		return
+	}
+	s.breakFlow(f)
+}
+
+func (s *sim) wait(f *flow) {
+	f.nextAt = s.w.now + 1
+	if f.waits++; f.waits > maxWaits {
+		s.breakFlow(f)
+	}
+}
+
+// breakFlow counts a broken flow, if it had been opened, and opens it anew.
+func (s *sim) breakFlow(f *flow) {
+	switch {
+	case f.host == nil:
+	case f.host.dead:
+		s.report.BrokenDeath++
+	default:
+		s.report.BrokenPlanned++
+	}
+	s.endFlow(f)
+}
+
+// endFlow replaces a flow by a new one of another caller.
+func (s *sim) endFlow(f *flow) {
+	if f.host != nil {
+		delete(f.host.flows, f)
+		s.ended = append(s.ended, *f)
+	}
+	*f = *s.newFlow()
+}
--- /dev/null
+++ b/internal/standin/pimflows/vm.go
@@ -0,0 +1,119 @@
+package pimflows
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// vm is one VM with its own, possibly old view.
+type vm struct {
+	s      *sim
+	home   pimroute.Home
+	router *pimroute.Router
+	view   *pimview.View
+	*derived
+	stuckUntil int64
+	// dead means that it no longer runs; the fabric delivers packets to its replacement from replaceAt.
+	dead      bool
+	replaceAt int64
+}
+
+// derived is what a VM derives from a view; VMs share it to save time.
+type derived struct {
+	live   map[pimid.ServiceID][]pimview.Backend
+	maglev map[pimid.ServiceID][]pimid.BackendID
+}
+
+func newDerived(v *pimview.View) *derived {
+	d := &derived{
+		live:   make(map[pimid.ServiceID][]pimview.Backend),
+		maglev: make(map[pimid.ServiceID][]pimid.BackendID),
+	}
+	for service := pimid.ServiceID(1); service <= services; service++ {
+		d.live[service] = liveHosts(v, service)
+		d.maglev[service] = maglevTable(d.live[service])
+	}
+	return d
+}
+
+// startVM starts a VM with empty memory and the view of a random VM.
+func (s *sim) startVM() *vm {
+	s.nextVM++
+	m := &vm{s: s, home: pimroute.Home{Node: s.nextVM, Incarnation: pimid.Incarnation(s.w.rng.Uint64())}}
+	seed := rand.NewPCG(s.w.rng.Uint64(), 1)
+	m.router = pimroute.New(pimroute.Config{Self: m.home, Rand: rand.New(seed), Placer: m, Admitter: m, Members: m})
+	v := s.w.latest()
+	if len(s.fleet) > 0 {
+		v = s.fleet[s.w.rng.IntN(len(s.fleet))].view
+	}
+	m.apply(v)
+	return m
+}
+
+func (m *vm) apply(v *pimview.View) {
+	if err := m.router.Update(m.s.w.now, v); err != nil {
+		panic(err)
+	}
+	m.view = v
+	m.derived = m.s.w.derived[v.Revision-1]
+}
+
+// catchUp applies the views that have reached this VM; each takes its own time, and none overtakes another.
+func (m *vm) catchUp() {
+	if m.s.w.now < m.stuckUntil {
+		return
+	}
+	for m.view != m.s.w.latest() {
+		i := int(m.view.Revision)
+		if m.s.w.now < m.s.w.publishedAt[i]+m.lag(i) {
+			return
+		}
+		m.apply(m.s.w.views[i])
+	}
+	m.router.Confirm(m.s.w.now)
+}
+
+func (m *vm) lag(revision int) int64 {
+	key := []byte{byte(m.home.Node), byte(m.home.Node >> 8), byte(revision), byte(revision >> 8)}
+	return int64(xxhash.Sum64(key) % uint64(m.s.cfg.MaxLag+1))
+}
+
+// Place implements pimroute.Placer with a random live backend server of this VM's view.
+func (m *vm) Place(_ pimclock.Instant, service pimid.ServiceID) (id pimid.BackendID, ok bool) {
+	live := m.live[service]
+	if len(live) == 0 {
+		return 0, false
+	}
+	return live[m.s.w.rng.IntN(len(live))].ID, true
+}
+
+// AdmitFlow implements pimroute.Admitter without a limit.
+func (*vm) AdmitFlow(pimclock.Instant, pimid.ContractID) (ok bool, retryAfter time.Duration) {
+	return true, 0
+}
+
+// RefreshFlow implements pimroute.Admitter.
+func (*vm) RefreshFlow(pimclock.Instant, pimid.ContractID) {}
+
+// HomeState implements pimroute.Members; flows do not depend on it.
+func (*vm) HomeState(pimroute.Home) (status pimroute.HomeStatus, successor pimroute.Home) {
+	return pimroute.HomeLost, successor
+}
+
+// NewerPeer implements pimroute.Members with the revisions that all VMs have announced.
+func (m *vm) NewerPeer(revision pimid.Revision) (node pimid.NodeID, ok bool) {
+	first := m.s.w.rng.IntN(len(m.s.fleet))
+	for i := range m.s.fleet {
+		peer := m.s.fleet[(first+i)%len(m.s.fleet)]
+		if peer.view.Revision > revision {
+			return peer.home.Node, true
+		}
+	}
+	return 0, false
+}
