fix: count each flow that a baseline breaks once

Cause: the baselines counted every move of a flow, while our own broken flows are counted once. Ruled out: comparing moves; a flow that moves back and forth between skewed views would weigh more than once. Change: a flow that a baseline has broken is not counted again. Conclusion: the comparison is per flow.

--- a/internal/standin/pimflows/baseline.go
+++ b/internal/standin/pimflows/baseline.go
@@ -13,32 +13,39 @@
 
 // baselines is the state of one flow under the designs that were not chosen. Each has its own backend server.
 type baselines struct {
-	rendezvous, maglev pimid.BackendID
+	rendezvous, maglev track
 	holder             *vm
+	holderBroke        bool
 }
 
-// observe routes one packet of a flow at a VM by each baseline and counts it as broken if it would reach another backend
-// server than the packets before, or if the VM that holds the flow is gone.
+// track is the backend server of one flow under one baseline.
+type track struct {
+	backend pimid.BackendID
+	broke   bool
+}
+
+// observe routes one packet of a flow at a VM by each baseline. A flow breaks if the packet would reach another backend
+// server than the one before, or if the VM that holds the flow is gone; each flow is counted at most once.
 func (b *baselines) observe(m *vm, f *flow, r *Report) {
-	rendezvous := rendezvousPick(m.live[f.service], f.id)
-	r.Rendezvous += moved(&b.rendezvous, rendezvous)
-	r.Maglev += moved(&b.maglev, m.maglev[f.service][hash(f.id, 0)%maglevSize])
-	switch {
-	case b.holder == nil:
+	r.Rendezvous += b.rendezvous.move(rendezvousPick(m.live[f.service], f.id))
+	r.Maglev += b.maglev.move(m.maglev[f.service][hash(f.id, 0)%maglevSize])
+	if b.holder == nil {
 		b.holder = m
-	case b.holder.dead:
+	}
+	if b.holder.dead && !b.holderBroke {
+		b.holderBroke = true
 		r.Holder++
-		b.holder = m
 	}
 }
 
-// moved sets the backend server of a flow and returns 1 if it had another one.
-func moved(current *pimid.BackendID, next pimid.BackendID) int {
-	was := *current
-	*current = next
-	if was == 0 || was == next {
+// move sets the backend server of a flow and returns 1 if this breaks the flow for the first time.
+func (t *track) move(next pimid.BackendID) int {
+	was := t.backend
+	t.backend = next
+	if was == 0 || was == next || t.broke {
 		return 0
 	}
+	t.broke = true
 	return 1
 }
 
--- a/internal/standin/pimflows/config.go
+++ b/internal/standin/pimflows/config.go
@@ -40,6 +40,6 @@
 	Misdirected int
 	// Attacks are forged, replayed, truncated and foreign packets; Accepted are those that were forwarded.
 	Attacks, Accepted int
-	// Rendezvous, Maglev and Holder are the flows that the baselines broke in the same run.
+	// Rendezvous, Maglev and Holder are the flows that the baselines broke in the same run, each counted once.
 	Rendezvous, Maglev, Holder int
 }
