--- a/internal/coordination/pimroute/decide.go
+++ b/internal/coordination/pimroute/decide.go
@@ -24,6 +24,8 @@
 	unixNow int64
 	p       *pimedge.Packet
 	a       *Action
+	// dry leaves out all effects on other packets.
+	dry bool
 }
 
 func (d *decision) decide() {
--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -52,7 +52,7 @@
 	t := &d.a.Token
 	d.a.Kind, d.a.Rule = Forward, RuleEstablished
 	d.a.Backend, d.a.Generation, d.a.Address = t.Backend, t.Generation, b.FlowAddress
-	if d.p.Observe && t.Age(d.unixNow) >= openWindow {
+	if d.p.Observe && !d.dry && t.Age(d.unixNow) >= openWindow {
 		d.r.cfg.Admitter.RefreshFlow(d.now, t.Contract)
 	}
 }
@@ -67,6 +67,10 @@
 // openFlow admits and places a flow and answers with its token; the caller repeats the packet with it. A first token
 // comes before this step, so a forged source address costs neither admission nor placement.
 func (d *decision) openFlow() {
+	if d.dry {
+		refuse(d.a, d.p, RuleFlowOpened, pimedge.ReasonNoToken, 0)
+		return
+	}
 	if ok, retry := d.r.cfg.Admitter.AdmitFlow(d.now, d.a.Contract); !ok {
 		refuse(d.a, d.p, RuleFlowLimit, pimedge.ReasonFlowLimit, retry)
 		return
--- a/internal/coordination/pimroute/reply.go
+++ b/internal/coordination/pimroute/reply.go
@@ -35,6 +35,9 @@
 
 // issue seals t with this VM, or its successor, as home and adds it to the reply.
 func (d *decision) issue(t *pimtoken.Token) {
+	if d.dry {
+		return
+	}
 	home := d.r.home()
 	t.Home, t.HomeIncarnation = home.Node, home.Incarnation
 	t.IssuedAt = uint32(d.unixNow)
