fix: reissue flow tokens with 2.03 on refreshes only

Cause: an open flow of pimcaller takes a token from 4.01 only after three rejections in a row, which notifications reset, and takes one from 2.03 at once; flow data that receives 4.01 counts as not delivered. Repeating Update with the same view also counted as a confirmation, and pimnode repeats it every 500 ms. Ruled out: forwarding the refresh as well, since the VM would answer a message that the backend server answers. Change: a refresh at half life is answered with 2.03 and an Echo value; flow data is forwarded until the token expires. Update ignores a view whose revision is not higher.

--- a/internal/coordination/pimroute/action.go
+++ b/internal/coordination/pimroute/action.go
@@ -43,7 +43,8 @@
 	Address    netip.AddrPort
 	// Node is the target of a Relay.
 	Node pimid.NodeID
-	// Reply is the answer of a Reply. For Execute only Reply.Token is set, if the answer must carry a new token.
+	// Reply is the answer of a Reply. For Execute and Forward at most Reply.Token is set; the answer of an Execute must
+	// carry it.
 	Reply pimedge.Reply
 
 	fresh [pimtoken.Size]byte
--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -1,6 +1,7 @@
 package pimroute
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
@@ -40,10 +41,11 @@
 		d.reject(RuleBackendOther)
 	case d.r.cfg.Hosts != nil && d.r.cfg.Hosts.Gone(t.Backend, t.Generation):
 		d.backendGone()
-	case t.FlowReissueDue(d.unixNow):
-		d.reissueFlow()
 	default:
 		d.forward(&b)
+		if d.p.Observe && t.FlowReissueDue(d.unixNow) {
+			d.reissueFlow()
+		}
 	}
 }
 
@@ -57,11 +59,17 @@
 	}
 }
 
-// reissueFlow answers one packet with a new token for the same flow; standard clients repeat the packet with it.
+// reissueFlow answers one refresh with a new token for the same flow: 2.03 with an Echo value to use from now on (RFC
+// 9175, section 2.3). The caller repeats the refresh, since the backend server did not answer it. Flow data is never
+// answered in this way, because the caller would take it for delivered.
 func (d *decision) reissueFlow() {
-	refuse(d.a, d.p, RuleFlowReissue, pimedge.ReasonNoToken, 0)
 	t := d.a.Token
 	d.issue(&t)
+	if len(d.a.Reply.Token) == 0 {
+		return
+	}
+	d.a.Kind, d.a.Rule = Reply, RuleFlowReissue
+	d.a.Reply.Outcome, d.a.Reply.Status = pimedge.OutcomeAnswered, http.StatusNotModified
 }
 
 // openFlow admits and places a flow and answers with its token; the caller repeats the packet with it. A first token
--- a/internal/coordination/pimroute/router.go
+++ b/internal/coordination/pimroute/router.go
@@ -33,14 +33,14 @@
 }
 
 // Update replaces the view at unixNow in unix seconds. It returns an error and keeps the old view if a key is invalid,
-// and ignores a view whose revision is below the current one.
+// and ignores a view whose revision is not above the current one. Repeating the current view does not confirm it.
 func (r *Router) Update(unixNow int64, v *pimview.View) (err error) {
 	defer func() { err = oops.In("pimroute").With("revision", v.Revision).Wrapf(err, "update the view") }()
 
 	r.update.Lock()
 	defer r.update.Unlock()
 	old := r.current.Load()
-	if old != nil && v.Revision < old.view.Revision {
+	if old != nil && v.Revision <= old.view.Revision {
 		return nil
 	}
 	s, err := newSnapshot(r.cfg.Keys, old, v, unixNow)
