--- a/internal/coordination/pimroute/action.go
+++ b/internal/coordination/pimroute/action.go
@@ -13,7 +13,9 @@
 
 // The kinds of actions.
 const (
-	// Forward sends the datagram unchanged to the flow address of a backend server.
+	// Forward sends the datagram unchanged to the flow address of a backend server. The encapsulated packet must keep the
+	// service address as its destination: if the flow address has been reused within the time that a change takes to
+	// reach all VMs, the backend server there discards the packet because the destination is not its own.
 	Forward ActionKind = iota + 1
 	// Execute runs the request at this VM; a POST goes through pimonce, a GET does not.
 	Execute
@@ -41,7 +43,8 @@
 	Address    netip.AddrPort
 	// Node is the target of a Relay.
 	Node pimid.NodeID
-	// Reply is the answer of a Reply. For Execute only Reply.Token is set, if the answer must carry a new token.
+	// Reply is the answer of a Reply. For Execute and Forward at most Reply.Token is set; the answer of an Execute must
+	// carry it.
 	Reply pimedge.Reply
 
 	fresh [pimtoken.Size]byte
--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -1,6 +1,7 @@
 package pimroute
 
 import (
+	"net/http"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
@@ -19,6 +20,9 @@
 
 func (d *decision) decideFlow() {
 	t := &d.a.Token
+	if d.isStale() && d.relayToNewer(RuleStaleRelay) {
+		return
+	}
 	if t.CheckFlow(d.unixNow) != nil {
 		d.challenge(RuleFlowExpired)
 		return
@@ -37,10 +41,11 @@
 		d.reject(RuleBackendOther)
 	case d.r.cfg.Hosts != nil && d.r.cfg.Hosts.Gone(t.Backend, t.Generation):
 		d.backendGone()
-	case t.FlowReissueDue(d.unixNow):
-		d.reissueFlow()
 	default:
 		d.forward(&b)
+		if d.p.Observe && t.FlowReissueDue(d.unixNow) {
+			d.reissueFlow()
+		}
 	}
 }
 
@@ -49,21 +54,31 @@
 	t := &d.a.Token
 	d.a.Kind, d.a.Rule = Forward, RuleEstablished
 	d.a.Backend, d.a.Generation, d.a.Address = t.Backend, t.Generation, b.FlowAddress
-	if d.p.Observe && t.Age(d.unixNow) >= openWindow {
+	if d.p.Observe && !d.dry && t.Age(d.unixNow) >= openWindow {
 		d.r.cfg.Admitter.RefreshFlow(d.now, t.Contract)
 	}
 }
 
-// reissueFlow answers one packet with a new token for the same flow; standard clients repeat the packet with it.
+// reissueFlow answers one refresh with a new token for the same flow: 2.03 with an Echo value to use from now on (RFC
+// 9175, section 2.3). The caller repeats the refresh, since the backend server did not answer it. Flow data is never
+// answered in this way, because the caller would take it for delivered.
 func (d *decision) reissueFlow() {
-	refuse(d.a, d.p, RuleFlowReissue, pimedge.ReasonNoToken, 0)
 	t := d.a.Token
 	d.issue(&t)
+	if len(d.a.Reply.Token) == 0 {
+		return
+	}
+	d.a.Kind, d.a.Rule = Reply, RuleFlowReissue
+	d.a.Reply.Outcome, d.a.Reply.Status = pimedge.OutcomeAnswered, http.StatusNotModified
 }
 
 // openFlow admits and places a flow and answers with its token; the caller repeats the packet with it. A first token
 // comes before this step, so a forged source address costs neither admission nor placement.
 func (d *decision) openFlow() {
+	if d.dry {
+		refuse(d.a, d.p, RuleFlowOpened, pimedge.ReasonNoToken, 0)
+		return
+	}
 	if ok, retry := d.r.cfg.Admitter.AdmitFlow(d.now, d.a.Contract); !ok {
 		refuse(d.a, d.p, RuleFlowLimit, pimedge.ReasonFlowLimit, retry)
 		return
@@ -129,11 +144,24 @@
 
 // viewBehind relays the packet once to a peer with a newer view; without one, the caller tries again.
 func (d *decision) viewBehind() {
-	if d.p.Hops == 0 {
-		if node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision); ok {
-			d.a.Kind, d.a.Rule, d.a.Node = Relay, RuleViewBehindRelay, node
-			return
-		}
+	if d.relayToNewer(RuleViewBehindRelay) {
+		return
 	}
 	refuse(d.a, d.p, RuleViewBehind, pimedge.ReasonViewBehind, viewBehindRetry)
 }
+
+// isStale reports whether changes may be in force that this view lacks. The address of a backend server may then belong
+// to another service.
+func (d *decision) isStale() bool { return d.unixNow-d.s.confirmedAt > propagationBound }
+
+// relayToNewer relays a packet that was not relayed before to a peer with a newer view, if there is one.
+func (d *decision) relayToNewer(rule Rule) bool {
+	if d.p.Hops > 0 {
+		return false
+	}
+	node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision)
+	if ok {
+		d.a.Kind, d.a.Rule, d.a.Node = Relay, rule, node
+	}
+	return ok
+}
--- a/internal/coordination/pimroute/router.go
+++ b/internal/coordination/pimroute/router.go
@@ -33,14 +33,14 @@
 }
 
 // Update replaces the view at unixNow in unix seconds. It returns an error and keeps the old view if a key is invalid,
-// and ignores a view whose revision is below the current one.
+// and ignores a view whose revision is not above the current one. Repeating the current view does not confirm it.
 func (r *Router) Update(unixNow int64, v *pimview.View) (err error) {
 	defer func() { err = oops.In("pimroute").With("revision", v.Revision).Wrapf(err, "update the view") }()
 
 	r.update.Lock()
 	defer r.update.Unlock()
 	old := r.current.Load()
-	if old != nil && v.Revision < old.view.Revision {
+	if old != nil && v.Revision <= old.view.Revision {
 		return nil
 	}
 	s, err := newSnapshot(r.cfg.Keys, old, v, unixNow)
@@ -51,8 +51,10 @@
 	return nil
 }
 
-// Confirm records that the current view was still the newest one at unixNow in unix seconds. Without it, a token that
-// names an unknown backend server and was issued after the last Update is answered `view_behind`, never `backend_gone`.
+// Confirm records that the current view was still the newest one at unixNow in unix seconds; it is called at least every
+// few seconds while the revision equals the newest announced one. A view that was not confirmed for 15 s sends flow
+// packets through a peer with a newer one, if there is one, and never concludes that a backend server unknown to it is
+// gone.
 func (r *Router) Confirm(unixNow int64) {
 	r.update.Lock()
 	defer r.update.Unlock()
