feat: serve status, metrics, explanations and traces from a running vm

Cause: operators cannot see what a running VM believes, and services added after the start were not served. Two services with the same port could not be served at the address of one VM. Ruled out: a restart for new services, which operators would have to plan per VM. Change: operator server with /metrics, /status and /explain; spans for edge, relay, slot and backend hops; service sockets follow the view; edge_port names the port for a fabric that rewrites the destination. A flow is placed before it is admitted, so a flow without a backend server is not counted as admitted.

--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -79,15 +79,15 @@
 		refuse(d.a, d.p, RuleFlowOpened, pimedge.ReasonNoToken, 0)
 		return
 	}
-	if ok, retry := d.r.cfg.Admitter.AdmitFlow(d.now, d.a.Contract); !ok {
-		refuse(d.a, d.p, RuleFlowLimit, pimedge.ReasonFlowLimit, retry)
-		return
-	}
 	b, ok := d.place()
 	if !ok {
 		refuse(d.a, d.p, RuleNoBackend, pimedge.ReasonOverload, overloadRetry)
 		return
 	}
+	if ok, retry := d.r.cfg.Admitter.AdmitFlow(d.now, d.a.Contract); !ok {
+		refuse(d.a, d.p, RuleFlowLimit, pimedge.ReasonFlowLimit, retry)
+		return
+	}
 	refuse(d.a, d.p, RuleFlowOpened, pimedge.ReasonNoToken, 0)
 	t := d.a.Token
 	t.Flags |= pimtoken.FlagFlow
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -73,6 +74,7 @@
 	req := &pimpb.AcquireSlotRequest{
 		Service: uint32(w.Service), Contract: uint32(w.Contract), TimeoutNs: int64(w.Deadline.Sub(asked)),
 		Holder: uint32(n.self.Node), HolderIncarnation: uint64(n.self.Incarnation),
+		Traceparent: pimtrace.Traceparent(ctx),
 	}
 	for _, id := range exclude {
 		req.Exclude = append(req.Exclude, uint32(id))
--- a/internal/pimnode/execute.go
+++ b/internal/pimnode/execute.go
@@ -12,6 +12,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimhttp"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -60,7 +61,7 @@
 		method = http.MethodGet
 	}
 	send := func(ctx context.Context, s pimonce.Slot) pimonce.SendResult {
-		return n.sendRequest(ctx, s, method, p, deadline)
+		return n.sendRequest(ctx, s, method, p, a.Contract, deadline)
 	}
 	reply := n.executor.Execute(ctx, w, h, send)
 	end(ticket, reply)
@@ -83,7 +84,8 @@
 
 // sendRequest sends a request to the backend server of a slot, unless the view has another run of it by now.
 func (n *Node) sendRequest(
-	ctx context.Context, s pimonce.Slot, method string, p *pimedge.Packet, deadline pimclock.Instant,
+	ctx context.Context, s pimonce.Slot, method string, p *pimedge.Packet, contract pimid.ContractID,
+	deadline pimclock.Instant,
 ) pimonce.SendResult {
 	b, ok := n.store.View().Backends[s.Backend]
 	if !ok || b.Generation != s.Generation || b.Service != p.Service {
@@ -91,7 +93,12 @@
 			Reply: pimedge.Reply{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonBackendGone},
 		}
 	}
+	ctx, span := n.trace.Start(ctx, pimtrace.HopBackend)
+	defer span.End()
 	res := n.backends.Do(ctx, b, method, p.Path, p.Body, deadline)
+	span.Decide(pimtrace.Decision{
+		Contract: contract, Reason: res.Reason, Outcome: res.Outcome, Revision: n.store.Revision(),
+	})
 	n.observe(b, res)
 	return pimonce.SendResult{
 		Reply: pimedge.Reply{
--- a/internal/pimnode/handle.go
+++ b/internal/pimnode/handle.go
@@ -6,6 +6,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -25,13 +26,33 @@
 		n.countReply(&a, p)
 		err = r.Reply(a.Reply)
 	default:
-		err = r.Reply(n.serve(ctx, p, &a))
+		err = r.Reply(n.serveTraced(ctx, p, &a))
 	}
 	if err != nil {
 		n.log.Debug().Stringer("rule", a.Rule).Err(err).Msg("packet not carried out")
 	}
 }
 
+// serveTraced carries out a request of a caller in a span of its own.
+func (n *Node) serveTraced(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
+	ctx, span := n.trace.Start(ctx, pimtrace.HopEdge)
+	defer span.End()
+	reply := n.serve(ctx, p, a)
+	d := n.traceDecision(a)
+	d.Outcome, d.Reason = reply.Outcome, reply.Reason
+	span.Decide(d)
+	return reply
+}
+
+// traceDecision returns what the router decided, for the span of the hop.
+func (n *Node) traceDecision(a *pimroute.Action) pimtrace.Decision {
+	share := n.store.View().Contracts[a.Contract].Terms.GuaranteedSlots
+	return pimtrace.Decision{
+		Contract: a.Contract, Share: share, Rule: a.Rule.String(), Reason: a.Reply.Reason,
+		Outcome: a.Reply.Outcome, Revision: a.Revision,
+	}
+}
+
 // serve carries out a request that runs here or at another VM.
 func (n *Node) serve(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
 	n.serving.Add(1)
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -23,19 +23,21 @@
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimhttp"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // Node is one running VM.
 type Node struct {
-	cfg   pimsettings.Settings
-	log   zerolog.Logger
-	set   *metrics.Set
-	clock pimclock.Clock
-	unix  pimonce.UnixClock
-	rng   *rand.Rand
-	self  pimroute.Home
+	cfg     pimsettings.Settings
+	log     zerolog.Logger
+	set     *metrics.Set
+	clock   pimclock.Clock
+	started pimclock.Instant
+	unix    pimonce.UnixClock
+	rng     *rand.Rand
+	self    pimroute.Home
 
 	store    *pimconfig.Store
 	puller   *pimconfig.Puller
@@ -52,7 +54,9 @@
 	backends *pimhttp.Client
 	peers    *pimpeer.Pool
 	gossip   *pimpeer.Gossip
-	edge     *pimudp.Server
+	// edge is set once the VM serves callers.
+	edge  atomic.Pointer[pimudp.Server]
+	trace *pimtrace.Tracer
 
 	// topology is the assignment of backend servers to slot owners.
 	topology atomic.Pointer[topology]
@@ -87,6 +91,7 @@
 		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), stop: newStopState(),
 	}
 	now := time.Now()
+	n.started = n.clock.Now()
 	n.unix = pimonce.NewUnixClock(n.clock.Now(), now)
 	n.self = pimroute.Home{Node: cfg.Node.ID, Incarnation: pimid.NewIncarnation(now.UnixMilli(), n.rng.Uint64())}
 	n.topology.Store(&topology{})
@@ -97,6 +102,9 @@
 // does not know its peers and contracts.
 func (n *Node) start(ctx, runCtx context.Context) (err error) {
 	n.buildDecisions()
+	if err = n.startOps(runCtx); err != nil {
+		return err
+	}
 	if err = n.startPeers(runCtx); err != nil {
 		return err
 	}
--- a/internal/pimnode/peerserver.go
+++ b/internal/pimnode/peerserver.go
@@ -13,6 +13,8 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -29,11 +31,14 @@
 		return nil, err
 	}
 	n := s.n
+	ctx, span := n.trace.StartRemote(ctx, pimtrace.HopRelay, req.GetTraceparent())
+	defer span.End()
 	var a pimroute.Action
 	n.router.Route(n.clock.Now(), n.unixNow(), p, &a)
+	span.Decide(n.traceDecision(&a))
 	switch {
 	case a.Kind == pimroute.Forward:
-		return &pimpb.RelayReply{}, n.edge.Forward(p, a.Address)
+		return &pimpb.RelayReply{}, n.forwardRelayed(p, &a)
 	case a.Kind == pimroute.Reply:
 		n.countReply(&a, p)
 		return replyToProto(a.Reply), nil
@@ -44,6 +49,15 @@
 	}
 }
 
+// forwardRelayed forwards a flow packet from the service socket of this VM.
+func (n *Node) forwardRelayed(p *pimedge.Packet, a *pimroute.Action) error {
+	edge := n.edge.Load()
+	if edge == nil {
+		return pimudp.ErrNoService
+	}
+	return edge.Forward(p, a.Address)
+}
+
 func replyToProto(r pimedge.Reply) *pimpb.RelayReply {
 	return &pimpb.RelayReply{
 		Outcome: outcomeToProto(r.Outcome), Reason: string(r.Reason), RetryAfterNs: int64(r.RetryAfter),
@@ -54,6 +68,8 @@
 // AcquireSlot waits for a slot of an owned host.
 func (s *peerServer) AcquireSlot(ctx context.Context, req *pimpb.AcquireSlotRequest) (*pimpb.AcquireSlotReply, error) {
 	n := s.n
+	ctx, span := n.trace.StartRemote(ctx, pimtrace.HopSlot, req.GetTraceparent())
+	defer span.End()
 	now := n.clock.Now()
 	r := pimslot.SlotRequest{
 		Service: pimid.ServiceID(req.GetService()), Contract: pimid.ContractID(req.GetContract()),
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -30,6 +30,11 @@
 	n.topology.Store(t)
 	n.refreshSlots(view, t, wall)
 	n.refreshHosts(view)
+	if edge := n.edge.Load(); edge != nil {
+		if err := edge.SetServices(n.edgeServices(view)); err != nil {
+			n.log.Error().Err(err).Msg("service address not available")
+		}
+	}
 }
 
 func listed(view *pimview.View) []pimview.Node {
--- a/internal/pimnode/relay.go
+++ b/internal/pimnode/relay.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -44,7 +45,9 @@
 	if err != nil {
 		return reply, err
 	}
-	out, err := peer.Relay(ctx, relayRequest(p, contract, timeout-relayGrace))
+	req := relayRequest(p, contract, timeout-relayGrace)
+	req.Traceparent = pimtrace.Traceparent(ctx)
+	out, err := peer.Relay(ctx, req)
 	if err != nil {
 		return reply, err
 	}
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -118,28 +118,29 @@
 }
 
 func (n *Node) startEdge() error {
-	view := n.store.View()
-	services := make([]pimudp.Service, 0, len(view.Services))
-	for _, s := range view.Services {
-		services = append(services, n.edgeService(s))
-	}
 	server, cleanup, err := pimudp.Listen(pimudp.Config{
-		Services: services, Handler: n.handle, Overload: n.refuseOverload,
+		Services: n.edgeServices(n.store.View()), Handler: n.handle, Overload: n.refuseOverload,
 		MaxRequests: n.cfg.Limits.RequestsInFlight, Log: n.log,
 	})
 	if err != nil {
 		return err
 	}
-	n.edge = server
+	n.edge.Store(server)
 	n.defers(cleanup)
-	n.log.Info().Int("services", len(services)).Msg("serving callers")
+	n.log.Info().Int("services", len(n.store.View().Services)).Msg("serving callers")
 	return nil
 }
 
-// edgeService listens on the VM's own address with the port of the service.
-func (n *Node) edgeService(s pimview.Service) pimudp.Service {
-	listen := netip.AddrPortFrom(n.cfg.Node.PeerAddress.Addr(), s.Address.Port())
-	return pimudp.Service{ID: s.ID, Listen: listen, Address: s.Address}
+func (n *Node) edgeServices(view *pimview.View) []pimudp.Service {
+	services := make([]pimudp.Service, 0, len(view.Services))
+	for _, s := range view.Services {
+		listen := s.Address
+		if s.EdgePort != 0 {
+			listen = netip.AddrPortFrom(n.cfg.Node.PeerAddress.Addr(), s.EdgePort)
+		}
+		services = append(services, pimudp.Service{ID: s.ID, Listen: listen, Address: s.Address})
+	}
+	return services
 }
 
 func (n *Node) seeds() []pimview.Node {
@@ -168,7 +169,7 @@
 
 // refuseOverload counts and answers a request beyond the number that this VM handles at once.
 func (n *Node) refuseOverload(*pimedge.Packet) pimedge.Reply {
-	n.set.GetOrCreateCounter("pim_overload_refusals_total").Inc()
+	n.set.GetOrCreateCounter("pimentoyard_overload_refusals_total").Inc()
 	return pimedge.Reply{
 		Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonOverload, RetryAfter: time.Second,
 	}
--- a/internal/state/pimview/view.go
+++ b/internal/state/pimview/view.go
@@ -15,6 +15,9 @@
 	Name string `json:"name"`
 	// Address is the UDP address that callers send to.
 	Address netip.AddrPort `json:"address"`
+	// EdgePort is the port on which VMs serve the service at their own address, for a fabric that rewrites the
+	// destination; zero means that VMs listen on the published address.
+	EdgePort uint16 `json:"edge_port,omitempty"`
 }
 
 // BackendState is the published state of a backend server.
--- a/internal/transport/pimudp/server.go
+++ b/internal/transport/pimudp/server.go
@@ -19,9 +19,12 @@
 
 // Server owns the service sockets and their read loops.
 type Server struct {
+	ctx context.Context
+	mu  sync.RWMutex
+	// sockets is guarded by mu.
+	sockets  map[pimid.ServiceID]*socket
 	cfg      Config
 	log      zerolog.Logger
-	sockets  map[pimid.ServiceID]*socket
 	requests chan struct{}
 	// encapsulators holds idle encapsulators, since a responder may be used from any goroutine.
 	encapsulators chan *Encapsulator
@@ -52,25 +55,23 @@
 		requests:      make(chan struct{}, cfg.MaxRequests),
 		encapsulators: make(chan *Encapsulator, len(cfg.Services)*cfg.ReadLoops),
 	}
+	s.ctx = ctx
 	cleanup = func() {
 		cancel()
 		s.closeSockets()
 		s.wg.Wait()
 	}
-	for _, service := range cfg.Services {
-		if err = s.open(service); err != nil {
-			cleanup()
-			return nil, nil, err
-		}
+	if err = s.SetServices(cfg.Services); err != nil {
+		cleanup()
+		return nil, nil, err
 	}
-	s.start(ctx)
 	return s, cleanup, nil
 }
 
 // Address returns the bound address of a service; ok is false for an unknown service.
 func (s *Server) Address(id pimid.ServiceID) (addr netip.AddrPort, ok bool) {
-	sock, ok := s.sockets[id]
-	if !ok {
+	sock := s.socket(id)
+	if sock == nil {
 		return netip.AddrPort{}, false
 	}
 	return sock.conn.LocalAddr().(*net.UDPAddr).AddrPort(), true
@@ -79,40 +80,78 @@
 // Forward sends a flow packet that another VM received to the flow address of a backend server; it returns the error
 // of the socket or the codec, or ErrNoService.
 func (s *Server) Forward(pkt *pimedge.Packet, flowAddress netip.AddrPort) error {
-	sock, ok := s.sockets[pkt.Service]
-	if !ok {
+	sock := s.socket(pkt.Service)
+	if sock == nil {
 		return ErrNoService
 	}
 	r := &responder{server: s, sock: sock, source: pkt.Source}
 	return r.Forward(pkt, flowAddress)
 }
 
+// SetServices opens the sockets of new services and closes those of services that are gone; a service with another
+// address gets a new socket. It opens as many as it can and returns the errors of the others.
+func (s *Server) SetServices(services []Service) (err error) {
+	defer func() {
+		if err != nil {
+			err = oops.Wrapf(err, "set services")
+		}
+	}()
+	wanted := make(map[pimid.ServiceID]Service, len(services))
+	for _, service := range services {
+		wanted[service.ID] = service
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, sock := range s.sockets {
+		if wanted[id] != sock.service {
+			s.closeSocket(sock)
+			delete(s.sockets, id)
+		}
+	}
+	for id, service := range wanted {
+		if s.sockets[id] == nil {
+			err = errors.Join(err, s.open(service))
+		}
+	}
+	return err
+}
+
+// open opens one socket and starts its read loops; the lock is held.
 func (s *Server) open(service Service) error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(service.Listen))
 	if err != nil {
 		return err
 	}
-	s.sockets[service.ID] = &socket{service: service, conn: conn}
 	if err = conn.SetReadBuffer(s.cfg.ReceiveBuffer); err != nil {
-		return err
+		return errors.Join(err, conn.Close())
+	}
+	sock := &socket{service: service, conn: conn}
+	s.sockets[service.ID] = sock
+	for range s.cfg.ReadLoops {
+		l := newReader(s, sock)
+		s.wg.Go(func() { l.run(s.ctx) })
 	}
 	return nil
 }
 
-func (s *Server) start(ctx context.Context) {
-	for _, sock := range s.sockets {
-		for range s.cfg.ReadLoops {
-			l := newReader(s, sock)
-			s.wg.Go(func() { l.run(ctx) })
-		}
-	}
+func (s *Server) socket(id pimid.ServiceID) *socket {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.sockets[id]
 }
 
 func (s *Server) closeSockets() {
-	for _, sock := range s.sockets {
-		if err := sock.conn.Close(); err != nil {
-			s.log.Debug().Err(err).Msg("close service socket")
-		}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id, sock := range s.sockets {
+		s.closeSocket(sock)
+		delete(s.sockets, id)
+	}
+}
+
+func (s *Server) closeSocket(sock *socket) {
+	if err := sock.conn.Close(); err != nil {
+		s.log.Debug().Err(err).Msg("close service socket")
 	}
 }
 
--- a/pkg/pimcontract/fleet.go
+++ b/pkg/pimcontract/fleet.go
@@ -13,6 +13,9 @@
 	Name string `toml:"name" json:"name"`
 	// Address is the UDP address that callers send to.
 	Address netip.AddrPort `toml:"address" json:"address"`
+	// EdgePort is the port on which VMs serve the service at their own address, for a fabric that rewrites the
+	// destination; zero means that VMs listen on the published address.
+	EdgePort uint16 `toml:"edge_port" json:"edge_port,omitempty"`
 }
 
 // State is the published state of a backend server or a VM.
