test: stop, kill, pause and drain with real processes

Cause: the promises about planned stops, kills, pauses, platform outages and drains had no proof with whole processes. Ruled out: checks on times, since a verdict must not depend on the speed of the machine. Change: a harness that runs VMs as processes and stand-ins inside the test, and five failure tests on invariants. Conclusion: the invariants hold in these events; the refusals after a kill need a look.

--- /dev/null
+++ b/internal/e2e/failure_test.go
@@ -0,0 +1,123 @@
+package e2e
+
+import (
+	"net/http"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcaller"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Guards against requests that are cut, refused or run twice when a VM is stopped as planned and replaced.
+func TestPlannedStopIsNotNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	f.list(1, pimview.NodeLeaving)
+	f.signal(1, syscall.SIGTERM)
+	is.Equal(f.exited(1), 0)
+	f.start(4)
+	l.awaitAnswers(50)
+	outcomes := l.finish()
+	l.check(t)
+	is.Equal(outcomes[pimcaller.NotRun], 0)
+	is.Equal(outcomes[pimcaller.Unknown], 0)
+	is.Equal(outcomes[pimcaller.Failed], 0)
+}
+
+// Guards against double execution, false refusals and broken flows when a VM dies without notice.
+func TestKilledVM(t *testing.T) {
+	f := newFleet(t, 4)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	f.signal(2, syscall.SIGKILL)
+	f.exited(2)
+	f.await(1, isNotAlive(2))
+	f.list(2, pimview.NodeLeaving)
+	l.awaitAnswers(50)
+	t.Log(l.finish())
+	l.check(t)
+}
+
+// Guards against a VM that wakes up late and runs requests whose deadline has passed or that others have answered.
+func TestPausedVM(t *testing.T) {
+	f := newFleet(t, 4)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	f.signal(3, syscall.SIGSTOP)
+	f.await(1, isNotAlive(3))
+	l.awaitAnswers(50)
+	f.signal(3, syscall.SIGCONT)
+	f.await(1, isAlive(3))
+	l.awaitAnswers(50)
+	t.Log(l.finish())
+	l.check(t)
+}
+
+// Guards against a fleet that depends on the platform: a VM that starts during an outage gets the configuration from
+// its peers, and a stale replica does not bring an old revision back.
+func TestPlatformDownAndStale(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(20)
+	f.platform.SetMode(standplatform.Mode{Stale: true})
+	f.put("services/2", pimview.Service{ID: 2, Name: "cliphall", Address: f.addr(2, edgePort)})
+	before, err := f.status(1)
+	is.NoErr(err)
+	f.platform.SetMode(standplatform.Mode{Down: true})
+	f.signal(3, syscall.SIGKILL)
+	f.exited(3)
+	l.awaitAnswers(20)
+	after, err := f.status(1)
+	is.NoErr(err)
+	is.True(after.Revision >= before.Revision) // the revision never goes back
+	t.Log(l.finish())
+	l.check(t)
+	f.platform.SetMode(standplatform.Mode{})
+	f.await(1, func(s status) bool { return s.Revision > before.Revision })
+}
+
+func isNotAlive(id pimid.NodeID) func(status) bool {
+	return func(s status) bool { return memberState(s, id) != "MEMBER_STATE_ALIVE" }
+}
+
+func isAlive(id pimid.NodeID) func(status) bool {
+	return func(s status) bool { return memberState(s, id) == "MEMBER_STATE_ALIVE" }
+}
+
+func memberState(s status, id pimid.NodeID) string {
+	for _, m := range s.Members {
+		if m.VM == id {
+			return m.State
+		}
+	}
+	return ""
+}
+
+// Guards against new work for a backend server that says it is leaving while the platform cannot say so.
+func TestDrainIsObeyedWithoutThePlatform(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 4)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(20)
+	f.platform.SetMode(standplatform.Mode{Down: true})
+	resp, err := http.Post("http://"+f.backends[0].HTTPAddress().String()+"/drain", "", nil)
+	is.NoErr(err)
+	is.NoErr(resp.Body.Close())
+	l.awaitNoNewWork(f.backends[0])
+	t.Log(l.finish())
+	l.check(t)
+	t.Logf("last new work %d ms after the drain", f.backends[0].Stats().LastAfterDrainMS)
+}
--- /dev/null
+++ b/internal/e2e/fleet_test.go
@@ -0,0 +1,262 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standfabric"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const (
+	edgePort = 9001
+	peerPort = 7400
+	opsPort  = 7500
+	// patience bounds waits for a state; no verdict depends on how long a wait takes within it.
+	patience = 60 * time.Second
+)
+
+// binary is the product, built once by TestMain.
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "e2e")
+	if err != nil {
+		panic(err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	binary = filepath.Join(dir, "pimentoyard")
+	build := exec.Command("go", "build", "-o", binary, "../../cmd/pimentoyard")
+	if out, err := build.CombinedOutput(); err != nil {
+		panic(string(out))
+	}
+	return m.Run()
+}
+
+// fleet is one data centre: VMs as processes, and stand-ins in this process.
+type fleet struct {
+	t        *testing.T
+	subnet   string
+	state    *standplatform.State
+	platform *standplatform.Server
+	url      string
+	service  netip.AddrPort
+	backends []*standbackend.Server
+	vms      map[pimid.NodeID]*vm
+}
+
+type vm struct {
+	node pimview.Node
+	cmd  *exec.Cmd
+}
+
+// newFleet starts the stand-ins on a random loopback subnet, so that several runs do not meet.
+func newFleet(t *testing.T, backends int) *fleet {
+	f := &fleet{
+		t: t, subnet: fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256)),
+		state: standplatform.NewState(), vms: map[pimid.NodeID]*vm{},
+	}
+	f.platform = standplatform.NewServer(f.state, time.Second)
+	server := httptest.NewServer(f.platform)
+	t.Cleanup(server.Close)
+	f.url = server.URL
+	f.startFabric()
+	f.publish()
+	for i := range backends {
+		f.addBackend(pimid.BackendID(i + 1))
+	}
+	return f
+}
+
+func (f *fleet) addr(host, port int) netip.AddrPort {
+	return netip.MustParseAddrPort(fmt.Sprintf("%s.%d:%d", f.subnet, host, port))
+}
+
+func (f *fleet) startFabric() {
+	is := is.New(f.t)
+	f.service = f.addr(1, edgePort)
+	_, cleanup, err := standfabric.Start(standfabric.Config{
+		Routes:  []standfabric.Route{{Service: 1, Listen: f.service, EdgePort: edgePort}},
+		ListURL: f.url + "/v1/vms", PollInterval: 50 * time.Millisecond, Seed: 1, Log: zerolog.Nop(),
+	})
+	is.NoErr(err)
+	f.t.Cleanup(cleanup)
+}
+
+func (f *fleet) put(key string, value any) {
+	p, err := json.Marshal(value)
+	is.New(f.t).NoErr(err)
+	f.state.Put(key, p)
+}
+
+func (f *fleet) publish() {
+	f.put("services/1", pimview.Service{ID: 1, Name: "matchroom", Address: f.service, EdgePort: edgePort})
+	f.put("contracts/1", pimcontract.Contract{
+		ID: 1, Customer: "dancers", Service: 1, Sources: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")},
+		Terms: pimcontract.Terms{
+			RateLimit: 10_000, Burst: 1_000, FlowLimit: 10_000, GuaranteedSlots: 4, ShareWeight: 1,
+		},
+		DefaultTimeout: pimcontract.Duration(10 * time.Second),
+	})
+	f.put("keys/1", pimview.Key{ID: 1, Secret: []byte("0123456789abcdef"), PublishedAt: time.Now().Add(-time.Hour)})
+}
+
+func (f *fleet) backend(id pimid.BackendID) pimview.Backend {
+	b := f.backends[id-1]
+	return pimview.Backend{
+		ID: id, Generation: 1, Service: 1, DataCentre: "patan", FlowAddress: b.FlowAddress(),
+		HTTPAddress: b.HTTPAddress(), Slots: 4, MaxConnections: 2000, State: pimview.BackendLive,
+	}
+}
+
+func (f *fleet) addBackend(id pimid.BackendID) {
+	b, cleanup, err := standbackend.Start(standbackend.Config{
+		ID: id, Generation: 1, HTTPAddress: f.addr(100+int(id), 0), FlowAddress: f.addr(100+int(id), 0),
+		ServiceAddress: f.service, Slots: 4, ServiceTime: 5 * time.Millisecond, Notify: 100 * time.Millisecond,
+		Log: zerolog.Nop(),
+	})
+	is.New(f.t).NoErr(err)
+	f.t.Cleanup(cleanup)
+	f.backends = append(f.backends, b)
+	f.put(fmt.Sprintf("backends/%d", id), f.backend(id))
+}
+
+// list publishes a VM; publishedAt decides whether it may use its share of the limits at once.
+func (f *fleet) list(id pimid.NodeID, s pimview.NodeState) {
+	n := pimview.Node{
+		ID: id, DataCentre: "patan", PeerAddress: f.addr(10+int(id), peerPort), State: s,
+		PublishedAt: time.Now().Add(-time.Hour),
+	}
+	f.put(fmt.Sprintf("nodes/%d", id), n)
+	f.state.SetVM(n)
+	if f.vms[id] == nil {
+		f.vms[id] = &vm{}
+	}
+	f.vms[id].node = n
+}
+
+// start runs the VMs and waits until all of them serve.
+func (f *fleet) start(ids ...pimid.NodeID) {
+	for _, id := range ids {
+		f.list(id, pimview.NodeLive)
+	}
+	for _, id := range ids {
+		f.run(id)
+	}
+	for _, id := range ids {
+		f.await(id, func(s status) bool { return s.State == "serving" })
+	}
+}
+
+func (f *fleet) run(id pimid.NodeID) {
+	is := is.New(f.t)
+	dir := f.t.TempDir()
+	path := filepath.Join(dir, "vm.toml")
+	settings := fmt.Sprintf(`
+[node]
+id = %d
+data_centre = "patan"
+peer_address = "%s"
+[cluster]
+secret = "%064x"
+[platform]
+urls = ["%s"]
+[operator]
+address = "%s"
+[log]
+level = "warn"
+`, id, f.addr(10+int(id), peerPort), 7, f.url, f.addr(10+int(id), opsPort))
+	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
+	cmd := exec.Command(binary, "run", "--settings", path)
+	log, err := os.Create(filepath.Join(dir, "vm.log"))
+	is.NoErr(err)
+	cmd.Stderr = log
+	is.NoErr(cmd.Start())
+	f.vms[id].cmd = cmd
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGCONT)
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+		if f.t.Failed() {
+			p, _ := os.ReadFile(log.Name())
+			f.t.Logf("log of vm %d:\n%s", id, p)
+		}
+		_ = log.Close()
+	})
+}
+
+func (f *fleet) signal(id pimid.NodeID, s os.Signal) {
+	is.New(f.t).NoErr(f.vms[id].cmd.Process.Signal(s))
+}
+
+// exited waits for the end of a VM and returns its exit code.
+func (f *fleet) exited(id pimid.NodeID) int {
+	state, err := f.vms[id].cmd.Process.Wait()
+	is.New(f.t).NoErr(err)
+	return state.ExitCode()
+}
+
+type status struct {
+	State    string `json:"state"`
+	Revision uint64 `json:"revision"`
+	Members  []struct {
+		VM    pimid.NodeID `json:"vm"`
+		State string       `json:"state"`
+	} `json:"members"`
+}
+
+func (f *fleet) status(id pimid.NodeID) (s status, err error) {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	url := fmt.Sprintf("http://%s/status", f.addr(10+int(id), opsPort))
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return s, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return s, err
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return s, json.NewDecoder(resp.Body).Decode(&s)
+}
+
+// await polls a VM until the condition holds.
+func (f *fleet) await(id pimid.NodeID, condition func(status) bool) {
+	f.t.Helper()
+	tick := time.NewTicker(20 * time.Millisecond)
+	defer tick.Stop()
+	limit := time.After(patience)
+	for {
+		select {
+		case <-tick.C:
+		case <-limit:
+			f.t.Fatalf("vm %d did not reach the state within %s", id, patience)
+		}
+		if s, err := f.status(id); err == nil && condition(s) {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/e2e/load_test.go
@@ -0,0 +1,143 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcaller"
+)
+
+const (
+	workers = 8
+	flows   = 20
+)
+
+// load is a set of callers that post without a pause and keep flows open.
+type load struct {
+	f       *fleet
+	caller  *pimcaller.Caller
+	flows   []*pimcaller.Flow
+	stop    chan struct{}
+	wg      sync.WaitGroup
+	mu      sync.Mutex
+	results map[string]pimcaller.Result
+	// answered is signalled after each answer.
+	answered chan struct{}
+}
+
+func (f *fleet) startLoad() *load {
+	is := is.New(f.t)
+	caller, cleanup, err := pimcaller.Dial(pimcaller.Config{
+		Service: f.service, Timeout: 20 * time.Second, AckTimeout: 200 * time.Millisecond,
+		Refresh: 200 * time.Millisecond, Silence: patience,
+	})
+	is.NoErr(err)
+	f.t.Cleanup(cleanup)
+	l := &load{
+		f: f, caller: caller, stop: make(chan struct{}), results: map[string]pimcaller.Result{},
+		answered: make(chan struct{}, 1),
+	}
+	for range flows {
+		flow, err := caller.Open(context.Background(), "/feed")
+		is.NoErr(err)
+		l.flows = append(l.flows, flow)
+	}
+	for w := range workers {
+		l.wg.Go(func() { l.loop(w) })
+	}
+	return l
+}
+
+func (l *load) loop(worker int) {
+	for i := 0; ; i++ {
+		select {
+		case <-l.stop:
+			return
+		default:
+		}
+		id := fmt.Sprintf("%d-%d", worker, i)
+		res := l.caller.Post(context.Background(), "/order?id="+id, []byte("x"))
+		l.mu.Lock()
+		l.results[id] = res
+		l.mu.Unlock()
+		if res.Outcome == pimcaller.Answered {
+			select {
+			case l.answered <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// awaitAnswers waits for n more answers, so that an event lies between answered requests.
+func (l *load) awaitAnswers(n int) {
+	l.f.t.Helper()
+	limit := time.After(patience)
+	for range n {
+		select {
+		case <-l.answered:
+		case <-limit:
+			l.f.t.Fatalf("no %d answers within %s", n, patience)
+		}
+	}
+}
+
+// awaitNoNewWork waits until a leaving backend server has received nothing during many answers of the others. The time
+// bound of the drain is checked with a manual clock elsewhere.
+func (l *load) awaitNoNewWork(b *standbackend.Server) {
+	l.f.t.Helper()
+	const quietAnswers = 200
+	for before := int64(-1); b.Stats().AfterDrain != before; {
+		before = b.Stats().AfterDrain
+		l.awaitAnswers(quietAnswers)
+	}
+}
+
+// finish ends the load and returns the requests by outcome.
+func (l *load) finish() map[pimcaller.Outcome]int {
+	close(l.stop)
+	l.wg.Wait()
+	outcomes := map[pimcaller.Outcome]int{}
+	for _, res := range l.results {
+		outcomes[res.Outcome]++
+	}
+	return outcomes
+}
+
+// check verifies the promises that hold whatever happens to the VMs.
+func (l *load) check(t *testing.T) {
+	t.Helper()
+	is := is.New(t)
+	executed := map[string]int{}
+	for _, b := range l.f.backends {
+		for id, n := range b.Executed() {
+			executed[id] += n
+		}
+		is.Equal(b.Stats().Misrouted, int64(0)) // no packet reached another service
+	}
+	for id, n := range executed {
+		is.Equal(n, 1) // a post ran more than once
+		_ = id
+	}
+	for id, res := range l.results {
+		switch res.Outcome {
+		case pimcaller.Answered:
+			var a standbackend.Answer
+			is.NoErr(json.Unmarshal(res.Body, &a))
+			is.Equal(a.ID, id) // the answer belongs to its request
+			is.Equal(executed[id], 1)
+		case pimcaller.NotRun:
+			is.Equal(executed[id], 0) // not_run is true
+		}
+	}
+	for _, flow := range l.flows {
+		is.NoErr(flow.Err()) // no flow broke
+	}
+}
