--- a/internal/standin/standfabric/poller.go
+++ b/internal/standin/standfabric/poller.go
@@ -85,7 +85,7 @@
 		return nil, err
 	}
 	for _, node := range list.VMs {
-		if node.State == pimview.NodeLive {
+		if node.State == pimview.NodeLive && node.PeerAddress.IsValid() {
 			vms = append(vms, node.PeerAddress.Addr())
 		}
 	}
