test: measure the path of a flow packet and of a request

Cause: the sizing of read loops and connections needs figures. Ruled out: nothing. Change: two benchmarks.

--- a/internal/transport/pimhttp/do_test.go
+++ b/internal/transport/pimhttp/do_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -122,3 +123,20 @@
 	is.Equal(res.Outcome, pimedge.OutcomeUnknown)
 	<-closed
 }
+
+func BenchmarkDo(b *testing.B) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte("ok"))
+	}))
+	defer server.Close()
+	c, cleanup := NewClient(Config{})
+	defer cleanup()
+	backend := pimview.Backend{HTTPAddress: netip.MustParseAddrPort(server.Listener.Addr().String())}
+	body := []byte("order")
+	b.ReportAllocs()
+	for b.Loop() {
+		if res := c.Do(b.Context(), backend, http.MethodPost, "/", body, soon()); res.Outcome != pimedge.OutcomeAnswered {
+			b.Fatal(res.Err)
+		}
+	}
+}
--- a/internal/transport/pimudp/server_test.go
+++ b/internal/transport/pimudp/server_test.go
@@ -175,3 +175,30 @@
 	allocs := testing.AllocsPerRun(500, func() { l.handle(t.Context(), callerAddr, raw) })
 	is.Equal(allocs, 0.0)
 }
+
+func BenchmarkForwardFlowPacket(b *testing.B) {
+	backend, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = backend.Close() }()
+	flowAddress := backend.LocalAddr().(*net.UDPAddr).AddrPort()
+	s, cleanup, err := Listen(Config{
+		Services: []Service{{ID: 1, Listen: loopback, Address: serviceAddr}},
+		Handler: func(_ context.Context, p *pimedge.Packet, r Responder) {
+			if err := r.Forward(p, flowAddress); err != nil {
+				b.Error(err)
+			}
+		},
+	})
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer cleanup()
+	l := newReader(s, s.sockets[1])
+	raw := []byte{0x40, 1, 0, 1, 0x60}
+	b.ReportAllocs()
+	for b.Loop() {
+		l.handle(b.Context(), callerAddr, raw)
+	}
+}
