fix: spread refreshes and close flows whose opening failed

Cause: flows that were opened together refreshed together, and a flow whose opening failed stayed open at the backend server until it was forgotten. Ruled out: an early first refresh, which would bias the estimate of open flows at the VMs. Change: refreshes vary by a tenth around the same mean; a failed opening sends one close message.

--- a/pkg/pimcaller/caller.go
+++ b/pkg/pimcaller/caller.go
@@ -189,6 +189,15 @@
 	return c.newID()
 }
 
+// refreshInterval varies the time between refreshes by a tenth, so that flows that were opened together do not refresh
+// together. The mean stays, since VMs estimate open flows from the rate of refreshes.
+func (c *Caller) refreshInterval() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	refresh := c.cfg.Refresh
+	return refresh - refresh/10 + time.Duration(c.rand.Int64N(int64(refresh)/5+1))
+}
+
 // spread lengthens d by up to a half, so that callers do not repeat in step (RFC 7252, 4.8).
 func (c *Caller) spread(d time.Duration) time.Duration {
 	c.mu.Lock()
--- a/pkg/pimcaller/flow.go
+++ b/pkg/pimcaller/flow.go
@@ -83,6 +83,8 @@
 	f.done = make(chan struct{})
 	f.token, f.box = c.open(true)
 	if err = f.establish(ctx); err != nil {
+		// The backend server may have opened the flow although its answer was lost.
+		_ = f.sendObserve(observeClose, 0)
 		c.close(f.token)
 		return nil, err
 	}
--- a/pkg/pimcaller/flowrun.go
+++ b/pkg/pimcaller/flowrun.go
@@ -99,7 +99,7 @@
 // serve sends a refresh every interval and repeats it until the backend server is heard again.
 func (f *Flow) serve(ctx context.Context) error {
 	cfg := &f.caller.cfg
-	next := f.lastHeard.Add(cfg.Refresh)
+	next := f.lastHeard.Add(f.caller.refreshInterval())
 	var refreshed time.Time
 	unanswered := 0
 	for {
@@ -113,7 +113,7 @@
 			}
 			if unanswered > 0 && f.lastHeard.After(refreshed) {
 				unanswered = 0
-				next = refreshed.Add(cfg.Refresh)
+				next = refreshed.Add(f.caller.refreshInterval())
 			}
 			continue
 		}
