feat: trace the hop to a backend server and accept retry dates

Cause: each hop has a span in our house style, and Retry-After may be a date (RFC 9110, 10.2.3). Ruled out: comparing the date with our clock when the server sends its own Date. Change: a client span and trace headers per request; a 503 with a date counts as shed.

--- a/internal/transport/pimhttp/answer.go
+++ b/internal/transport/pimhttp/answer.go
@@ -67,14 +67,28 @@
 	return Result{Outcome: outcome, Status: resp.StatusCode, Body: body}
 }
 
-// shed recognises a 503 with a Retry-After in seconds; without it, a 503 does not say that nothing ran.
+// shed recognises a 503 with a valid Retry-After; without it, a 503 does not say that nothing ran.
 func shed(resp *http.Response) (retry time.Duration, ok bool) {
 	if resp.StatusCode != http.StatusServiceUnavailable {
 		return 0, false
 	}
-	seconds, err := strconv.ParseUint(resp.Header.Get("Retry-After"), 10, 31)
+	value := resp.Header.Get("Retry-After")
+	if seconds, err := strconv.ParseUint(value, 10, 31); err == nil {
+		return time.Duration(seconds) * time.Second, true
+	}
+	return untilDate(value, resp.Header.Get("Date"))
+}
+
+// untilDate reads the date form of Retry-After (RFC 9110, 10.2.3). It is compared with the server's own Date, so that the
+// clocks need not agree.
+func untilDate(value, serverDate string) (retry time.Duration, ok bool) {
+	at, err := http.ParseTime(value)
 	if err != nil {
 		return 0, false
 	}
-	return time.Duration(seconds) * time.Second, true
+	now, err := http.ParseTime(serverDate)
+	if err != nil {
+		now = time.Now()
+	}
+	return max(at.Sub(now), 0), true
 }
--- a/internal/transport/pimhttp/do.go
+++ b/internal/transport/pimhttp/do.go
@@ -10,6 +10,9 @@
 	"strconv"
 	"time"
 
+	"go.opentelemetry.io/otel"
+	"go.opentelemetry.io/otel/propagation"
+
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
@@ -23,8 +26,12 @@
 func (c *Client) Do(
 	ctx context.Context, b pimview.Backend, method, path string, body []byte, deadline pimclock.Instant,
 ) (res Result) {
+	ctx, span := startSpan(ctx, b)
 	start := c.cfg.Clock.Now()
-	defer func() { res.Duration = c.cfg.Clock.Now().Sub(start) }()
+	defer func() {
+		res.Duration = c.cfg.Clock.Now().Sub(start)
+		endSpan(span, &res)
+	}()
 	left := deadline.Sub(start)
 	if left <= 0 {
 		return notSent(ErrDeadline)
@@ -67,6 +74,7 @@
 	req.GetBody = nil
 	ms := max(left.Milliseconds(), 1)
 	req.Header.Set(TimeoutHeader, strconv.FormatInt(ms, 10))
+	otel.GetTextMapPropagator().Inject(ctx, propagation.HeaderCarrier(req.Header))
 	return req, nil
 }
 
--- a/internal/transport/pimhttp/do_test.go
+++ b/internal/transport/pimhttp/do_test.go
@@ -33,6 +33,7 @@
 		"redirect":          {"HTTP/1.1 302 Found\r\nLocation: /x\r\nContent-Length: 0\r\n\r\n", Result{Outcome: pimedge.OutcomeAnswered, Status: 302, Body: []byte{}}},
 		"server error":      {"HTTP/1.1 500 Error\r\nContent-Length: 1\r\n\r\ne", Result{Outcome: pimedge.OutcomeFailed, Status: 500, Body: []byte("e")}},
 		"shed":              {"HTTP/1.1 503 Busy\r\nRetry-After: 3\r\nContent-Length: 0\r\n\r\n", Result{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonNoSlot, Status: 503, Shed: true, RetryAfter: 3 * time.Second, Err: ErrShed}},
+		"shed until a date": {"HTTP/1.1 503 Busy\r\nDate: Fri, 04 Dec 2026 04:00:00 GMT\r\nRetry-After: Fri, 04 Dec 2026 04:00:05 GMT\r\nContent-Length: 0\r\n\r\n", Result{Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonNoSlot, Status: 503, Shed: true, RetryAfter: 5 * time.Second, Err: ErrShed}},
 		"503 without retry": {"HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", Result{Outcome: pimedge.OutcomeFailed, Status: 503, Body: []byte{}}},
 		"short body":        {"HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nok", Result{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}},
 		"short chunk":       {"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n", Result{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}},
