fix: ask for a peer with a newer view once a second

Cause: an unconfirmed view or a token with an unknown key asked the membership for every packet, and pimmember answers with a pass over all members under its lock. Ruled out: asking only for tokens that open, since a view that is not confirmed asks for each of those too. Change: the answer is kept for the second and the revision that it was given for. Conclusion: neither bad tokens nor a missing Confirm make the membership a cost per packet.

--- a/internal/coordination/pimroute/decide.go
+++ b/internal/coordination/pimroute/decide.go
@@ -88,7 +88,7 @@
 
 // rejectUnknownKey tells the caller to keep its token if this VM knows that its view is not the newest.
 func (d *decision) rejectUnknownKey() {
-	if _, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision); ok {
+	if _, ok := d.newerPeer(); ok {
 		refuse(d.a, d.p, RuleUnknownKeyBehind, pimedge.ReasonViewBehind, viewBehindRetry)
 		return
 	}
--- a/internal/coordination/pimroute/fakes_test.go
+++ b/internal/coordination/pimroute/fakes_test.go
@@ -29,6 +29,7 @@
 	full      bool
 	refreshes int
 	newer     pimid.NodeID
+	asked     int
 	homes     map[Home]HomeStatus
 	successor map[Home]Home
 	gone      bool
@@ -44,7 +45,10 @@
 func (f *fakes) RefreshFlow(pimclock.Instant, pimid.ContractID) { f.refreshes++ }
 func (f *fakes) HomeState(h Home) (HomeStatus, Home)            { return f.homes[h], f.successor[h] }
 
-func (f *fakes) NewerPeer(pimid.Revision) (pimid.NodeID, bool) { return f.newer, f.newer != 0 }
+func (f *fakes) NewerPeer(pimid.Revision) (pimid.NodeID, bool) {
+	f.asked++
+	return f.newer, f.newer != 0
+}
 
 func (f *fakes) Gone(_ pimid.BackendID, generation pimid.Generation) bool {
 	return f.gone && generation > 0
--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -133,7 +133,7 @@
 }
 
 func (d *decision) isBehind() bool {
-	_, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision)
+	_, ok := d.newerPeer()
 	return ok
 }
 
@@ -159,7 +159,7 @@
 	if d.p.Hops > 0 {
 		return false
 	}
-	node, ok := d.r.cfg.Members.NewerPeer(d.s.view.Revision)
+	node, ok := d.newerPeer()
 	if ok {
 		d.a.Kind, d.a.Rule, d.a.Node = Relay, rule, node
 	}
--- a/internal/coordination/pimroute/flow_test.go
+++ b/internal/coordination/pimroute/flow_test.go
@@ -220,14 +220,16 @@
 	is.Equal(r.Revision(), v.Revision)
 }
 
-// Guards against an allocation for every packet of an established flow.
+// Guards against an allocation, or a question to the membership, for every packet of an established flow.
 func TestEstablishedFlowAllocatesNothing(t *testing.T) {
 	is := is.New(t)
-	r, tok := testRouter(t, &fakes{}, testView()), flowToken()
+	f, tok := &fakes{}, flowToken()
+	r := testRouter(t, f, testView())
 	p := flowPacket(seal(t, &tok))
 	var a Action
 	is.Equal(testing.AllocsPerRun(1000, func() { r.Route(0, unixStart+60, p, &a) }), 0.0)
 	is.Equal(a.Kind, Forward)
+	is.Equal(f.asked, 1)
 	p.Token[39] ^= 1
 	is.Equal(testing.AllocsPerRun(1000, func() { r.Route(0, unixStart+60, p, &a) }), 0.0)
 	is.Equal(a.Rule, RuleBadMAC)
--- /dev/null
+++ b/internal/coordination/pimroute/newer.go
@@ -0,0 +1,24 @@
+package pimroute
+
+import "github.com/pimentoyard/pimentoyard/pkg/pimid"
+
+// newer is what the membership said about peers with a newer view in one second.
+type newer struct {
+	unixNow  int64
+	revision pimid.Revision
+	node     pimid.NodeID
+	ok       bool
+}
+
+// newerPeer asks the membership at most about once a second, because the question costs a pass over all members and bad
+// tokens or a view that is not confirmed can cause it for every packet.
+func (d *decision) newerPeer() (node pimid.NodeID, ok bool) {
+	revision := d.s.view.Revision
+	known := d.r.newer.Load()
+	if known == nil || known.unixNow != d.unixNow || known.revision != revision {
+		known = &newer{unixNow: d.unixNow, revision: revision}
+		known.node, known.ok = d.r.cfg.Members.NewerPeer(revision)
+		d.r.newer.Store(known)
+	}
+	return known.node, known.ok
+}
--- a/internal/coordination/pimroute/router.go
+++ b/internal/coordination/pimroute/router.go
@@ -20,6 +20,7 @@
 	successor atomic.Pointer[Home]
 	// nextFlow numbers the flows of this run, so that no two tokens of one home share request records.
 	nextFlow atomic.Uint64
+	newer    atomic.Pointer[newer]
 	counts   [ruleCount]atomic.Uint64
 	// update serialises Update and Confirm.
 	update sync.Mutex
