--- a/scripts/demosummary/backends.go
+++ b/scripts/demosummary/backends.go
@@ -15,6 +15,9 @@
 // statsTimeout bounds the question to one backend server.
 const statsTimeout = 2 * time.Second
 
+// drainBound is the time after which a drained backend server must not receive new work (R6).
+const drainBound = 5 * time.Second
+
 // reportBackends prints the work of each backend server and the imbalance of each service.
 func reportBackends(o *options) (faults []string, err error) {
 	loads := make(map[string][]int)
@@ -25,11 +28,14 @@
 			return nil, err
 		}
 		requests := s.Posts + int(s.Gets)
-		fmt.Printf("service %s: backend server %s ran %d requests, holds %d flows, shed %d, new work after drain %d\n",
-			service, address, requests, s.Flows, s.Shed, s.AfterDrain)
+		fmt.Printf("service %s: backend server %s ran %d requests, shed %d, new work after drain %d (last after %d ms)\n",
+			service, address, requests, s.Shed, s.AfterDrain, s.LastAfterDrainMS)
 		if address != o.Drained {
 			loads[service] = append(loads[service], requests)
 		}
+		if s.LastAfterDrainMS > drainBound.Milliseconds() {
+			faults = append(faults, fmt.Sprintf("%s: new work %d ms after the drain", address, s.LastAfterDrainMS))
+		}
 		if s.Repeated > 0 || s.Misrouted > 0 {
 			faults = append(faults, fmt.Sprintf("%s: %d requests ran twice, %d packets of another service",
 				address, s.Repeated, s.Misrouted))
