feat: return lent shares when the pool owner changes

Cause: when a VM joined and became the owner, every member waited for its lease to end: in the first second after the join 5 of 146 requests below the limit were admitted. Ruled out: two owners for one share; the lease then no longer bounds the sum (mutation: 225/s of 200/s). Change: a member gives up its grant and asks the old owner for its share; the owner agrees as soon as the other grants are covered without it. Fields release and released in the peer protocol.

--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -26,6 +26,8 @@
 	// lentTo holds the share until lentUntil.
 	lentTo    ownerRun
 	lentUntil pimclock.Instant
+	// releasing is set while another owner was chosen and the holder of the share can still be asked to return it.
+	releasing bool
 }
 
 // ownerRun is one run of an owner process.
@@ -65,7 +67,7 @@
 	if now.Before(a.urgentAt) {
 		return false
 	}
-	return a.wanted > 0 || len(a.queue) > 0 || a.grant.depth >= 1 && a.grant.tokens < 1
+	return a.releasing || a.wanted > 0 || len(a.queue) > 0 || a.grant.depth >= 1 && a.grant.tokens < 1
 }
 
 // backOff adapts the gap to whether the owner had permits for what was asked.
--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -53,6 +53,10 @@
 
 // confirm drops all grants but the one in use and returns the permits of those that the member will never use.
 func (b *borrower) confirm(d *pimpb.QuotaDemand) (unused float64) {
+	if d.GetRelease() {
+		b.given = nil
+		return 0
+	}
 	kept := b.given[:0]
 	for _, g := range b.given {
 		switch {
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -14,7 +14,7 @@
 func (m *member) due(now pimclock.Instant, cfg Config) map[pimid.NodeID]*pimpb.BorrowQuotaRequest {
 	byOwner := map[pimid.NodeID][]pimid.ContractID{}
 	for id := range m.accounts {
-		owner := cfg.OwnerOf(id)
+		owner := m.ownerOf(now, cfg, id)
 		byOwner[owner] = append(byOwner[owner], id)
 	}
 	requests := map[pimid.NodeID]*pimpb.BorrowQuotaRequest{}
@@ -26,6 +26,16 @@
 	return requests
 }
 
+// ownerOf returns the owner to ask: the one that holds the share until it is released, or the chosen one.
+func (m *member) ownerOf(now pimclock.Instant, cfg Config, id pimid.ContractID) pimid.NodeID {
+	a, chosen := m.accounts[id], cfg.OwnerOf(id)
+	a.releasing = a.lent(now) && a.lentTo.node != chosen && m.link(a.lentTo.node).responsive(now)
+	if a.releasing {
+		return a.lentTo.node
+	}
+	return chosen
+}
+
 func (m *member) link(owner pimid.NodeID) *link {
 	l := m.links[owner]
 	if l == nil {
@@ -64,7 +74,7 @@
 	for _, id := range contracts {
 		a := m.accounts[id]
 		d := a.ask(now, id)
-		if l.responsive(now) && a.mayLend(now, run) {
+		if !a.releasing && l.responsive(now) && a.mayLend(now, run) {
 			s := m.share(now, a)
 			a.lend(now, run)
 			d.LentRate, d.LentDepth = s.rate, s.depth
@@ -78,7 +88,10 @@
 func (a *account) ask(now pimclock.Instant, id pimid.ContractID) *pimpb.QuotaDemand {
 	a.demand.decay(now)
 	a.asked, a.wanted = a.wanted+a.queued(), 0
-	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: a.demand.rate, Permits: math.Ceil(a.asked)}
+	if a.releasing {
+		a.grant = grant{}
+	}
+	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
 	if now.Before(a.grant.expires) {
 		a.grant.advance(now)
 		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
@@ -112,5 +125,8 @@
 	a.grant.expires = l.sent.Add(time.Duration(g.GetValidNs()))
 	a.grant.rate, a.grant.depth = g.GetRate(), g.GetDepth()
 	a.grant.tokens = min(a.grant.tokens+g.GetPermits(), a.grant.depth)
+	if a.releasing && g.GetReleased() {
+		a.lentUntil, a.releasing = now, false
+	}
 	a.backOff(l.sent, a.asked == 0 || g.GetPermits() >= 1)
 }
--- a/internal/coordination/pimquota/fault_test.go
+++ b/internal/coordination/pimquota/fault_test.go
@@ -208,6 +208,24 @@
 	}
 }
 
+// Guards against refusals while the owner changes because a VM joined: the members get their shares back from the old
+// owner at once instead of waiting for their leases to end.
+func TestOwnerChangeIsNotNoticed(t *testing.T) {
+	is := is.New(t)
+	s := newSim(3, faultVMs, faultLimit)
+	for vm := range s.vms {
+		s.publish(vm, faultVMs)
+	}
+	s.run(faultWarmUp, 0, pooled{s})
+	s.run(faultAt, 0.7*float64(faultLimit.Rate), pooled{s})
+	before := s.offered - len(s.admitted)
+	s.publish(s.join(2), faultVMs+1)
+	s.run(3*time.Second, 0.7*float64(faultLimit.Rate), pooled{s})
+	refused := s.offered - len(s.admitted) - before
+	t.Logf("%d refused after the join, %d before", refused, before)
+	is.True(refused <= 10)
+}
+
 // Guards against limits with less than one permit per VM that cannot be used, or that drift over time: the pool admits
 // what one limiter without faults admits, which loses permits only while its bucket is full.
 func TestSmallLimits(t *testing.T) {
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -41,11 +41,15 @@
 		p := o.pool(pimid.ContractID(d.GetContract()), now)
 		p.advance(now)
 		b := p.borrower(pimid.NodeID(req.GetNode()))
+		b.demand, b.seen = d.GetRate(), now
+		if d.GetRelease() && known && p.release(now, b) {
+			reply.Grants = append(reply.Grants, &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true})
+			continue
+		}
 		p.settle(now, b, d)
 		if known {
 			b.lend(now, req, d)
 		}
-		b.demand, b.seen = d.GetRate(), now
 		reply.Grants = append(reply.Grants, p.grant(now, b, req.GetSequence(), d))
 		p.forget(now)
 	}
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -82,6 +82,21 @@
 	p.clamp(now)
 }
 
+// release returns the member's share if the grants of the others are covered without it. The member uses none itself.
+func (p *sharedPool) release(now pimclock.Instant, b *borrower) bool {
+	b.given = nil
+	end := b.leaseEnd
+	b.leaseEnd = 0
+	rate, depth := p.capacity(now.Add(grantValidity))
+	usedRate, usedDepth := p.granted(now, b)
+	if usedRate > rate+rounding || usedDepth > depth+rounding {
+		b.leaseEnd = end
+		return false
+	}
+	p.clamp(now)
+	return true
+}
+
 // target returns the member's part of the rate by demand.
 func (p *sharedPool) target(now pimclock.Instant, b *borrower, capacity float64) float64 {
 	demands, at := make([]float64, 0, len(p.borrowers)), 0
