feat: add the commands check, plan and status

Cause: operators change contracts and plan changes, so they need the effect before the publication. Ruled out: a fixed status document; the command prints every field of whatever version of the VM answers. The division by data centre moves to pimcontract.

--- a/cmd/pimentoyard/check.go
+++ b/cmd/pimentoyard/check.go
@@ -4,13 +4,15 @@
 	"errors"
 	"fmt"
 
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 )
 
-// checkCommand validates the files of a publication.
+// checkCommand validates the files of a publication, or settings files.
 type checkCommand struct {
-	JSON bool `long:"json" description:"print JSON"`
-	Args struct {
+	JSON     bool `long:"json" description:"print JSON"`
+	Settings bool `long:"settings" description:"the files are settings of VMs"`
+	Args     struct {
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 
@@ -19,17 +21,17 @@
 
 func newCheck(out output) command {
 	return command{
-		name: "check", short: "Validate contract and fleet files",
-		long: "Validates all files together and prints each fault as file:line: key: reason.",
+		name: "check", short: "Validate contract, fleet or settings files",
+		long: "Validates contract and fleet files together, or settings files one by one, and prints each fault as " +
+			"file:line: key: reason. The exit code is 1 if there are faults.",
 		data: &checkCommand{out: out},
 	}
 }
 
 // Execute runs the command.
 func (c *checkCommand) Execute([]string) error {
-	_, err := pimcontract.Read(c.Args.Files...)
-	var faults pimcontract.Faults
-	if err != nil && !errors.As(err, &faults) {
+	faults, err := c.faults()
+	if err != nil {
 		return err
 	}
 	if c.JSON {
@@ -43,11 +45,38 @@
 	return err
 }
 
+// faults reads the files; the error is set only if they could not be read.
+func (c *checkCommand) faults() (all pimcontract.Faults, err error) {
+	if !c.Settings {
+		_, err = pimcontract.Read(c.Args.Files...)
+		return split(err)
+	}
+	for _, file := range c.Args.Files {
+		_, err = pimsettings.Read(file)
+		found, err := split(err)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, found...)
+	}
+	return all, nil
+}
+
+// split separates faults from other errors.
+func split(err error) (pimcontract.Faults, error) {
+	var faults pimcontract.Faults
+	if errors.As(err, &faults) {
+		return faults, nil
+	}
+	return nil, err
+}
+
 func (c *checkCommand) print(faults pimcontract.Faults) (err error) {
 	for _, f := range faults {
 		if _, err = fmt.Fprintln(c.out.stdout, f); err != nil {
 			return err
 		}
 	}
-	return nil
+	_, err = fmt.Fprintf(c.out.stdout, "%d files, %d faults\n", len(c.Args.Files), len(faults))
+	return err
 }
--- a/cmd/pimentoyard/commands.go
+++ b/cmd/pimentoyard/commands.go
@@ -37,6 +37,8 @@
 func commands(out output) []command {
 	return []command{
 		newCheck(out),
+		newPlan(out),
+		newStatus(out),
 		newVersion(out),
 	}
 }
--- /dev/null
+++ b/cmd/pimentoyard/commands_test.go
@@ -0,0 +1,70 @@
+package main
+
+import (
+	"bytes"
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+const (
+	plan      = "plan --from ../../deploy/bottle_mould_makers --to testdata/changed --at 2026-01-05T12:00:00Z"
+	contracts = "../../deploy/bottle_mould_makers/contracts.toml"
+)
+
+// Guards against commands that lose a fault, a value or a warning, or end with the wrong exit code.
+func TestCommands(t *testing.T) {
+	vm := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method+" "+r.URL.Path != "GET /status" {
+			http.NotFound(w, r)
+			return
+		}
+		http.ServeFile(w, r, "testdata/status.json")
+	}))
+	defer vm.Close()
+	address := strings.TrimPrefix(vm.URL, "http://")
+	for _, tt := range []struct {
+		name string
+		args string
+		code int
+	}{
+		{"usage", "plan", exitUsage},
+		{"check_ok", "check " + contracts + " testdata/changed/fleet.toml", exitOK},
+		{"check_faults", "check ../../pkg/pimcontract/testdata/types.toml " + contracts, exitFault},
+		{"check_json", "check --json ../../pkg/pimcontract/testdata/syntax.toml", exitFault},
+		{"check_settings", "check --settings ../../internal/pimsettings/testdata/faults.toml", exitFault},
+		{"check_missing", "check testdata/none.toml", exitFault},
+		{"plan", plan, exitOK},
+		{"plan_all", plan + " --all", exitOK},
+		{"plan_json", plan + " --json", exitOK},
+		{"plan_time", plan + " --at noon", exitFault},
+		{"status", "status --address " + address, exitOK},
+		{"status_json", "status --json --address " + address, exitOK},
+		{"status_address", "status --address nowhere", exitFault},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			is := is.New(t)
+			var stdout, stderr bytes.Buffer
+			is.Equal(execute(strings.Fields(tt.args), &stdout, &stderr), tt.code)
+			got := stdout.String()
+			if stderr.Len() > 0 {
+				got += "stderr:\n" + stderr.String()
+			}
+			golden := filepath.Join("testdata", tt.name+".golden")
+			if *update {
+				is.NoErr(os.WriteFile(golden, []byte(got), 0o600))
+			}
+			want, err := os.ReadFile(golden)
+			is.NoErr(err)
+			is.Equal(got, string(want))
+		})
+	}
+}
--- a/internal/coordination/pimquota/limit.go
+++ b/internal/coordination/pimquota/limit.go
@@ -4,7 +4,6 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
-	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -44,23 +43,8 @@
 			Rate:  terms.RateLimit,
 			Burst: terms.Burst,
 			Flows: terms.FlowLimit,
-			Part:  DataCentrePart(&c, dataCentre, len(centres)),
+			Part:  c.DataCentrePart(dataCentre, len(centres)),
 		}
 	}
 	return p
 }
-
-// DataCentrePart returns the fraction of a contract's limits that belongs to a data centre.
-func DataCentrePart(c *pimcontract.Contract, dataCentre pimid.DataCentre, dataCentres int) float64 {
-	if len(c.DataCentreWeights) == 0 {
-		return 1 / float64(max(dataCentres, 1))
-	}
-	var sum float64
-	for _, w := range c.DataCentreWeights {
-		sum += w
-	}
-	if sum <= 0 {
-		return 0
-	}
-	return c.DataCentreWeights[dataCentre] / sum
-}
--- /dev/null
+++ b/internal/pimplan/compare.go
@@ -0,0 +1,142 @@
+package pimplan
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// comparison holds both publications while the report is built.
+type comparison struct {
+	before fleet
+	after  fleet
+	owner  OwnerFunc
+	report Report
+}
+
+// Compare returns the effect of replacing one publication by another, with the terms in force at the given time.
+func Compare(before, after *pimcontract.Publication, at time.Time, owner OwnerFunc) Report {
+	at = at.UTC()
+	c := comparison{
+		before: fleet{pub: before, at: at},
+		after:  fleet{pub: after, at: at},
+		owner:  owner,
+		report: Report{At: at},
+	}
+	c.contracts()
+	c.services()
+	c.owners()
+	c.sums()
+	c.flows()
+	c.warnings()
+	return c.report
+}
+
+func (c *comparison) dataCentres() []pimid.DataCentre {
+	same := func(d pimid.DataCentre) pimid.DataCentre { return d }
+	return union(c.before.dataCentres(), c.after.dataCentres(), same)
+}
+
+func (c *comparison) contracts() {
+	ids := union(c.before.pub.Contracts, c.after.pub.Contracts,
+		func(c pimcontract.Contract) pimid.ContractID { return c.ID })
+	for _, id := range ids {
+		for _, dc := range c.dataCentres() {
+			c.report.Contracts = append(c.report.Contracts, c.contractRow(id, dc))
+		}
+	}
+}
+
+func (c *comparison) contractRow(id pimid.ContractID, dc pimid.DataCentre) ContractRow {
+	row := ContractRow{Contract: id, DataCentre: dc}
+	before, after := c.before.contract(id), c.after.contract(id)
+	shown := after
+	if shown == nil {
+		shown = before
+	}
+	row.Customer, row.Service = shown.Customer, shown.Service
+	b, a := c.before.values(before, dc), c.after.values(after, dc)
+	row.Rate = Change[float64]{b.rate, a.rate}
+	row.RatePerVM = Change[float64]{b.ratePerVM, a.ratePerVM}
+	row.Flows = Change[float64]{b.flows, a.flows}
+	row.Guaranteed = Change[float64]{b.guaranteed, a.guaranteed}
+	row.Shared = Change[float64]{b.shared, a.shared}
+	return row
+}
+
+// contractValues are the values of one contract in one data centre.
+type contractValues struct {
+	rate, ratePerVM, flows, guaranteed, shared float64
+}
+
+// values returns zeros for a contract that does not exist.
+func (f fleet) values(c *pimcontract.Contract, dc pimid.DataCentre) (v contractValues) {
+	if c == nil {
+		return v
+	}
+	terms, part, slots := c.TermsAt(f.at), f.part(c, dc), f.fraction(c.Service, dc)
+	v.rate = float64(terms.RateLimit) * part
+	v.flows = float64(terms.FlowLimit) * part
+	v.guaranteed = float64(terms.GuaranteedSlots) * slots
+	v.shared = f.unowned(c.Service) * slots * f.weight(c)
+	if n := f.vms(dc); n > 0 {
+		v.ratePerVM = v.rate / float64(n)
+	}
+	return v
+}
+
+func (c *comparison) services() {
+	ids := union(c.before.pub.Services, c.after.pub.Services,
+		func(s pimcontract.Service) pimid.ServiceID { return s.ID })
+	for _, id := range ids {
+		for _, dc := range c.dataCentres() {
+			c.report.Services = append(c.report.Services, c.serviceRow(id, dc))
+		}
+	}
+}
+
+func (c *comparison) serviceRow(id pimid.ServiceID, dc pimid.DataCentre) ServiceRow {
+	row := ServiceRow{Service: id, DataCentre: dc}
+	for _, f := range []fleet{c.before, c.after} {
+		if s := f.service(id); s != nil {
+			row.Name = s.Name
+		}
+	}
+	row.Hosts.Before, row.Slots.Before, row.Guaranteed.Before, row.Unowned.Before = c.before.slotValues(id, dc)
+	row.Hosts.After, row.Slots.After, row.Guaranteed.After, row.Unowned.After = c.after.slotValues(id, dc)
+	return row
+}
+
+func (f fleet) slotValues(id pimid.ServiceID, dc pimid.DataCentre) (hosts int, slots, guaranteed, unowned float64) {
+	hosts, n := f.slots(id, dc)
+	part := f.fraction(id, dc)
+	return hosts, float64(n), float64(f.guaranteed(id, f.at)) * part, f.unowned(id) * part
+}
+
+func (c *comparison) owners() {
+	for _, b := range c.after.pub.Backends {
+		old := c.before.backend(b.ID)
+		if old == nil {
+			continue
+		}
+		move := OwnerMove{Backend: b.ID, DataCentre: b.DataCentre}
+		move.Owner.Before = c.owner(b.ID, c.before.live(old.DataCentre))
+		move.Owner.After = c.owner(b.ID, c.after.live(b.DataCentre))
+		if move.Owner.Changed() {
+			c.report.Owners = append(c.report.Owners, move)
+		}
+	}
+}
+
+func (c *comparison) sums() {
+	for _, s := range c.after.pub.Services {
+		_, slots := c.after.slots(s.ID, "")
+		for _, at := range pimcontract.Changes(c.after.pub.Contracts) {
+			sum := c.after.guaranteed(s.ID, at)
+			c.report.Sums = append(c.report.Sums, SumCheck{
+				Service: s.ID, Time: at.Format("15:04"), Guaranteed: sum, Slots: slots, OK: sum <= slots,
+			})
+		}
+	}
+}
--- /dev/null
+++ b/internal/pimplan/report.go
@@ -0,0 +1,102 @@
+package pimplan
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Report is the effect of a change.
+type Report struct {
+	// At is the time whose terms are compared.
+	At time.Time `json:"at"`
+	// Contracts compares each contract in each data centre.
+	Contracts []ContractRow `json:"contracts"`
+	// Services compares the slots of each service in each data centre.
+	Services []ServiceRow `json:"services"`
+	// Owners lists the backend servers whose slots get another owner.
+	Owners []OwnerMove `json:"owners"`
+	// Sums compares the guarantees with the slots at every time at which a plan changes them.
+	Sums []SumCheck `json:"sums"`
+	// Flows lists the backend servers whose flows are affected.
+	Flows []FlowEffect `json:"flows"`
+	// Warnings are the effects that an operator probably does not want.
+	Warnings []Warning `json:"warnings"`
+}
+
+// Change holds a value before and after the change.
+type Change[T comparable] struct {
+	Before T `json:"before"`
+	After  T `json:"after"`
+}
+
+// Changed reports whether the values differ.
+func (c Change[T]) Changed() bool { return c.Before != c.After }
+
+// ContractRow is the effect on one contract in one data centre.
+type ContractRow struct {
+	Contract   pimid.ContractID `json:"contract"`
+	Customer   pimid.Customer   `json:"customer"`
+	Service    pimid.ServiceID  `json:"service"`
+	DataCentre pimid.DataCentre `json:"data_centre"`
+	// Rate is the limit in requests per second.
+	Rate Change[float64] `json:"rate"`
+	// RatePerVM is the part of the limit that each VM owns.
+	RatePerVM Change[float64] `json:"rate_per_vm"`
+	// Flows is the limit on open flows.
+	Flows Change[float64] `json:"flows"`
+	// Guaranteed is the number of slots that the customer owns.
+	Guaranteed Change[float64] `json:"guaranteed"`
+	// Shared is the part by share weight of the slots that no customer owns; priority decides who gets them first.
+	Shared Change[float64] `json:"shared"`
+}
+
+// Changed reports whether any value differs.
+func (r *ContractRow) Changed() bool {
+	return r.Rate.Changed() || r.RatePerVM.Changed() || r.Flows.Changed() || r.Guaranteed.Changed() || r.Shared.Changed()
+}
+
+// ServiceRow is the effect on the slots of one service in one data centre.
+type ServiceRow struct {
+	Service    pimid.ServiceID  `json:"service"`
+	Name       string           `json:"name"`
+	DataCentre pimid.DataCentre `json:"data_centre"`
+	Hosts      Change[int]      `json:"hosts"`
+	Slots      Change[float64]  `json:"slots"`
+	// Guaranteed slots have an owner, Unowned ones do not.
+	Guaranteed Change[float64] `json:"guaranteed"`
+	Unowned    Change[float64] `json:"unowned"`
+}
+
+// OwnerMove is a backend server whose slots get another owner.
+type OwnerMove struct {
+	Backend    pimid.BackendID      `json:"backend"`
+	DataCentre pimid.DataCentre     `json:"data_centre"`
+	Owner      Change[pimid.NodeID] `json:"owner"`
+}
+
+// SumCheck compares the guarantees of one service after the change with its slots at one time of the day.
+type SumCheck struct {
+	Service    pimid.ServiceID `json:"service"`
+	Time       string          `json:"time_utc"`
+	Guaranteed pimid.Slots     `json:"guaranteed"`
+	Slots      pimid.Slots     `json:"slots"`
+	OK         bool            `json:"ok"`
+}
+
+// FlowEffect is the effect on the established flows of one backend server.
+type FlowEffect struct {
+	Service pimid.ServiceID `json:"service"`
+	Backend pimid.BackendID `json:"backend"`
+	// AtMost is the largest number of flows that can be affected.
+	AtMost pimid.Connections `json:"at_most"`
+	// Broken reports whether the flows end; otherwise they go on and no new ones are placed.
+	Broken bool   `json:"broken"`
+	Reason string `json:"reason"`
+}
+
+// Warning is an effect that an operator probably does not want.
+type Warning struct {
+	Subject string `json:"subject"`
+	Reason  string `json:"reason"`
+}
--- /dev/null
+++ b/internal/pimplan/warnings.go
@@ -0,0 +1,133 @@
+package pimplan
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// minRatePerVM is the part of a limit below which every request needs a permit of the pool owner.
+const minRatePerVM = 1.0
+
+func (c *comparison) warn(subject, format string, args ...any) {
+	c.report.Warnings = append(c.report.Warnings, Warning{Subject: subject, Reason: fmt.Sprintf(format, args...)})
+}
+
+func (c *comparison) warnings() {
+	c.warnContracts()
+	c.warnRates()
+	c.warnSums()
+	c.warnBackends()
+	c.warnNodes()
+	c.warnServices()
+}
+
+func contractName(c *pimcontract.Contract) string {
+	return fmt.Sprintf("contract %d (%s)", c.ID, c.Customer)
+}
+
+func (c *comparison) warnContracts() {
+	for i := range c.before.pub.Contracts {
+		old := &c.before.pub.Contracts[i]
+		now := c.after.contract(old.ID)
+		if now == nil {
+			c.warn(contractName(old), "is removed; its callers are refused with no_contract")
+			continue
+		}
+		if now.Service != old.Service {
+			c.warn(contractName(old), "moves to service %d; its tokens are rejected", now.Service)
+		}
+		c.warnTerms(old, now)
+		c.warnSources(old, now)
+	}
+}
+
+// warnTerms compares the terms at every time of the day at which either contract changes them.
+func (c *comparison) warnTerms(old, now *pimcontract.Contract) {
+	var lowered, lessRate bool
+	for _, at := range pimcontract.Changes([]pimcontract.Contract{*old, *now}) {
+		before, after := old.TermsAt(at), now.TermsAt(at)
+		if after.GuaranteedSlots < before.GuaranteedSlots && !lowered {
+			lowered = true
+			c.warn(contractName(now), "the guarantee is lowered from %d to %d slots (from %s UTC)",
+				before.GuaranteedSlots, after.GuaranteedSlots, at.Format("15:04"))
+		}
+		if after.RateLimit < before.RateLimit && !lessRate {
+			lessRate = true
+			c.warn(contractName(now), "the rate limit is lowered from %g to %g requests per second (from %s UTC)",
+				before.RateLimit, after.RateLimit, at.Format("15:04"))
+		}
+	}
+}
+
+func (c *comparison) warnSources(old, now *pimcontract.Contract) {
+	kept := map[netip.Prefix]bool{}
+	for _, p := range now.Sources {
+		kept[p] = true
+	}
+	for _, p := range old.Sources {
+		if !kept[p] {
+			c.warn(contractName(now), "callers in %s no longer belong to it", p)
+		}
+	}
+}
+
+func (c *comparison) warnRates() {
+	for i := range c.report.Contracts {
+		r := &c.report.Contracts[i]
+		if now := c.after.contract(r.Contract); now != nil && r.Rate.After > 0 && r.RatePerVM.After < minRatePerVM {
+			c.warn(contractName(now), "the limit in %s is %.3g requests per second and VM; below %g every request waits "+
+				"for a permit of the pool owner", r.DataCentre, r.RatePerVM.After, minRatePerVM)
+		}
+	}
+}
+
+func (c *comparison) warnSums() {
+	for _, s := range c.report.Sums {
+		if !s.OK {
+			c.warn(fmt.Sprintf("service %d", s.Service), "the guarantees add up to %d at %s UTC, but it has %d slots on "+
+				"hosts that are not leaving", s.Guaranteed, s.Time, s.Slots)
+		}
+	}
+}
+
+func (c *comparison) warnBackends() {
+	addresses := map[netip.AddrPort]pimid.BackendID{}
+	for i := range c.before.pub.Backends {
+		old := &c.before.pub.Backends[i]
+		addresses[old.FlowAddress] = old.ID
+		if now := c.after.backend(old.ID); now == nil && old.State == pimcontract.StateLive {
+			c.warn(fmt.Sprintf("backend server %d", old.ID), "is removed without a drain; publish it as leaving first")
+		}
+	}
+	for _, b := range c.after.pub.Backends {
+		if id, ok := addresses[b.FlowAddress]; ok && id != b.ID {
+			c.warn(fmt.Sprintf("backend server %d", b.ID), "reuses the address %s of backend server %d", b.FlowAddress, id)
+		}
+	}
+}
+
+func (c *comparison) warnNodes() {
+	for i := range c.before.pub.Nodes {
+		old := &c.before.pub.Nodes[i]
+		if now := c.after.node(old.ID); now == nil && old.State == pimcontract.StateLive {
+			c.warn(fmt.Sprintf("VM %d", old.ID), "is removed without leaving first; requests with this home VM become unknown")
+		}
+	}
+	for _, dc := range c.dataCentres() {
+		if c.before.vms(dc) > 0 && len(c.after.live(dc)) == 0 {
+			c.warn(fmt.Sprintf("data centre %s", dc), "has no live VM left")
+		}
+	}
+}
+
+func (c *comparison) warnServices() {
+	for i := range c.before.pub.Services {
+		old := &c.before.pub.Services[i]
+		if now := c.after.service(old.ID); now == nil {
+			c.warn(fmt.Sprintf("service %d (%s)", old.ID, old.Name), "is removed")
+		}
+	}
+}
--- /dev/null
+++ b/pkg/pimcontract/part.go
@@ -0,0 +1,19 @@
+package pimcontract
+
+import "github.com/pimentoyard/pimentoyard/pkg/pimid"
+
+// DataCentrePart returns the fraction of the contract's limits that belongs to a data centre; without weights, all data
+// centres have equal parts.
+func (c *Contract) DataCentrePart(dataCentre pimid.DataCentre, dataCentres int) float64 {
+	if len(c.DataCentreWeights) == 0 {
+		return 1 / float64(max(dataCentres, 1))
+	}
+	var sum float64
+	for _, w := range c.DataCentreWeights {
+		sum += w
+	}
+	if sum <= 0 {
+		return 0
+	}
+	return c.DataCentreWeights[dataCentre] / sum
+}
