--- a/cmd/pimentoyard/commands.go
+++ b/cmd/pimentoyard/commands.go
@@ -38,6 +38,8 @@
 	return []command{
 		newCheck(out),
 		newRun(out),
+		newPlan(out),
+		newStatus(out),
 		newVersion(out),
 	}
 }
