fix: lend the whole share again (reverts a failed try)

Ruled out: shorter leases, which must outlast the loss of two exchanges. Change: the try is taken back. Conclusion: the kept parts follow a noisy demand and grow only after a lease, so permits are lost.

--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -75,8 +75,9 @@
 		a := m.accounts[id]
 		d := a.ask(now, id)
 		if !a.releasing && l.responsive(now) && a.mayLend(now, run) {
-			lent := a.lend(now, run, m.share(now, a))
-			d.LentRate, d.LentDepth = lent.rate, lent.depth
+			s := m.share(now, a)
+			a.lend(now, run)
+			d.LentRate, d.LentDepth = s.rate, s.depth
 		}
 		req.Demands = append(req.Demands, d)
 	}
@@ -90,7 +91,7 @@
 	if a.releasing {
 		a.grant = grant{}
 	}
-	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: max(a.demand.rate-a.own.rate, 0), Permits: math.Ceil(a.asked), Release: a.releasing}
+	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
 	if now.Before(a.grant.expires) {
 		a.grant.advance(now)
 		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
@@ -125,7 +126,7 @@
 	a.grant.rate, a.grant.depth = g.GetRate(), g.GetDepth()
 	a.grant.tokens = min(a.grant.tokens+g.GetPermits(), a.grant.depth)
 	if a.releasing && g.GetReleased() {
-		a.lentUntil, a.leases, a.releasing = now, nil, false
+		a.lentUntil, a.releasing = now, false
 	}
 	a.backOff(l.sent, a.asked == 0 || g.GetPermits() >= 1)
 }
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -43,9 +43,7 @@
 	for id, limit := range pub.Limits {
 		a := m.accounts[id]
 		if a == nil {
-			a = &account{
-				flows: newFlowEstimator(now), demand: demand{window: demandWindow}, steady: demand{window: steadyWindow},
-			}
+			a = &account{flows: newFlowEstimator(now)}
 			m.accounts[id] = a
 		}
 		a.limit = limit
@@ -82,7 +80,6 @@
 		return false, lease
 	}
 	a.demand.add(now, n)
-	a.steady.add(now, n)
 	a.resume(now, m.share(now, a))
 	if len(a.queue) == 0 && a.take(now, n) {
 		return true, 0
