fix: answer a post without a request tag with bad_input

Ruled out: a reason of its own; pimedge has bad_input by now, which maps to 4.00. Change: not_run with bad_input; the unused reason no_tag is removed. Explain shows the terms in force. Conclusion: the answer is honest and tells the caller not to repeat the message unchanged.

--- a/internal/coordination/pimroute/explain.go
+++ b/internal/coordination/pimroute/explain.go
@@ -1,6 +1,8 @@
 package pimroute
 
 import (
+	"time"
+
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
@@ -22,8 +24,8 @@
 	Node     pimid.NodeID         `json:"node,omitempty"`
 }
 
-// Explain decides about a packet without admission, placement, counting or new tokens. The terms are those without
-// time-of-day plans.
+// Explain decides about a packet without admission, placement, counting or new tokens. The terms are those in force at
+// unixNow in unix seconds.
 func (r *Router) Explain(now pimclock.Instant, unixNow int64, p *pimedge.Packet) Explanation {
 	s := r.current.Load()
 	if s == nil {
@@ -37,7 +39,8 @@
 		Contract: a.Contract, Backend: a.Backend, Node: a.Node, State: s.view.Backends[a.Backend].State,
 	}
 	if c, ok := s.view.Contracts[a.Contract]; ok && a.Rule != RuleNoContract {
-		e.Customer, e.Terms = c.Customer, &c.Terms
+		terms := c.TermsAt(time.Unix(unixNow, 0))
+		e.Customer, e.Terms = c.Customer, &terms
 	}
 	return e
 }
--- a/internal/coordination/pimroute/post.go
+++ b/internal/coordination/pimroute/post.go
@@ -14,7 +14,7 @@
 func (d *decision) decidePost() {
 	switch {
 	case !d.p.HasTag:
-		refuse(d.a, d.p, RuleNoTag, pimedge.ReasonNoTag, 0)
+		d.refuseNoTag()
 	case d.a.Token.CheckPermit(d.unixNow) != nil:
 		refuse(d.a, d.p, RulePermitExpired, pimedge.ReasonExpired, 0)
 		d.renewToken()
@@ -23,6 +23,12 @@
 	}
 }
 
+// refuseNoTag refuses a POST whose duplicate could not be told from a new request. No VM runs one, so it was not run.
+func (d *decision) refuseNoTag() {
+	refuse(d.a, d.p, RuleNoTag, pimedge.ReasonBadInput, 0)
+	d.a.Reply.Outcome = pimedge.OutcomeNotRun
+}
+
 func (d *decision) routePost() {
 	home := Home{Node: d.a.Token.Home, Incarnation: d.a.Token.HomeIncarnation}
 	target, ok := d.r.acceptor(home)
--- a/internal/protocol/pimedge/reply.go
+++ b/internal/protocol/pimedge/reply.go
@@ -37,10 +37,8 @@
 	ReasonExpired     Reason = "permit_expired"
 	ReasonHomeLost    Reason = "home_lost"
 	ReasonNoAnswer    Reason = "no_answer"
-	// ReasonNoTag means that a POST carries no Request-Tag, so that a duplicate could not be told from a new request.
-	ReasonNoTag    Reason = "no_tag"
-	ReasonTooLarge Reason = "too_large"
-	ReasonBadInput Reason = "bad_input"
+	ReasonTooLarge    Reason = "too_large"
+	ReasonBadInput    Reason = "bad_input"
 )
 
 // Reply is what a VM tells a caller.
