test: check that a path reaches the backend server unchanged

Cause: a path that starts with two slashes could be read as host and path by a URL parser. Ruled out: a fault in the earlier code. The new test, without its check for ErrPath, passed on the earlier code too: url.ParseRequestURI reads such a path as a path. Change: the path is appended to the address without a second parser, and a path without leading slash gives ErrPath with reason bad_input instead of an untyped error. Conclusion: the behaviour was right; it is now checked, and the error is typed.

--- a/internal/transport/pimhttp/do.go
+++ b/internal/transport/pimhttp/do.go
@@ -6,8 +6,8 @@
 	"errors"
 	"io"
 	"net/http"
-	"net/url"
 	"strconv"
+	"strings"
 	"time"
 
 	"go.opentelemetry.io/otel"
@@ -58,12 +58,10 @@
 func newRequest(
 	ctx context.Context, b pimview.Backend, method, path string, body []byte, left time.Duration,
 ) (*http.Request, error) {
-	target, err := url.ParseRequestURI(path)
-	if err != nil {
-		return nil, err
+	if !strings.HasPrefix(path, "/") {
+		return nil, ErrPath
 	}
-	target.Scheme, target.Host = "http", b.HTTPAddress.String()
-	req, err := http.NewRequestWithContext(ctx, method, target.String(), nil)
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+b.HTTPAddress.String()+path, nil)
 	if err != nil {
 		return nil, err
 	}
@@ -86,6 +84,9 @@
 }
 
 func reasonNotSent(err error) pimedge.Reason {
+	if errors.Is(err, ErrPath) {
+		return pimedge.ReasonBadInput
+	}
 	if errors.Is(err, ErrDeadline) || errors.Is(err, context.DeadlineExceeded) || errors.Is(err, context.Canceled) {
 		return pimedge.ReasonDeadline
 	}
--- a/internal/transport/pimhttp/do_test.go
+++ b/internal/transport/pimhttp/do_test.go
@@ -58,6 +58,26 @@
 	}
 }
 
+// Guards against a path that is read as a host name or changed on the way.
+func TestPathArrivesUnchanged(t *testing.T) {
+	is := is.New(t)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = w.Write([]byte(r.Host + r.RequestURI))
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	b := pimview.Backend{HTTPAddress: netip.MustParseAddrPort(address)}
+	c := newClient(t, Config{})
+	for _, path := range []string{"/", "//other/x", "/a%2Fb?q=1%26x", "/@other/", "/a//b/", "/%3Fx"} {
+		res := c.Do(context.Background(), b, http.MethodGet, path, nil, soon())
+		is.Equal(string(res.Body), address+path)
+	}
+	for _, path := range []string{"", "x", "@other/", ":1/"} {
+		res := c.Do(context.Background(), b, http.MethodGet, path, nil, soon())
+		is.True(res.NotSent && errors.Is(res.Err, ErrPath))
+	}
+}
+
 // Guards against a request that is sent after its deadline, for example after a pause of the process.
 func TestNothingIsSentAfterTheDeadline(t *testing.T) {
 	is := is.New(t)
--- a/internal/transport/pimhttp/result.go
+++ b/internal/transport/pimhttp/result.go
@@ -17,6 +17,8 @@
 	ErrIncomplete = errors.New("incomplete answer body")
 	// ErrTooLarge means that the answer body exceeds the limit of one datagram.
 	ErrTooLarge = errors.New("answer body too large")
+	// ErrPath means that the path does not start with a slash.
+	ErrPath = errors.New("path without leading slash")
 	// ErrShed means that the backend server shed the request.
 	ErrShed = errors.New("shed by the backend server")
 )
