feat: let the stand-in backend server start cold and mislead

Cause: tests of slow start and of misleading load reports need such a server. Ruled out: a slow start by a fixed delay, which would not warm up. Change: a factor on the service time that falls to 1, and POST /mislead. Conclusion: these faults can be injected without changes to the server.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -24,6 +24,8 @@
 	Service     string        `long:"service" description:"published service address; empty accepts any"`
 	Slots       int           `long:"slots" description:"requests that run at once" default:"2"`
 	ServiceTime time.Duration `long:"service-time" description:"time of one request" default:"20ms"`
+	ColdFactor  float64       `long:"cold-factor" description:"factor on the service time at the start" default:"1"`
+	ColdFor     time.Duration `long:"cold-for" description:"time until the server is warm" default:"10s"`
 	RetryAfter  time.Duration `long:"retry-after" description:"advice to shed requests" default:"1s"`
 	Notify      time.Duration `long:"notify" description:"time between notifications of a flow" default:"1s"`
 	FlowTTL     time.Duration `long:"flow-ttl" description:"lifetime of a flow without refresh" default:"100s"`
@@ -67,6 +69,8 @@
 		Generation:  pimid.Generation(o.Generation),
 		Slots:       pimid.Slots(o.Slots),
 		ServiceTime: o.ServiceTime,
+		ColdFactor:  o.ColdFactor,
+		ColdFor:     o.ColdFor,
 		RetryAfter:  o.RetryAfter,
 		Notify:      o.Notify,
 		FlowTTL:     o.FlowTTL,
--- /dev/null
+++ b/internal/standin/standbackend/cold.go
@@ -0,0 +1,13 @@
+package standbackend
+
+import "time"
+
+// serviceTime returns the time of one request at the given age of the server.
+func (c *Config) serviceTime(age time.Duration) time.Duration {
+	if c.ColdFactor <= 1 || age >= c.ColdFor {
+		return c.ServiceTime
+	}
+	cold := 1 - float64(age)/float64(c.ColdFor)
+	factor := 1 + (c.ColdFactor-1)*cold
+	return time.Duration(float64(c.ServiceTime) * factor)
+}
--- a/internal/standin/standbackend/config.go
+++ b/internal/standin/standbackend/config.go
@@ -24,6 +24,9 @@
 	Slots pimid.Slots
 	// ServiceTime is the time that one request takes.
 	ServiceTime time.Duration
+	// ColdFactor multiplies the service time at the start; it falls to 1 within ColdFor. At most 1 means a warm start.
+	ColdFactor float64
+	ColdFor    time.Duration
 	// RetryAfter is the advice to a shed request, rounded up to whole seconds.
 	RetryAfter time.Duration
 	// Notify is the time between notifications on each flow; zero sends them only in answer to packets.
--- a/internal/standin/standbackend/handler.go
+++ b/internal/standin/standbackend/handler.go
@@ -24,6 +24,7 @@
 	mux.HandleFunc("GET /stats", s.getStats)
 	mux.HandleFunc("POST /drain", s.postDrain)
 	mux.HandleFunc("POST /silence", s.postSilence)
+	mux.HandleFunc("POST /mislead", s.postMislead)
 	mux.HandleFunc("/", s.work)
 	return mux
 }
@@ -33,6 +34,10 @@
 }
 
 func (s *Server) getLoad(w http.ResponseWriter, _ *http.Request) {
+	if s.misleading.Load() {
+		s.writeJSON(w, load{Generation: s.cfg.Generation})
+		return
+	}
 	s.writeJSON(w, load{
 		InFlight:    len(s.slots),
 		Connections: s.flows.count(),
@@ -63,6 +68,12 @@
 	w.WriteHeader(http.StatusNoContent)
 }
 
+// postMislead makes the load endpoint report an idle server from now on.
+func (s *Server) postMislead(w http.ResponseWriter, _ *http.Request) {
+	s.misleading.Store(true)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 // Silence makes all open connections silent for ever; new connections work.
 func (s *Server) Silence() { s.silentUpTo.Store(s.connections.Load()) }
 
--- a/internal/standin/standbackend/server.go
+++ b/internal/standin/standbackend/server.go
@@ -26,11 +26,14 @@
 	records  *records
 	slots    chan struct{}
 	wg       sync.WaitGroup
+	started  time.Time
 
 	drainedAt atomic.Pointer[time.Time]
 	// connections numbers the accepted connections; those up to silentUpTo never get an answer.
 	connections atomic.Int64
 	silentUpTo  atomic.Int64
+	// misleading makes the load endpoint report an idle server that does not drain.
+	misleading atomic.Bool
 }
 
 // Start opens the sockets and serves; it returns the error of a socket. The cleanup function waits for running requests.
@@ -41,7 +44,7 @@
 		}
 	}()
 	cfg = cfg.withDefaults()
-	s = &Server{cfg: cfg, flows: newFlows(cfg.FlowTTL), records: newRecords(), slots: make(chan struct{}, cfg.Slots)}
+	s = &Server{cfg: cfg, flows: newFlows(cfg.FlowTTL), records: newRecords(), slots: make(chan struct{}, cfg.Slots), started: time.Now()}
 	var listen net.ListenConfig
 	if s.listener, err = listen.Listen(context.Background(), "tcp", cfg.HTTPAddress.String()); err != nil {
 		return nil, nil, err
--- a/internal/standin/standbackend/server_test.go
+++ b/internal/standin/standbackend/server_test.go
@@ -113,6 +113,21 @@
 	is.Equal(s.Stats().AfterDrain, int64(1))
 }
 
+// Guards against a cold start that does not end, and against a misleading load report that shows the truth.
+func TestColdStartAndMisleadingLoad(t *testing.T) {
+	is := is.New(t)
+	cfg := Config{ServiceTime: time.Second, ColdFactor: 5, ColdFor: 10 * time.Second}
+	is.Equal(cfg.serviceTime(0), 5*time.Second)
+	is.Equal(cfg.serviceTime(5*time.Second), 3*time.Second)
+	is.Equal(cfg.serviceTime(10*time.Second), time.Second)
+	s, do := setup(t, Config{})
+	s.slots <- struct{}{}
+	do(http.MethodPost, "/drain", "")
+	do(http.MethodPost, "/mislead", "")
+	want := `{"in_flight":0,"connections":0,"draining":false,"generation":3}` + "\n"
+	is.Equal(string(do(http.MethodGet, "/load", "").Body), want)
+}
+
 // flowClient sends encapsulated packets as a VM would and receives the direct answers as the caller.
 type flowClient struct {
 	t    *testing.T
--- a/internal/standin/standbackend/work.go
+++ b/internal/standin/standbackend/work.go
@@ -75,7 +75,7 @@
 
 // process takes the service time and sends interim answers meanwhile; ok is false if the request ended early.
 func (s *Server) process(ctx context.Context, w http.ResponseWriter) (ok bool) {
-	end := time.NewTimer(s.cfg.ServiceTime)
+	end := time.NewTimer(s.cfg.serviceTime(time.Since(s.started)))
 	defer end.Stop()
 	progress := time.NewTicker(progressInterval)
 	defer progress.Stop()
