fix: use plain names in the stand-ins

Cause: the type of the random choices had a figurative name, and the default path looked like a path of a machine. Ruled out: nothing. Change: chooser instead of chance, /items as the default path. Conclusion: no behaviour changes but the default path.

--- a/cmd/standin-caller/main.go
+++ b/cmd/standin-caller/main.go
@@ -24,7 +24,7 @@
 	Rate        float64       `long:"rate" description:"requests per second" default:"10"`
 	Duration    time.Duration `long:"duration" description:"length of the run" default:"10s"`
 	PostShare   float64       `long:"post-share" description:"share of non-idempotent requests" default:"0.5"`
-	Path        string        `long:"path" description:"path of requests and flows" default:"/work"`
+	Path        string        `long:"path" description:"path of requests and flows" default:"/items"`
 	BodyBytes   int           `long:"body-bytes" description:"length of a request body" default:"64"`
 	AnswerBytes int           `long:"answer-bytes" description:"length of an answer" default:"0"`
 	Timeout     time.Duration `long:"timeout" description:"deadline of a request" default:"2s"`
--- a/internal/standin/standcaller/config.go
+++ b/internal/standin/standcaller/config.go
@@ -43,7 +43,7 @@
 }
 
 const (
-	defaultPath      = "/work"
+	defaultPath      = "/items"
 	defaultTimeout   = 2 * time.Second
 	defaultOpenLimit = 64
 )
--- a/internal/standin/standfabric/chance.go
+++ b/internal/standin/standfabric/chooser.go
@@ -6,8 +6,8 @@
 	"time"
 )
 
-// chance makes all random choices of a fabric from one seed.
-type chance struct {
+// chooser makes all random choices of a fabric from one seed.
+type chooser struct {
 	impairment Impairment
 	mu         sync.Mutex
 	rand       *rand.Rand
@@ -16,19 +16,19 @@
 // seedStream separates this generator from others with the same seed.
 const seedStream = 0x66616272696b
 
-func newChance(seed uint64, impairment Impairment) *chance {
-	return &chance{impairment: impairment, rand: rand.New(rand.NewPCG(seed, seedStream))}
+func newChooser(seed uint64, impairment Impairment) *chooser {
+	return &chooser{impairment: impairment, rand: rand.New(rand.NewPCG(seed, seedStream))}
 }
 
 // pick returns a number below n.
-func (c *chance) pick(n int) int {
+func (c *chooser) pick(n int) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.rand.IntN(n)
 }
 
 // copies returns how many copies of a datagram arrive.
-func (c *chance) copies() int {
+func (c *chooser) copies() int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	switch {
@@ -42,7 +42,7 @@
 }
 
 // delay returns the delay of one copy.
-func (c *chance) delay() time.Duration {
+func (c *chooser) delay() time.Duration {
 	if c.impairment.MaxDelay <= 0 {
 		return 0
 	}
--- a/internal/standin/standfabric/fabric.go
+++ b/internal/standin/standfabric/fabric.go
@@ -14,11 +14,11 @@
 
 // Fabric delivers the datagrams of callers to VMs.
 type Fabric struct {
-	cfg    Config
-	chance *chance
-	routes map[pimid.ServiceID]*route
-	vms    atomic.Pointer[[]netip.Addr]
-	wg     sync.WaitGroup
+	cfg     Config
+	chooser *chooser
+	routes  map[pimid.ServiceID]*route
+	vms     atomic.Pointer[[]netip.Addr]
+	wg      sync.WaitGroup
 
 	fromCallers, toCallers, lost, duplicated, unroutable atomic.Uint64
 }
@@ -41,7 +41,7 @@
 		}
 	}()
 	cfg = cfg.withDefaults()
-	f = &Fabric{cfg: cfg, chance: newChance(cfg.Seed, cfg.Impairment), routes: make(map[pimid.ServiceID]*route)}
+	f = &Fabric{cfg: cfg, chooser: newChooser(cfg.Seed, cfg.Impairment), routes: make(map[pimid.ServiceID]*route)}
 	f.SetVMs(cfg.VMs)
 	ctx, cancel := context.WithCancel(context.Background())
 	cleanup = func() {
@@ -91,13 +91,13 @@
 // target chooses the edge address for one datagram.
 func (f *Fabric) target(r *route) (addr netip.AddrPort, ok bool) {
 	if targets := f.cfg.Targets[r.cfg.Service]; len(targets) > 0 {
-		return targets[f.chance.pick(len(targets))], true
+		return targets[f.chooser.pick(len(targets))], true
 	}
 	vms := *f.vms.Load()
 	if len(vms) == 0 {
 		return netip.AddrPort{}, false
 	}
-	return netip.AddrPortFrom(vms[f.chance.pick(len(vms))], r.edgePort()), true
+	return netip.AddrPortFrom(vms[f.chooser.pick(len(vms))], r.edgePort()), true
 }
 
 func (f *Fabric) close() {
--- a/internal/standin/standfabric/fabric_test.go
+++ b/internal/standin/standfabric/fabric_test.go
@@ -91,7 +91,7 @@
 func TestChoicesFollowTheSeed(t *testing.T) {
 	is := is.New(t)
 	choices := func(seed uint64) (got []int64) {
-		c := newChance(seed, Impairment{Loss: 0.2, Duplication: 0.2, MaxDelay: time.Second})
+		c := newChooser(seed, Impairment{Loss: 0.2, Duplication: 0.2, MaxDelay: time.Second})
 		for range 200 {
 			got = append(got, int64(c.pick(5)), int64(c.copies()), int64(c.delay()))
 		}
@@ -104,7 +104,7 @@
 	}
 	is.True(!same)
 	counts := make(map[int]int)
-	c := newChance(1, Impairment{Loss: 0.2, Duplication: 0.25})
+	c := newChooser(1, Impairment{Loss: 0.2, Duplication: 0.25})
 	for range 10_000 {
 		counts[c.copies()]++
 	}
--- a/internal/standin/standfabric/route.go
+++ b/internal/standin/standfabric/route.go
@@ -147,7 +147,7 @@
 
 // impair loses, duplicates and delays a datagram.
 func (f *Fabric) impair(datagram []byte, send func([]byte)) {
-	copies := f.chance.copies()
+	copies := f.chooser.copies()
 	switch copies {
 	case 0:
 		f.lost.Add(1)
@@ -155,7 +155,7 @@
 		f.duplicated.Add(1)
 	}
 	for range copies {
-		delay := f.chance.delay()
+		delay := f.chooser.delay()
 		if delay == 0 {
 			send(datagram)
 			continue
