fix: refuse only on fresh evidence and finish requests whose relaying vm died

Requests relayed by a VM that died were refused with no_slot, since their context ended with the relay. Refreshes of flows were not recognised, so they were neither counted nor given new tokens. Change: a request waits up to 1.5 s while the pool owner is silent; a home VM finishes a request without its relay; slot owners are asked again while none can be reached; the decoder marks refreshes.

--- a/internal/coordination/pimquota/baseline_test.go
+++ b/internal/coordination/pimquota/baseline_test.go
@@ -10,7 +10,8 @@
 type pooled struct{ s *sim }
 
 func (p pooled) request(now pimclock.Instant, vm int, admit func()) {
-	p.s.vms[vm].pool.Request(now, now.Add(simPatience), simContract, 1, func(ok bool, _ time.Duration) {
+	wait := Patience{Deadline: now.Add(simPatience), Silence: now.Add(simSilence)}
+	p.s.vms[vm].pool.Request(now, wait, simContract, 1, func(ok bool, _ time.Duration) {
 		if ok {
 			admit()
 		}
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -109,7 +109,7 @@
 	for _, g := range reply.GetGrants() {
 		if a := m.accounts[pimid.ContractID(g.GetContract())]; a != nil {
 			a.receive(now, l, g)
-			notices = append(notices, a.serve(now)...)
+			notices = append(notices, m.serve(now, a)...)
 		}
 	}
 	return notices
--- a/internal/coordination/pimquota/fault_test.go
+++ b/internal/coordination/pimquota/fault_test.go
@@ -127,7 +127,7 @@
 }
 
 func play(seed uint64, faults []fault, build func(s *sim) limiter) outcome {
-	s := newSim(seed, faultVMs, faultLimit)
+	s := newSim(seed, faultLimit)
 	s.loss = 0.02
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
@@ -172,6 +172,29 @@
 	}
 }
 
+// Guards against refusals far below the limit because the pool owner died: without the wait for the end of the lease,
+// every request was refused until then.
+func TestOwnerDeathRefusesNothingBelowTheLimit(t *testing.T) {
+	is := is.New(t)
+	for _, limit := range []Limit{faultLimit, {Rate: 2000, Burst: 400, Part: 1}} {
+		s := newSim(11, limit)
+		for vm := range s.vms {
+			s.publish(vm, faultVMs)
+		}
+		load := 0.25 * float64(limit.Rate)
+		s.run(faultWarmUp, 0, pooled{s})
+		s.run(faultAt, load, pooled{s})
+		owner := s.owner(0)
+		s.vms[owner].weight = 0
+		s.vms[owner].up = false
+		before := s.offered - len(s.admitted)
+		s.suspect(owner, detection)
+		s.run(2*detection, load, pooled{s})
+		s.run(2*detection, 0, pooled{s})
+		is.Equal(s.offered-len(s.admitted)-before, 0)
+	}
+}
+
 // splitLoss is the part of the limit that VMs cannot use while the callers arrive at VMs that belong to another pool.
 func splitLoss(set []fault) float64 {
 	if len(set) < 2 || set[0].name != "uneven spray" {
@@ -212,7 +235,7 @@
 // owner at once instead of waiting for their leases to end.
 func TestOwnerChangeIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	s := newSim(3, faultVMs, faultLimit)
+	s := newSim(3, faultLimit)
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
 	}
@@ -248,7 +271,7 @@
 }
 
 func playSmall(limit Limit, load float64, build func(s *sim) limiter) (admitted, most int) {
-	s := newSim(7, faultVMs, limit)
+	s := newSim(7, limit)
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
 	}
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -95,7 +95,7 @@
 	m.ticked = now
 	for _, a := range m.accounts {
 		a.resume(now, m.share(now, a))
-		notices = append(notices, a.serve(now)...)
+		notices = append(notices, m.serve(now, a)...)
 	}
 	return notices
 }
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -58,14 +58,14 @@
 	return ok, retryAfter
 }
 
-// Request is Take for a request that can wait until the deadline for permits of the owner; result is called once, after
-// Request returned or before.
-func (p *Pool) Request(now, deadline pimclock.Instant, contract pimid.ContractID, n int, result Result) {
+// Request is Take for a request that can wait for permits of the owner; result is called once, after Request returned or
+// before.
+func (p *Pool) Request(now pimclock.Instant, wait Patience, contract pimid.ContractID, n int, result Result) {
 	p.mu.Lock()
 	ok, retryAfter := p.member.take(now, contract, float64(n))
 	a := p.member.accounts[contract]
-	if wait := !ok && a != nil; wait {
-		a.queue = append(a.queue, waiter{n: float64(n), deadline: deadline, result: result})
+	if !ok && a != nil {
+		a.queue = append(a.queue, waiter{Patience: wait, n: float64(n), result: result})
 		p.mu.Unlock()
 		return
 	}
--- a/internal/coordination/pimquota/queue.go
+++ b/internal/coordination/pimquota/queue.go
@@ -9,24 +9,51 @@
 // Result tells a waiting request whether it got its permits; retryAfter is set if it did not.
 type Result func(ok bool, retryAfter time.Duration)
 
+// Patience says how long a request waits for permits.
+type Patience struct {
+	// Deadline ends the wait if the owner answers, so that a lack of permits shows that the limit is reached.
+	Deadline pimclock.Instant
+	// Silence ends the wait while the owner does not answer; a lack of permits shows nothing then. It should allow for
+	// a lease, after which the own share can be used.
+	Silence pimclock.Instant
+}
+
 // waiter is a request that waits a short time for permits of the owner.
 type waiter struct {
-	n        float64
-	deadline pimclock.Instant
-	result   Result
+	Patience
+	n      float64
+	result Result
 }
 
+// settleTime is how long the own share accrues after a lease before a lack of permits shows that the limit is reached.
+const settleTime = time.Second
+
 // notice is a result that is delivered after the pool's lock was released.
 type notice func()
 
+// ends reports whether the wait is over; isSilent reports whether the owner of the share does not answer.
+func (w *waiter) ends(now pimclock.Instant, isSilent bool) bool {
+	if isSilent {
+		return !now.Before(w.Silence)
+	}
+	return !now.Before(w.Deadline)
+}
+
+// isSilent reports whether the share is lent to an owner that has not answered the last request, or was until a moment
+// ago.
+func (m *member) isSilent(now pimclock.Instant, a *account) bool {
+	l := m.link(a.lentTo.node)
+	return now.Before(a.lentUntil.Add(settleTime)) && (!l.answered || !l.responsive(now))
+}
+
 // serve answers the waiting requests in order, as far as permits suffice or deadlines have passed.
-func (a *account) serve(now pimclock.Instant) (notices []notice) {
+func (m *member) serve(now pimclock.Instant, a *account) (notices []notice) {
 	for len(a.queue) > 0 {
 		w := a.queue[0]
 		switch {
 		case a.take(now, w.n):
 			notices = append(notices, func() { w.result(true, 0) })
-		case now.Before(w.deadline):
+		case !w.ends(now, m.isSilent(now, a)):
 			return notices
 		default:
 			retry := a.retryAfter(w.n)
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -16,6 +16,8 @@
 	simMaxVMs   = 16
 	// simPatience is how long a request waits for permits.
 	simPatience = 20 * time.Millisecond
+	// simSilence is how long it waits while the owner does not answer.
+	simSilence = 1500 * time.Millisecond
 )
 
 // limiter is what the simulation compares: pooled shares and the baselines.
@@ -58,10 +60,10 @@
 	deliver func(now pimclock.Instant)
 }
 
-func newSim(seed uint64, n int, limit Limit) *sim {
+func newSim(seed uint64, limit Limit) *sim {
 	s := &sim{limit: limit, rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
 	s.split = func(int, int) bool { return false }
-	for range n {
+	for range faultVMs {
 		s.join(1)
 	}
 	return s
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -16,7 +16,7 @@
 // Guards against requests that are cut, refused or run twice when a VM is stopped as planned and replaced.
 func TestPlannedStopIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 4)
+	f := newFleet(t)
 	f.start(1, 2, 3)
 	l := f.startLoad()
 	l.awaitAnswers(50)
@@ -34,7 +34,7 @@
 
 // Guards against double execution, false refusals and broken flows when a VM dies without notice.
 func TestKilledVM(t *testing.T) {
-	f := newFleet(t, 4)
+	f := newFleet(t)
 	f.start(1, 2, 3)
 	l := f.startLoad()
 	l.awaitAnswers(50)
@@ -49,7 +49,7 @@
 
 // Guards against a VM that wakes up late and runs requests whose deadline has passed or that others have answered.
 func TestPausedVM(t *testing.T) {
-	f := newFleet(t, 4)
+	f := newFleet(t)
 	f.start(1, 2, 3)
 	l := f.startLoad()
 	l.awaitAnswers(50)
@@ -67,7 +67,7 @@
 // its peers, and a stale replica does not bring an old revision back.
 func TestPlatformDownAndStale(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 4)
+	f := newFleet(t)
 	f.start(1, 2, 3)
 	l := f.startLoad()
 	l.awaitAnswers(20)
@@ -108,7 +108,7 @@
 // Guards against new work for a backend server that says it is leaving while the platform cannot say so.
 func TestDrainIsObeyedWithoutThePlatform(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t, 4)
+	f := newFleet(t)
 	f.start(1, 2, 3)
 	l := f.startLoad()
 	l.awaitAnswers(20)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -30,6 +30,8 @@
 	edgePort = 9001
 	peerPort = 7400
 	opsPort  = 7500
+	// fleetBackends is the number of backend servers, each with 4 slots.
+	fleetBackends = 4
 	// patience bounds waits for a state; no verdict depends on how long a wait takes within it.
 	patience = 60 * time.Second
 )
@@ -73,7 +75,7 @@
 }
 
 // newFleet starts the stand-ins on a random loopback subnet, so that several runs do not meet.
-func newFleet(t *testing.T, backends int) *fleet {
+func newFleet(t *testing.T) *fleet {
 	f := &fleet{
 		t: t, subnet: fmt.Sprintf("127.%d.%d", 64+rand.IntN(64), rand.IntN(256)),
 		state: standplatform.NewState(), vms: map[pimid.NodeID]*vm{},
@@ -84,7 +86,7 @@
 	f.url = server.URL
 	f.startFabric()
 	f.publish()
-	for i := range backends {
+	for i := range fleetBackends {
 		f.addBackend(pimid.BackendID(i + 1))
 	}
 	return f
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -18,9 +18,28 @@
 // ErrNoPeer means that the address of a VM is not known.
 var ErrNoPeer = errors.New("vm is not known")
 
-// acquire asks up to two slot owners for a slot of the service.
+// acquire asks slot owners for a slot of the service. While owners cannot be reached, it waits for the membership to
+// name new ones until ctx ends, since no backend server has received anything yet.
 func (n *Node) acquire(ctx context.Context, w pimonce.Work, exclude []pimid.BackendID) (s pimonce.Slot, err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "acquire slot of service %d", w.Service) }()
+	for {
+		if s, err = n.askOwners(ctx, w, exclude); err == nil || isDecided(err) {
+			return s, err
+		}
+		if !sleep(ctx, ownerRetry) {
+			return s, err
+		}
+	}
+}
+
+// isDecided reports whether an owner has refused, so that asking again would not help now.
+func isDecided(err error) bool {
+	var refusal *pimslot.RefusalError
+	return errors.As(err, &refusal)
+}
+
+// askOwners asks up to two slot owners.
+func (n *Node) askOwners(ctx context.Context, w pimonce.Work, exclude []pimid.BackendID) (s pimonce.Slot, err error) {
 	candidates := n.topology.Load().candidates(w.Service)
 	var asked []pimid.NodeID
 	for range ownerTries {
--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -19,10 +19,14 @@
 	callTimeout = 2 * time.Second
 	// permitWait is the longest time for which a request waits for permits of the pool owner.
 	permitWait = 250 * time.Millisecond
+	// silenceWait is the same while the pool owner does not answer: the lease of 1 s and the time to notice.
+	silenceWait = 1500 * time.Millisecond
 	// relayGrace is added to the deadline of a relayed request, so that the answer of the home VM still arrives.
 	relayGrace = 100 * time.Millisecond
 	// ownerAvoid is how long a slot owner that did not answer is avoided.
 	ownerAvoid = time.Second
+	// ownerRetry is the time after which slot owners are asked again if none could be reached.
+	ownerRetry = 100 * time.Millisecond
 	// ownerTries is the number of slot owners that one attempt asks.
 	ownerTries = 2
 	// maxTimeout bounds the deadline of a request; records are kept for 300 s.
--- a/internal/pimnode/execute.go
+++ b/internal/pimnode/execute.go
@@ -29,7 +29,8 @@
 		Home: pimonce.Origin{Node: t.Home, Incarnation: t.HomeIncarnation}, Service: p.Service,
 		Contract: a.Contract, IssuedAt: t.IssuedAt, Deadline: deadline,
 	}
-	ctx, cancel := n.withDeadline(ctx, deadline)
+	// The request goes on when the VM that relayed it dies, since the caller repeats it through another one.
+	ctx, cancel := n.withDeadline(context.WithoutCancel(ctx), deadline)
 	defer cancel()
 	reply := n.home.Run(ctx, req, func(ctx context.Context, h pimonce.Handoff) pimedge.Reply {
 		return n.execute(ctx, p, a, deadline, h)
--- a/internal/pimnode/quota.go
+++ b/internal/pimnode/quota.go
@@ -7,6 +7,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
@@ -34,9 +35,11 @@
 func (n *Node) admit(ctx context.Context, w pimonce.Work) (err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "admit request of contract %d", w.Contract) }()
 	now := n.clock.Now()
-	deadline := min(w.Deadline, now.Add(permitWait))
+	wait := pimquota.Patience{
+		Deadline: min(w.Deadline, now.Add(permitWait)), Silence: min(w.Deadline, now.Add(silenceWait)),
+	}
 	result := make(chan quotaResult, 1)
-	n.quota.Request(now, deadline, w.Contract, 1, func(ok bool, retryAfter time.Duration) {
+	n.quota.Request(now, wait, w.Contract, 1, func(ok bool, retryAfter time.Duration) {
 		result <- quotaResult{ok, retryAfter}
 	})
 	select {
--- a/internal/protocol/pimedge/decode.go
+++ b/internal/protocol/pimedge/decode.go
@@ -113,6 +113,7 @@
 		switch o.ID {
 		case message.Observe:
 			observe = true
+			d.pkt.Observe = d.msg.Code == codes.GET && !isDeregistration(o.Value)
 		case message.Echo:
 			d.pkt.Token = o.Value
 		case message.RequestTag:
@@ -131,6 +132,9 @@
 	return observe, nil
 }
 
+// isDeregistration reports whether an Observe value is 1, which ends a flow (RFC 7641, section 2).
+func isDeregistration(value []byte) bool { return len(value) == 1 && value[0] == 1 }
+
 // isCritical reports whether an unknown option must be rejected: odd numbers are critical (RFC 7252, 5.4.6).
 func isCritical(id message.OptionID) bool { return id&1 == 1 }
 
--- a/internal/protocol/pimedge/decode_test.go
+++ b/internal/protocol/pimedge/decode_test.go
@@ -166,3 +166,25 @@
 		}
 	}
 }
+
+// Guards against flows that are never counted or reissued because their refreshes are not recognised.
+func TestObserveMarksOpensAndRefreshesOnly(t *testing.T) {
+	for name, tc := range map[string]struct {
+		code  codes.Code
+		value string
+		want  bool
+	}{
+		"refresh":        {codes.GET, "", true},
+		"refresh, zero":  {codes.GET, "\x00", true},
+		"deregistration": {codes.GET, "\x01", false},
+		"flow data":      {codes.PUT, "", false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			p, err := NewDecoder().Decode(1, netip.AddrPort{}, datagram(t, tc.code, "", option(message.Observe, tc.value)))
+			is.NoErr(err)
+			is.Equal(p.Kind, KindFlow)
+			is.Equal(p.Observe, tc.want)
+		})
+	}
+}
