fix: confirm the view to the router while no peer announces a newer one

Cause: the router was never told that its view is current, so 15 s after the last change it relayed flow packets whenever a peer was ahead for a moment, and it never told callers that an unknown backend server is gone. Ruled out: a confirmation by the platform only, since most VMs do not read it. Change: the view is confirmed every 500 ms if a peer was heard in the last 5 s and none announces a higher revision.

--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -11,6 +11,9 @@
 	memberTick = 50 * time.Millisecond
 	// refreshInterval is the longest time between two recomputations of ownership, limits and terms.
 	refreshInterval = 500 * time.Millisecond
+	// confirmAge is the age of the last message of a peer up to which its announced revision counts; probes come every
+	// second.
+	confirmAge = 5 * time.Second
 	// pullInterval is the interval at which a newer revision of a peer is looked for.
 	pullInterval = 200 * time.Millisecond
 	// hostPoll is the interval at which the owner of a backend server reads its health and load.
--- a/internal/pimnode/loops.go
+++ b/internal/pimnode/loops.go
@@ -60,7 +60,9 @@
 }
 
 func (n *Node) receiveGossip(g *pimpb.Gossip) {
-	n.send(n.members.Receive(n.clock.Now(), g))
+	now := n.clock.Now()
+	n.heard.Store(int64(now))
+	n.send(n.members.Receive(now, g))
 }
 
 func (n *Node) send(messages []pimmember.Message) {
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -63,6 +63,8 @@
 	// changed wakes the refresh loop after a change of the view.
 	changed chan struct{}
 	polls   pollTable
+	// heard is the instant of the last message of a peer.
+	heard atomic.Int64
 	// serving is the number of requests that this VM is carrying out.
 	serving atomic.Int64
 	stop    stopState
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -7,6 +7,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -21,6 +22,7 @@
 	if err := n.router.Update(n.unixNow(), view); err != nil {
 		n.log.Error().Err(err).Uint64("revision", uint64(view.Revision)).Msg("view refused by the router")
 	}
+	n.confirmView(now, view)
 	digest := n.store.Digest()
 	n.members.SetDigest(digest.Revision, digest.Hash[:])
 	n.members.SetPublished(now, uint64(view.Revision), listed(view))
@@ -37,6 +39,14 @@
 	}
 }
 
+// confirmView tells the router that the view is the newest one, as far as a peer that was heard lately knows.
+func (n *Node) confirmView(now pimclock.Instant, view *pimview.View) {
+	heard := pimclock.Instant(n.heard.Load())
+	if now.Sub(heard) <= confirmAge && len(n.members.Ahead(view.Revision)) == 0 {
+		n.router.Confirm(n.unixNow())
+	}
+}
+
 func listed(view *pimview.View) []pimview.Node {
 	nodes := make([]pimview.Node, 0, len(view.Nodes))
 	for _, v := range view.Nodes {
