fix: keep the contracts of a member in a slice

Cause: every tick built maps of all contracts; 100 contracts cost 17,261 ns per tick. Ruled out: ticking only on demand; leases and waiting requests need the time anyway. Change: the contracts are kept sorted in a slice and grouped in place; the baselines and small limits run in parallel. Figures: go test -run xxx -bench Tick100 ./internal/coordination/pimquota: 17,261 ns before, 5,662 ns after. go test -race: 57 s before, 27 s after.

--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -9,6 +9,7 @@
 
 // account is the member's state of one contract.
 type account struct {
+	id     pimid.ContractID
 	limit  Limit
 	part   lagged
 	own    bucket
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -2,7 +2,6 @@
 
 import (
 	"math"
-	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
@@ -10,25 +9,30 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// due returns the requests that must be sent now, by owner.
-func (m *member) due(now pimclock.Instant, cfg Config) map[pimid.NodeID]*pimpb.BorrowQuotaRequest {
-	byOwner := map[pimid.NodeID][]pimid.ContractID{}
-	for id := range m.accounts {
-		owner := m.ownerOf(now, cfg, id)
-		byOwner[owner] = append(byOwner[owner], id)
+// due returns the requests that must be sent now, by owner; nil if there are none.
+func (m *member) due(now pimclock.Instant, cfg Config) (requests map[pimid.NodeID]*pimpb.BorrowQuotaRequest) {
+	for owner := range m.byOwner {
+		m.byOwner[owner] = m.byOwner[owner][:0]
 	}
-	requests := map[pimid.NodeID]*pimpb.BorrowQuotaRequest{}
-	for owner, contracts := range byOwner {
-		if l := m.link(owner); l.due(now, m.urgent(now, contracts)) {
-			requests[owner] = m.request(now, cfg, owner, contracts)
+	for _, a := range m.order {
+		owner := m.ownerOf(now, cfg, a)
+		m.byOwner[owner] = append(m.byOwner[owner], a)
+	}
+	for owner, accounts := range m.byOwner {
+		if len(accounts) == 0 || !m.link(owner).due(now, urgent(now, accounts)) {
+			continue
+		}
+		if requests == nil {
+			requests = map[pimid.NodeID]*pimpb.BorrowQuotaRequest{}
 		}
+		requests[owner] = m.request(now, cfg, owner, accounts)
 	}
 	return requests
 }
 
 // ownerOf returns the owner to ask: the one that holds the share until it is released, or the chosen one.
-func (m *member) ownerOf(now pimclock.Instant, cfg Config, id pimid.ContractID) pimid.NodeID {
-	a, chosen := m.accounts[id], cfg.OwnerOf(id)
+func (m *member) ownerOf(now pimclock.Instant, cfg Config, a *account) pimid.NodeID {
+	chosen := cfg.OwnerOf(a.id)
 	a.releasing = a.lent(now) && a.lentTo.node != chosen && m.link(a.lentTo.node).responsive(now)
 	if a.releasing {
 		return a.lentTo.node
@@ -45,9 +49,9 @@
 	return l
 }
 
-func (m *member) urgent(now pimclock.Instant, contracts []pimid.ContractID) bool {
-	for _, id := range contracts {
-		if m.accounts[id].low(now) {
+func urgent(now pimclock.Instant, accounts []*account) bool {
+	for _, a := range accounts {
+		if a.low(now) {
 			return true
 		}
 	}
@@ -56,7 +60,7 @@
 
 // request builds the next request to an owner; it lends the shares if the owner is known to be responsive.
 func (m *member) request(
-	now pimclock.Instant, cfg Config, owner pimid.NodeID, contracts []pimid.ContractID,
+	now pimclock.Instant, cfg Config, owner pimid.NodeID, accounts []*account,
 ) *pimpb.BorrowQuotaRequest {
 	l := m.link(owner)
 	m.sequence++
@@ -70,10 +74,8 @@
 		OwnerIncarnation: uint64(l.incarnation),
 	}
 	run := ownerRun{node: owner, incarnation: l.incarnation}
-	slices.Sort(contracts)
-	for _, id := range contracts {
-		a := m.accounts[id]
-		d := a.ask(now, id)
+	for _, a := range accounts {
+		d := a.ask(now)
 		if !a.releasing && l.responsive(now) && a.mayLend(now, run) {
 			s := m.share(now, a)
 			a.lend(now, run)
@@ -85,13 +87,13 @@
 }
 
 // ask describes the member's demand for one contract.
-func (a *account) ask(now pimclock.Instant, id pimid.ContractID) *pimpb.QuotaDemand {
+func (a *account) ask(now pimclock.Instant) *pimpb.QuotaDemand {
 	a.demand.decay(now)
 	a.asked, a.wanted = a.wanted+a.queued(), 0
 	if a.releasing {
 		a.grant = grant{}
 	}
-	d := &pimpb.QuotaDemand{Contract: uint32(id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
+	d := &pimpb.QuotaDemand{Contract: uint32(a.id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
 	if now.Before(a.grant.expires) {
 		a.grant.advance(now)
 		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
--- a/internal/coordination/pimquota/fault_test.go
+++ b/internal/coordination/pimquota/fault_test.go
@@ -192,19 +192,22 @@
 // Guards against a change that makes pooled shares no better than the alternatives: fixed parts leave the limit unused
 // under an uneven spray, one limiter per contract exceeds it when VMs disagree about the owner.
 func TestBaselinesFail(t *testing.T) {
-	is := is.New(t)
 	for i, f := range faults() {
-		set, seed := []fault{f}, uint64(101*i)
-		pooled := play(seed, set, buildPooled)
-		static := play(seed, set, func(*sim) limiter { return newStatic(faultVMs, faultLimit) })
-		single := play(seed, set, func(s *sim) limiter { return newSingle(s, faultLimit) })
-		t.Logf("%-20s pooled %v; static %v; single %v", f.name, pooled, static, single)
-		switch f.name {
-		case "uneven spray":
-			is.True(static.lost > 10*pooled.lost)
-		case "view skew", "partition", "pause of the owner":
-			is.True(single.worst > faultMost)
-		}
+		t.Run(f.name, func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			set, seed := []fault{f}, uint64(101*i)
+			pooled := play(seed, set, buildPooled)
+			static := play(seed, set, func(*sim) limiter { return newStatic(faultVMs, faultLimit) })
+			single := play(seed, set, func(s *sim) limiter { return newSingle(s, faultLimit) })
+			t.Logf("pooled %v; static %v; single %v", pooled, static, single)
+			switch f.name {
+			case "uneven spray":
+				is.True(static.lost > 10*pooled.lost)
+			case "view skew", "partition", "pause of the owner":
+				is.True(single.worst > faultMost)
+			}
+		})
 	}
 }
 
@@ -236,14 +239,17 @@
 		{Rate: 100, Burst: 10, Part: 1},
 		{Rate: 1000, Burst: 10, Part: 1},
 	} {
-		is := is.New(t)
-		load := 2*float64(limit.Rate) + 16
-		pooled, most := playSmall(limit, load, buildPooled)
-		single, _ := playSmall(limit, load, func(s *sim) limiter { return newSingle(s, limit) })
-		t.Logf("limit %v burst %v: pooled %d, single %d in 100 s, worst second %d", limit.Rate, limit.Burst, pooled, single, most)
-		is.True(float64(pooled) >= 0.97*float64(single)-1)
-		is.True(float64(pooled) <= 100*float64(limit.Rate)+limit.Burst)
-		is.True(most <= int(float64(limit.Rate)+limit.Burst))
+		t.Run(fmt.Sprint(limit.Rate, "/", limit.Burst), func(t *testing.T) {
+			t.Parallel()
+			is := is.New(t)
+			load := 2*float64(limit.Rate) + 16
+			pooled, most := playSmall(limit, load, buildPooled)
+			single, _ := playSmall(limit, load, func(s *sim) limiter { return newSingle(s, limit) })
+			t.Logf("limit %v burst %v: pooled %d, single %d in 100 s, worst second %d", limit.Rate, limit.Burst, pooled, single, most)
+			is.True(float64(pooled) >= 0.97*float64(single)-1)
+			is.True(float64(pooled) <= 100*float64(limit.Rate)+limit.Burst)
+			is.True(most <= int(float64(limit.Rate)+limit.Burst))
+		})
 	}
 }
 
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -1,6 +1,7 @@
 package pimquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -13,7 +14,11 @@
 
 // member borrows permits from the owners of the contracts.
 type member struct {
-	accounts    map[pimid.ContractID]*account
+	accounts map[pimid.ContractID]*account
+	// order lists the contracts by id.
+	order []*account
+	// byOwner groups the contracts while requests are built.
+	byOwner     map[pimid.NodeID][]*account
 	links       map[pimid.NodeID]*link
 	sequence    uint64
 	growthDelay time.Duration
@@ -26,6 +31,7 @@
 func newMember(growthDelay time.Duration) member {
 	return member{
 		accounts:    map[pimid.ContractID]*account{},
+		byOwner:     map[pimid.NodeID][]*account{},
 		links:       map[pimid.NodeID]*link{},
 		growthDelay: growthDelay,
 	}
@@ -41,12 +47,14 @@
 	for id, limit := range pub.Limits {
 		a := m.accounts[id]
 		if a == nil {
-			a = &account{flows: newFlowEstimator(now)}
+			a = &account{id: id, flows: newFlowEstimator(now)}
 			m.accounts[id] = a
+			m.order = append(m.order, a)
 		}
 		a.limit = limit
 		a.part.publish(now, limit.Part)
 	}
+	slices.SortFunc(m.order, func(a, b *account) int { return int(a.id) - int(b.id) })
 	for id, a := range m.accounts {
 		if _, ok := pub.Limits[id]; !ok {
 			a.limit = Limit{}
@@ -91,7 +99,7 @@
 		m.fraction.restart(now)
 	}
 	m.ticked = now
-	for _, a := range m.accounts {
+	for _, a := range m.order {
 		a.resume(now, m.share(now, a))
 		notices = append(notices, a.serve(now)...)
 	}
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -159,6 +159,9 @@
 }
 
 func (s *sim) deliver(now pimclock.Instant) {
+	if len(s.mail) == 0 {
+		return
+	}
 	due := s.mail
 	s.mail = nil
 	slices.SortStableFunc(due, func(a, b letter) int { return int(a.at.Sub(b.at)) })
