--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -76,8 +76,8 @@
 	run := ownerRun{node: owner, incarnation: l.incarnation}
 	for _, a := range accounts {
 		d := a.ask(now)
-		if !a.releasing && l.responsive(now) && a.mayLend(now, run) {
-			s := m.share(now, a)
+		s := m.share(now, a)
+		if s.rate > 0 && !a.releasing && l.responsive(now) && a.mayLend(now, run) {
 			a.lend(now, run)
 			d.LentRate, d.LentDepth = s.rate, s.depth
 		}
--- /dev/null
+++ b/internal/coordination/pimquota/status_test.go
@@ -0,0 +1,28 @@
+package pimquota
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+)
+
+// Guards against a status that names another reason than the one that decides: after the start, while the owner lives,
+// and after it died.
+func TestStatusExplains(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, 2, faultLimit)
+	why := func(vm int) string { return s.vms[vm].pool.Status(s.clock.Now())[0].Why }
+	s.publish(0, 2)
+	s.publish(1, 2)
+	s.run(time.Second, 0, pooled{s})
+	is.True(strings.HasPrefix(why(0), "borrows without a share"))
+	s.run(faultWarmUp, 50, pooled{s})
+	is.True(strings.HasPrefix(why(0), "borrows from VM 1"))
+	s.vms[1].up = false
+	s.run(800*time.Millisecond, 50, pooled{s})
+	is.True(strings.HasPrefix(why(0), "nothing until the lease of VM 1 ends"))
+	s.run(time.Second, 50, pooled{s})
+	is.True(strings.HasPrefix(why(0), "own share"))
+}
