--- a/cmd/pimentoyard/check.go
+++ b/cmd/pimentoyard/check.go
@@ -77,6 +77,6 @@
 			return err
 		}
 	}
-	_, err = fmt.Fprintf(c.out.stdout, "%d files, %d faults\n", len(c.Args.Files), len(faults))
+	_, err = fmt.Fprintf(c.out.stdout, "files: %d, faults: %d\n", len(c.Args.Files), len(faults))
 	return err
 }
