fix: forget contracts that are no longer published

Cause: accounts and pools of removed contracts stayed in memory, and their leases were renewed for ever. Ruled out: deleting at once; the lease and the grant must end first. Change: removed contracts are no longer asked for and are deleted when nothing of theirs is in use.

--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -9,15 +9,17 @@
 
 // account is the member's state of one contract.
 type account struct {
-	id     pimid.ContractID
-	limit  Limit
-	part   lagged
-	own    bucket
-	grant  grant
-	flows  flowEstimator
-	sum    flowSum
-	demand demand
-	queue  []waiter
+	id    pimid.ContractID
+	limit Limit
+	// removed is set if the contract is no longer published.
+	removed bool
+	part    lagged
+	own     bucket
+	grant   grant
+	flows   flowEstimator
+	sum     flowSum
+	demand  demand
+	queue   []waiter
 	// wanted is the number of permits that were refused since the last request, asked that of the last request.
 	wanted float64
 	asked  float64
@@ -59,6 +61,11 @@
 	a.own.resize(now, s.rate, s.depth)
 }
 
+// busy reports whether the account still matters after its contract was removed.
+func (a *account) busy(now pimclock.Instant) bool {
+	return a.lent(now) || now.Before(a.grant.expires) || len(a.queue) > 0
+}
+
 // take takes n permits from the grant or the own share.
 func (a *account) take(now pimclock.Instant, n float64) bool {
 	return now.Before(a.grant.expires) && a.grant.take(now, n) || !a.lent(now) && a.own.take(now, n)
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -15,6 +15,9 @@
 		m.byOwner[owner] = m.byOwner[owner][:0]
 	}
 	for _, a := range m.order {
+		if a.removed {
+			continue
+		}
 		owner := m.ownerOf(now, cfg, a)
 		m.byOwner[owner] = append(m.byOwner[owner], a)
 	}
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -51,15 +51,21 @@
 			m.accounts[id] = a
 			m.order = append(m.order, a)
 		}
-		a.limit = limit
+		a.limit, a.removed = limit, false
 		a.part.publish(now, limit.Part)
 	}
 	slices.SortFunc(m.order, func(a, b *account) int { return int(a.id) - int(b.id) })
-	for id, a := range m.accounts {
-		if _, ok := pub.Limits[id]; !ok {
-			a.limit = Limit{}
+	m.order = slices.DeleteFunc(m.order, func(a *account) bool {
+		if _, ok := pub.Limits[a.id]; ok {
+			return false
 		}
-	}
+		a.limit, a.removed = Limit{}, true
+		if a.busy(now) {
+			return false
+		}
+		delete(m.accounts, a.id)
+		return true
+	})
 }
 
 // fraction returns this VM's part of the data centre; a VM that is not listed has none.
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -76,3 +76,12 @@
 	}
 	return p
 }
+
+// tidy forgets pools that no member uses any more.
+func (o *owner) tidy(now pimclock.Instant) {
+	for id, p := range o.pools {
+		if p.forget(now); len(p.order) == 0 {
+			delete(o.pools, id)
+		}
+	}
+}
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -45,6 +45,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.member.publish(now, pub)
+	p.owner.tidy(now)
 }
 
 // Take takes n permits of a contract; if there are none, retryAfter is when it is worth trying again.
--- a/internal/coordination/pimquota/status_test.go
+++ b/internal/coordination/pimquota/status_test.go
@@ -26,3 +26,22 @@
 	s.run(time.Second, 50, pooled{s})
 	is.True(strings.HasPrefix(why(0), "own share"))
 }
+
+// Guards against memory that grows with every contract that was ever published.
+func TestRemovedContractsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	s := newSim(5, 2, faultLimit)
+	s.publish(0, 2)
+	s.publish(1, 2)
+	s.run(faultWarmUp, 50, pooled{s})
+	is.Equal(len(s.vms[1].pool.owner.pools), 1)
+	for range 4 {
+		for _, vm := range s.vms {
+			vm.pool.Publish(s.clock.Now(), Publication{Nodes: 2, Listed: true})
+		}
+		s.run(time.Second, 0, pooled{s})
+	}
+	for _, vm := range s.vms {
+		is.Equal(len(vm.pool.member.accounts)+len(vm.pool.member.order)+len(vm.pool.owner.pools), 0)
+	}
+}
