--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -1,6 +1,7 @@
 package pimquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -13,7 +14,11 @@
 
 // member borrows permits from the owners of the contracts.
 type member struct {
-	accounts    map[pimid.ContractID]*account
+	accounts map[pimid.ContractID]*account
+	// order lists the contracts by id.
+	order []*account
+	// byOwner groups the contracts while requests are built.
+	byOwner     map[pimid.NodeID][]*account
 	links       map[pimid.NodeID]*link
 	sequence    uint64
 	growthDelay time.Duration
@@ -26,6 +31,7 @@
 func newMember(growthDelay time.Duration) member {
 	return member{
 		accounts:    map[pimid.ContractID]*account{},
+		byOwner:     map[pimid.NodeID][]*account{},
 		links:       map[pimid.NodeID]*link{},
 		growthDelay: growthDelay,
 	}
@@ -43,17 +49,25 @@
 	for id, limit := range pub.Limits {
 		a := m.accounts[id]
 		if a == nil {
-			a = &account{flows: newFlowEstimator(now)}
+			a = &account{id: id, flows: newFlowEstimator(now)}
 			m.accounts[id] = a
+			m.order = append(m.order, a)
 		}
-		a.limit = limit
+		a.limit, a.removed = limit, false
 		a.part.publish(now, limit.Part)
 	}
-	for id, a := range m.accounts {
-		if _, ok := pub.Limits[id]; !ok {
-			a.limit = Limit{}
+	slices.SortFunc(m.order, func(a, b *account) int { return int(a.id) - int(b.id) })
+	m.order = slices.DeleteFunc(m.order, func(a *account) bool {
+		if _, ok := pub.Limits[a.id]; ok {
+			return false
 		}
-	}
+		a.limit, a.removed = Limit{}, true
+		if a.busy(now) {
+			return false
+		}
+		delete(m.accounts, a.id)
+		return true
+	})
 }
 
 // fraction returns this VM's part of the data centre; a VM that is not listed has none.
@@ -93,7 +107,7 @@
 		m.fraction.restart(now)
 	}
 	m.ticked = now
-	for _, a := range m.accounts {
+	for _, a := range m.order {
 		a.resume(now, m.share(now, a))
 		notices = append(notices, m.serve(now, a)...)
 	}
@@ -106,12 +120,17 @@
 		return false
 	}
 	// The number of VMs needs no lag here, since the estimate is statistical anyway.
-	limit := float64(a.limit.Flows) * a.limit.Part / float64(max(m.nodes, 1))
-	if !a.flows.room(now, limit) {
-		return false
+	limit := float64(a.limit.Flows) * a.limit.Part
+	if a.sum.fresh(now) {
+		ok = a.sum.room(limit, m.nodes)
+	} else {
+		ok = a.flows.room(now, limit/float64(max(m.nodes, 1)))
+	}
+	if ok {
+		a.flows.add(now)
+		a.sum.opens++
 	}
-	a.flows.add(now)
-	return true
+	return ok
 }
 
 func (m *member) refreshFlow(now pimclock.Instant, contract pimid.ContractID) {
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -41,7 +41,7 @@
 		p := o.pool(pimid.ContractID(d.GetContract()), now)
 		p.advance(now)
 		b := p.borrower(pimid.NodeID(req.GetNode()))
-		b.demand, b.seen = d.GetRate(), now
+		b.demand, b.flows, b.seen = d.GetRate(), d.GetFlows(), now
 		if d.GetRelease() && known && p.release(now, b) {
 			reply.Grants = append(reply.Grants, &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true})
 			continue
@@ -51,7 +51,6 @@
 			b.lend(now, req, d)
 		}
 		reply.Grants = append(reply.Grants, p.grant(now, b, req.GetSequence(), d))
-		p.forget(now)
 	}
 	return reply
 }
@@ -77,3 +76,12 @@
 	}
 	return p
 }
+
+// tidy forgets pools that no member uses any more.
+func (o *owner) tidy(now pimclock.Instant) {
+	for id, p := range o.pools {
+		if p.forget(now); len(p.order) == 0 {
+			delete(o.pools, id)
+		}
+	}
+}
