--- a/internal/coordination/pimquota/await.go
+++ b/internal/coordination/pimquota/await.go
@@ -8,10 +8,10 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// Await is Request for a caller that can block: it returns when the permits are there, the patience has passed on the
-// pool's clock, or ctx is done. It relies on Tick being called by another goroutine.
+// Await is Request for a caller that can block: it returns when the permits are there, the wait has ended on the pool's
+// clock, or ctx is done. It relies on Tick being called by another goroutine.
 func (p *Pool) Await(
-	ctx context.Context, now pimclock.Instant, patience time.Duration, contract pimid.ContractID, n int,
+	ctx context.Context, now pimclock.Instant, wait Patience, contract pimid.ContractID, n int,
 ) (ok bool, retryAfter time.Duration) {
 	type answer struct {
 		ok         bool
@@ -19,7 +19,7 @@
 	}
 	// One place in the channel lets the result be delivered after the caller has gone.
 	answers := make(chan answer, 1)
-	p.Request(now, now.Add(patience), contract, n, func(ok bool, retryAfter time.Duration) {
+	p.Request(now, wait, contract, n, func(ok bool, retryAfter time.Duration) {
 		answers <- answer{ok: ok, retryAfter: retryAfter}
 	})
 	select {
--- a/internal/coordination/pimquota/fault_test.go
+++ b/internal/coordination/pimquota/fault_test.go
@@ -39,7 +39,7 @@
 }
 
 func play(seed uint64, faults []fault, build func(s *sim) limiter) outcome {
-	s := newSim(seed, faultLimit)
+	s := newSim(seed, faultVMs, faultLimit)
 	s.loss = 0.02
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
@@ -89,7 +89,7 @@
 func TestOwnerDeathRefusesNothingBelowTheLimit(t *testing.T) {
 	is := is.New(t)
 	for _, limit := range []Limit{faultLimit, {Rate: 2000, Burst: 400, Part: 1}} {
-		s := newSim(11, limit)
+		s := newSim(11, faultVMs, limit)
 		for vm := range s.vms {
 			s.publish(vm, faultVMs)
 		}
@@ -150,7 +150,7 @@
 // owner at once instead of waiting for their leases to end.
 func TestOwnerChangeIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	s := newSim(3, faultLimit)
+	s := newSim(3, faultVMs, faultLimit)
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
 	}
@@ -189,7 +189,7 @@
 }
 
 func playSmall(limit Limit, load float64, build func(s *sim) limiter) (admitted, most int) {
-	s := newSim(7, limit)
+	s := newSim(7, faultVMs, limit)
 	for vm := range s.vms {
 		s.publish(vm, faultVMs)
 	}
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -60,10 +60,10 @@
 	deliver func(now pimclock.Instant)
 }
 
-func newSim(seed uint64, limit Limit) *sim {
+func newSim(seed uint64, n int, limit Limit) *sim {
 	s := &sim{limit: limit, rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
 	s.split = func(int, int) bool { return false }
-	for range faultVMs {
+	for range n {
 		s.join(1)
 	}
 	return s
--- a/internal/coordination/pimquota/void_test.go
+++ b/internal/coordination/pimquota/void_test.go
@@ -65,15 +65,16 @@
 	is := is.New(t)
 	p := benchmarkPool(1)
 	now := pimclock.Instant(2 * time.Second)
-	ok, _ := p.Await(t.Context(), now, time.Second, 0, 1)
+	wait := Patience{Deadline: now.Add(time.Second), Silence: now.Add(time.Second)}
+	ok, _ := p.Await(t.Context(), now, wait, 0, 1)
 	is.True(ok)
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
-	ok, _ = p.Await(gone, now, time.Second, 0, 1<<40)
+	ok, _ = p.Await(gone, now, wait, 0, 1<<40)
 	is.True(!ok)
 	done := make(chan bool)
 	go func() {
-		ok, _ := p.Await(t.Context(), now, time.Second, 0, 1<<40)
+		ok, _ := p.Await(t.Context(), now, wait, 0, 1<<40)
 		done <- ok
 	}()
 	for waiting := true; waiting; {
--- a/internal/pimnode/quota.go
+++ b/internal/pimnode/quota.go
@@ -26,11 +26,6 @@
 	return pimedge.ReasonRateLimit, e.RetryAfter
 }
 
-type quotaResult struct {
-	ok         bool
-	retryAfter time.Duration
-}
-
 // admit takes one permit of the contract; it waits a short time for permits of the pool owner.
 func (n *Node) admit(ctx context.Context, w pimonce.Work) (err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "admit request of contract %d", w.Contract) }()
@@ -38,19 +33,10 @@
 	wait := pimquota.Patience{
 		Deadline: min(w.Deadline, now.Add(permitWait)), Silence: min(w.Deadline, now.Add(silenceWait)),
 	}
-	result := make(chan quotaResult, 1)
-	n.quota.Request(now, wait, w.Contract, 1, func(ok bool, retryAfter time.Duration) {
-		result <- quotaResult{ok, retryAfter}
-	})
-	select {
-	case r := <-result:
-		if !r.ok {
-			return &RateLimitError{RetryAfter: r.retryAfter}
-		}
-		return nil
-	case <-ctx.Done():
-		return &RateLimitError{RetryAfter: permitWait}
+	if ok, retryAfter := n.quota.Await(ctx, now, wait, w.Contract, 1); !ok {
+		return &RateLimitError{RetryAfter: retryAfter}
 	}
+	return nil
 }
 
 // sendQuota sends a request for permits to a pool owner without blocking the pool.
