test: replace balancers and backend servers together, kill and pause together

Cause: pairs of events were not covered with whole processes. Ruled out: more pairs at this level, since the decisions are tested in pairs with a manual clock. Change: two tests; status shows the quota and plain state names.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -88,12 +88,52 @@
 	f.await(1, func(s status) bool { return s.Revision > before.Revision })
 }
 
+// Guards against broken flows and refused requests when balancers and backend servers are replaced in the same moment.
+func TestBalancerAndBackendReplacedTogether(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	leaving := f.backend(1)
+	leaving.State = pimview.BackendLeaving
+	f.put("backends/1", leaving)
+	f.addBackend(fleetBackends + 1)
+	f.list(1, pimview.NodeLeaving)
+	f.signal(1, syscall.SIGTERM)
+	f.start(4)
+	is.Equal(f.exited(1), 0)
+	l.awaitNoNewWork(f.backends[0])
+	outcomes := l.finish()
+	l.check(t)
+	is.Equal(outcomes[pimcaller.Answered], len(l.results))
+}
+
+// Guards against double execution when a second VM pauses while the first one has just died.
+func TestKillAndPauseTogether(t *testing.T) {
+	f := newFleet(t)
+	f.start(1, 2, 3, 4)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	f.signal(2, syscall.SIGKILL)
+	f.signal(3, syscall.SIGSTOP)
+	f.exited(2)
+	f.await(1, isNotAlive(2))
+	f.await(1, isNotAlive(3))
+	f.signal(3, syscall.SIGCONT)
+	f.await(1, isAlive(3))
+	f.list(2, pimview.NodeLeaving)
+	l.awaitAnswers(50)
+	t.Log(l.finish())
+	l.check(t)
+}
+
 func isNotAlive(id pimid.NodeID) func(status) bool {
-	return func(s status) bool { return memberState(s, id) != "MEMBER_STATE_ALIVE" }
+	return func(s status) bool { return memberState(s, id) != "alive" }
 }
 
 func isAlive(id pimid.NodeID) func(status) bool {
-	return func(s status) bool { return memberState(s, id) == "MEMBER_STATE_ALIVE" }
+	return func(s status) bool { return memberState(s, id) == "alive" }
 }
 
 func memberState(s status, id pimid.NodeID) string {
--- a/internal/pimnode/status.go
+++ b/internal/pimnode/status.go
@@ -3,8 +3,11 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
@@ -25,6 +28,8 @@
 	Members     []MemberStatus    `json:"members"`
 	Owned       []OwnedStatus     `json:"owned_backends"`
 	Contracts   []ContractStatus  `json:"contracts"`
+	// Quota says for each contract which part of its hard limit this VM may use, and why.
+	Quota []pimquota.ContractStatus `json:"quota"`
 }
 
 // MemberStatus is what a VM believes about another one.
@@ -65,6 +70,7 @@
 		UptimeS: n.uptime().Seconds(), State: n.state(), Revision: n.store.Revision(),
 		IsReader:  pimconfig.IsReader(n.members, n.cfg.Node.DataCentre, n.self.Node),
 		BadValues: n.badValues(), Members: n.memberStatus(), Owned: n.ownedStatus(), Contracts: n.contractStatus(),
+		Quota: n.quota.Status(n.clock.Now()),
 	}
 }
 
@@ -91,7 +97,7 @@
 	var out []MemberStatus
 	for _, m := range n.members.All() {
 		out = append(out, MemberStatus{
-			VM: m.ID, DataCentre: m.DataCentre, State: m.State.String(), Incarnation: m.Incarnation.String(),
+			VM: m.ID, DataCentre: m.DataCentre, State: stateName(m.State), Incarnation: m.Incarnation.String(),
 			Revision: m.Revision, IsListed: m.Listed, Successor: m.Successor,
 		})
 	}
@@ -99,6 +105,11 @@
 	return out
 }
 
+// stateName returns the state without the prefix of the generated names, such as "alive".
+func stateName(s pimmember.State) string {
+	return strings.ToLower(strings.TrimPrefix(s.String(), "MEMBER_STATE_"))
+}
+
 func (n *Node) ownedStatus() []OwnedStatus {
 	var out []OwnedStatus
 	for _, b := range n.topology.Load().owned {
