fix: bind slot releases to the owner's run and start cold hosts slowly

Cause: grant ids start again with each run of an owner, so a late release could free a grant of the next run. Hosts that join were never marked cold, and connection counts that are not spread were taken for fresh reports. Ruled out: random grant ids, which only make the collision rare. Change: releases carry the owner's incarnation; topology marks hosts that join or restart; only the owner reports connection counts.

--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -128,6 +128,28 @@
 	l.check(t)
 }
 
+// Guards against a replacement VM that cannot start during an outage of the platform: it has no disk and gets everything
+// from its peers.
+func TestVMStartsWhileThePlatformIsDown(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.list(4, pimview.NodeLive)
+	f.start(1, 2, 3)
+	before, err := f.status(1)
+	is.NoErr(err)
+	l := f.startLoad()
+	l.awaitAnswers(20)
+	f.platform.SetMode(standplatform.Mode{Down: true})
+	f.run(4)
+	f.await(4, func(s status) bool { return s.State == "serving" })
+	after, err := f.status(4)
+	is.NoErr(err)
+	is.Equal(after.Revision, before.Revision)
+	l.awaitAnswers(50)
+	l.finish()
+	l.check(t)
+}
+
 func isNotAlive(id pimid.NodeID) func(status) bool {
 	return func(s status) bool { return memberState(s, id) != "alive" }
 }
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -189,7 +189,7 @@
 address = "%s"
 [log]
 level = "warn"
-`, id, f.addr(10+int(id), peerPort), 7, f.url, f.addr(10+int(id), opsPort))
+%s`, id, f.addr(10+int(id), peerPort), 7, f.url, f.addr(10+int(id), opsPort), f.peers(id))
 	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
 	cmd := exec.Command(binary, "run", "--settings", path)
 	log, err := os.Create(filepath.Join(dir, "vm.log"))
@@ -209,6 +209,16 @@
 	})
 }
 
+// peers lists the other VMs, which a VM needs to start while the platform is down.
+func (f *fleet) peers(self pimid.NodeID) (toml string) {
+	for id, v := range f.vms {
+		if id != self {
+			toml += fmt.Sprintf("[[peer]]\nid = %d\ndata_centre = \"patan\"\npeer_address = %q\n", id, v.node.PeerAddress)
+		}
+	}
+	return toml
+}
+
 func (f *fleet) signal(id pimid.NodeID, s os.Signal) {
 	is.New(f.t).NoErr(f.vms[id].cmd.Process.Signal(s))
 }
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -95,8 +95,8 @@
 func (l *load) awaitNoNewWork(b *standbackend.Server) {
 	l.f.t.Helper()
 	const quietAnswers = 200
-	for before := int64(-1); b.Stats().AfterDrain != before; {
-		before = b.Stats().AfterDrain
+	for before := -1; len(b.Executed()) != before; {
+		before = len(b.Executed())
 		l.awaitAnswers(quietAnswers)
 	}
 }
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -118,16 +118,18 @@
 		Backend: pimid.BackendID(reply.GetBackend()), Generation: pimid.Generation(reply.GetGeneration()),
 		// Counted from the question, the grant ends here no later than at its owner.
 		ExpiresAt: asked.Add(time.Duration(reply.GetExpiresInNs())),
-		Release:   n.remoteRelease(owner, reply.GetGrantId(), w.Contract),
+		Release:   n.remoteRelease(owner, reply, w.Contract),
 	}, nil
 }
 
 // remoteRelease returns the function that gives a slot back; the request does not wait for the call.
-func (n *Node) remoteRelease(owner pimid.NodeID, grant uint64, contract pimid.ContractID) func(pimonce.SendResult) {
+func (n *Node) remoteRelease(
+	owner pimid.NodeID, grant *pimpb.AcquireSlotReply, contract pimid.ContractID,
+) func(pimonce.SendResult) {
 	return func(r pimonce.SendResult) {
 		n.owners.Done(owner, contract)
 		req := &pimpb.ReleaseSlotRequest{
-			GrantId: grant, Outcome: outcomeToProto(r.Reply.Outcome), Shed: r.Shed, NoProgress: r.NoProgress,
+			GrantId: grant.GetGrantId(), OwnerIncarnation: grant.GetOwnerIncarnation(), Outcome: outcomeToProto(r.Reply.Outcome), Shed: r.Shed, NoProgress: r.NoProgress,
 			DurationNs: int64(r.Duration), ShedForNs: int64(r.Reply.RetryAfter),
 		}
 		call := releaseCall{n: n, owner: owner, contract: contract, req: req}
--- a/internal/pimnode/peerserver.go
+++ b/internal/pimnode/peerserver.go
@@ -92,11 +92,15 @@
 	return &pimpb.AcquireSlotReply{
 		GrantId: uint64(g.ID), Backend: uint32(g.Backend), Generation: uint32(g.Generation),
 		ExpiresInNs: int64(g.ExpiresAt.Sub(now)), EstimatedWaitNs: int64(g.Wait),
+		OwnerIncarnation: uint64(n.self.Incarnation),
 	}, nil
 }
 
-// ReleaseSlot takes a slot back; a grant that has expired is no error for the holder.
+// ReleaseSlot takes a slot back; a grant that has expired, or of an earlier run, is no error for the holder.
 func (s *peerServer) ReleaseSlot(_ context.Context, req *pimpb.ReleaseSlotRequest) (*pimpb.ReleaseSlotReply, error) {
+	if req.GetOwnerIncarnation() != uint64(s.n.self.Incarnation) {
+		return &pimpb.ReleaseSlotReply{}, nil
+	}
 	err := s.n.slots.Release(pimslot.GrantID(req.GetGrantId()), pimslot.Result{
 		Outcome: outcomeFromProto(req.GetOutcome()), Shed: req.GetShed(), NoProgress: req.GetNoProgress(),
 		ShedFor: time.Duration(req.GetShedForNs()), Duration: time.Duration(req.GetDurationNs()),
--- a/internal/pimnode/polls.go
+++ b/internal/pimnode/polls.go
@@ -90,6 +90,7 @@
 		return
 	}
 	n.slots.ReportLoad(b.ID, int(load.InFlight))
+	n.hosts.Report(b.ID, load.Generation, load.Connections, n.clock.Now())
 	n.members.ReportBackend(b.ID, pimmember.BackendStatus{
 		Generation: load.Generation, Draining: load.Draining, Connections: load.Connections,
 	})
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -31,7 +31,7 @@
 	t := n.buildTopology(view)
 	n.topology.Store(t)
 	n.refreshSlots(view, t, wall)
-	n.refreshHosts(view)
+	n.refreshHosts(view, t)
 	if edge := n.edge.Load(); edge != nil {
 		if err := edge.SetServices(n.edgeServices(view)); err != nil {
 			n.log.Error().Err(err).Msg("service address not available")
@@ -66,7 +66,7 @@
 	for _, b := range owned {
 		hosts = append(hosts, pimslot.Host{
 			ID: b.ID, Generation: b.Generation, Service: b.Service, Slots: b.Slots,
-			Draining: n.isDraining(b), InFlight: n.polls.inFlight(b.ID),
+			Draining: n.isDraining(b), Cold: t.isCold(b), InFlight: n.polls.inFlight(b.ID),
 		})
 	}
 	for _, p := range n.policies(view, t, wall) {
@@ -101,7 +101,7 @@
 }
 
 // refreshHosts sets the backend servers on which this VM places flows, with the states that their owners announced.
-func (n *Node) refreshHosts(view *pimview.View) {
+func (n *Node) refreshHosts(view *pimview.View, t *topology) {
 	var hosts []pimpick.Host
 	for _, b := range view.Backends {
 		if b.DataCentre != n.cfg.Node.DataCentre {
@@ -109,18 +109,16 @@
 		}
 		hosts = append(hosts, pimpick.Host{
 			ID: b.ID, Generation: b.Generation, Service: b.Service, MaxConnections: b.MaxConnections,
-			Leaving: b.State == pimview.BackendLeaving,
+			Leaving: b.State == pimview.BackendLeaving, Cold: t.isCold(b),
 		})
 	}
-	now := n.clock.Now()
-	n.hosts.SetHosts(now, hosts)
+	n.hosts.SetHosts(n.clock.Now(), hosts)
 	for _, h := range hosts {
 		s, ok := n.members.BackendStatus(h.ID)
 		if !ok {
 			continue
 		}
 		n.hosts.SetStatus(h.ID, s.Generation, s.Draining, s.Failed)
-		n.hosts.Report(h.ID, s.Generation, s.Connections, now)
 	}
 }
 
--- a/internal/pimnode/topology.go
+++ b/internal/pimnode/topology.go
@@ -18,6 +18,9 @@
 	remote map[pimid.ServiceID][]pimpick.Owner
 	// services counts the slots and hosts of each service.
 	services map[pimid.ServiceID]serviceCounts
+	// runs are the generations of all backend servers; cold are those that an earlier topology did not have.
+	runs map[pimid.BackendID]pimid.Generation
+	cold map[pimid.BackendID]bool
 }
 
 type serviceCounts struct {
@@ -33,7 +36,7 @@
 }
 
 func (n *Node) buildTopology(view *pimview.View) *topology {
-	t := &topology{services: map[pimid.ServiceID]serviceCounts{}}
+	t := newTopology(view, n.topology.Load())
 	local := map[ownedService]pimid.Slots{}
 	remote := map[ownedService]pimid.Slots{}
 	for _, b := range view.Backends {
@@ -58,6 +61,28 @@
 	return t
 }
 
+// newTopology notes the runs of the backend servers. Those that join or restart while this VM runs are cold; what a VM
+// finds at its own start has run for an unknown time.
+func newTopology(view *pimview.View, old *topology) *topology {
+	t := &topology{
+		services: map[pimid.ServiceID]serviceCounts{},
+		runs:     make(map[pimid.BackendID]pimid.Generation, len(view.Backends)),
+		cold:     map[pimid.BackendID]bool{},
+	}
+	for id, b := range view.Backends {
+		t.runs[id] = b.Generation
+		run, known := old.runs[id]
+		isNew := old.runs != nil && (!known || run != b.Generation)
+		if isNew || known && run == b.Generation && old.cold[id] {
+			t.cold[id] = true
+		}
+	}
+	return t
+}
+
+// isCold reports whether this VM saw the backend server join or restart; the slow start of each decision ends by itself.
+func (t *topology) isCold(b pimview.Backend) bool { return t.cold[b.ID] }
+
 func (t *topology) count(b pimview.Backend, isLocal, hasFailed bool) {
 	c := t.services[b.Service]
 	c.slots += b.Slots
