fix: bound gossip at a cold start and keep ticks independent of the fleet size

Cause: at a start of N VMs each VM spread the incarnation of each other VM, and each tick walked over all records. Ruled out: a lower retransmit limit, which would also slow down failures and drains.

--- a/internal/coordination/pimmember/digest.go
+++ b/internal/coordination/pimmember/digest.go
@@ -19,23 +19,29 @@
 	m.self.Revision = revision
 }
 
-// Ahead returns the reachable VMs that announced a higher revision than the given one, the own data centre first.
+// Ahead returns the reachable VMs that announced a higher revision than the given one. VMs of other data centres are
+// named only if the own data centre has none, since links between data centres are costly.
 func (m *Members) Ahead(revision pimid.Revision) (ids []pimid.NodeID) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	var far []pimid.NodeID
-	for _, id := range m.sortedIDs() {
-		r := m.records[id]
-		if r == m.self || r.Revision <= revision || !r.reachable() {
-			continue
+	if m.announced <= revision {
+		return nil
+	}
+	for _, id := range m.peers {
+		if m.records[id].Revision > revision {
+			ids = append(ids, id)
 		}
-		if r.DataCentre == m.cfg.DataCentre {
+	}
+	if len(ids) > 0 {
+		return ids
+	}
+	for id, r := range m.records {
+		if r != m.self && r.Revision > revision && r.reachable() && r.Address.IsValid() {
 			ids = append(ids, id)
-		} else {
-			far = append(far, id)
 		}
 	}
-	return append(ids, far...)
+	slices.Sort(ids)
+	return ids
 }
 
 // digests exchanges digests and member updates with the other data centres if the own VM is a reader.
--- a/internal/coordination/pimmember/live.go
+++ b/internal/coordination/pimmember/live.go
@@ -23,7 +23,8 @@
 	return 0
 }
 
-// Top returns up to n live VMs of a data centre in the order in which they own a key.
+// Top returns up to n live VMs of a data centre in the order in which they own a key; the caller must not change the
+// slice.
 func (m *Members) Top(dc pimid.DataCentre, key uint64, n int) []pimid.NodeID {
 	if r := (*m.rings.Load())[dc]; r != nil {
 		return r.top(key, n)
@@ -68,7 +69,11 @@
 // rebuildLists sorts the other VMs by their role in gossip.
 func (m *Members) rebuildLists() {
 	m.peers, m.suspects, m.dead, m.gone = m.peers[:0], m.suspects[:0], m.dead[:0], m.gone[:0]
+	m.unlisted = m.unlisted[:0]
 	for id, r := range m.records {
+		if id != m.self.ID && !r.Listed {
+			m.unlisted = append(m.unlisted, id)
+		}
 		if id == m.self.ID || r.expired {
 			continue
 		}
@@ -86,7 +91,7 @@
 			m.gone = append(m.gone, id)
 		}
 	}
-	for _, ids := range [][]pimid.NodeID{m.peers, m.suspects, m.dead, m.gone} {
+	for _, ids := range [][]pimid.NodeID{m.peers, m.suspects, m.dead, m.gone, m.unlisted} {
 		slices.Sort(ids)
 	}
 }
--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -50,10 +50,12 @@
 	listed  bool
 	version uint64
 	// peers, suspects, dead and gone are sorted by id; gone holds all VMs that failed or announced a stop.
-	peers, suspects, dead, gone []pimid.NodeID
-	stale                       bool
-	lastTick                    pimclock.Instant
-	digest                      *pimpb.ConfigDigest
+	peers, suspects, dead, gone, unlisted []pimid.NodeID
+	// announced is the highest revision that any VM announced.
+	announced pimid.Revision
+	stale     bool
+	lastTick  pimclock.Instant
+	digest    *pimpb.ConfigDigest
 
 	sequence  uint64
 	probe     probe
@@ -64,7 +66,7 @@
 	queue    queue
 	remote   queue
 	nextPush pimclock.Instant
-	pushed   allowance
+	spent    allowance
 	// digestSends is how often the current digest is still pushed.
 	digestSends int
 	nextDigest  pimclock.Instant
@@ -78,7 +80,7 @@
 	m := &Members{
 		cfg: cfg, rng: rng, records: map[pimid.NodeID]*record{}, changed: map[pimid.DataCentre]bool{},
 		helping: map[uint64]help{}, heard: map[pimid.DataCentre]pimclock.Instant{}, lastTick: now,
-		remote: queue{cap: remoteQueue}, pushed: allowance{level: pushBurst, last: now}, digest: &pimpb.ConfigDigest{},
+		remote: queue{cap: remoteQueue}, spent: allowance{level: gossipBurst, last: now}, digest: &pimpb.ConfigDigest{},
 	}
 	m.rings.Store(&map[pimid.DataCentre]*ring{})
 	m.backends.init()
@@ -96,8 +98,8 @@
 	m.nextProbe = now.Add(jitter(rng, cfg.ProbeInterval))
 	m.nextPush = now.Add(jitter(rng, cfg.PushInterval))
 	m.nextDigest = now.Add(jitter(rng, cfg.DigestInterval))
-	m.spread(m.self)
 	m.settle()
+	m.spread(m.self)
 	return m
 }
 
--- a/internal/coordination/pimmember/receive.go
+++ b/internal/coordination/pimmember/receive.go
@@ -91,20 +91,24 @@
 		it.appendTo(g)
 		room -= it.size
 	}
-	room -= m.queue.fill(g, room, sendLimit(len(m.peers)))
-	m.refill(g, room)
+	if m.spent.open(m.lastTick) {
+		used := m.queue.fill(g, room, sendLimit(len(m.peers)))
+		used += m.refill(g, room-used)
+		m.spent.spend(used)
+	}
 	return m.message(to, g)
 }
 
-// refill adds older abnormal states in turn.
-func (m *Members) refill(g *pimpb.Gossip, room int) {
+// refill adds older abnormal states in turn and returns their bytes.
+func (m *Members) refill(g *pimpb.Gossip, room int) (used int) {
 	for _, it := range m.abnormal(refill) {
-		if it.size > room {
-			return
+		if used+it.size > room {
+			return used
 		}
 		it.appendTo(g)
-		room -= it.size
+		used += it.size
 	}
+	return used
 }
 
 func (m *Members) gossip(kind pimpb.GossipKind, sequence uint64) *pimpb.Gossip {
--- a/internal/coordination/pimmember/rendezvous.go
+++ b/internal/coordination/pimmember/rendezvous.go
@@ -18,11 +18,14 @@
 type ring struct {
 	nodes []pimid.NodeID
 	cache ownerCache
+	// readers is the ranking for ReaderKey, which every VM asks for on every tick.
+	readers []pimid.NodeID
 }
 
 // newRing builds a ring for sorted nodes and carries over the owners of prev that are still valid.
 func newRing(nodes []pimid.NodeID, prev *ring) *ring {
 	r := &ring{nodes: nodes}
+	r.readers = r.rank(ReaderKey, Readers)
 	if prev == nil {
 		return r
 	}
@@ -55,8 +58,15 @@
 	return id
 }
 
-// top returns up to n nodes with the highest scores, the owner first.
 func (r *ring) top(key uint64, n int) []pimid.NodeID {
+	if key == ReaderKey && n == Readers {
+		return r.readers
+	}
+	return r.rank(key, n)
+}
+
+// rank returns up to n nodes with the highest scores, the owner first.
+func (r *ring) rank(key uint64, n int) []pimid.NodeID {
 	type ranked struct {
 		id    pimid.NodeID
 		score uint64
--- a/internal/coordination/pimmember/settings.go
+++ b/internal/coordination/pimmember/settings.go
@@ -57,10 +57,10 @@
 	// silentDataCentre is how long the readers of another data centre may be silent before random VMs of it are
 	// contacted as well.
 	silentDataCentre = 6 * time.Second
-	// pushRate and pushBurst bound the bytes of pushed updates per second and at once; probes come on top. Together
-	// they stay below 5 KB/s.
-	pushRate  = 2_000
-	pushBurst = 32_000
+	// gossipRate and gossipBurst bound the bytes of updates per second and at once. Probes without updates come on
+	// top and need less than 1 KB/s, so that the sum stays below 5 KB/s.
+	gossipRate  = 3_000
+	gossipBurst = 32_000
 )
 
 func (s Settings) withDefaults() Settings {
--- a/internal/coordination/pimmember/tick.go
+++ b/internal/coordination/pimmember/tick.go
@@ -1,12 +1,10 @@
 package pimmember
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
-	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // Tick does what is due at now and returns the messages to send; it should run at least every 100 ms.
@@ -51,11 +49,17 @@
 }
 
 func (m *Members) expireUnlisted(now pimclock.Instant) {
+	for seq, h := range m.helping {
+		if !now.Before(h.until) {
+			delete(m.helping, seq)
+		}
+	}
 	if !m.listed {
 		return
 	}
-	for id, r := range m.records {
-		if r.Listed || id == m.self.ID {
+	for _, id := range m.unlisted {
+		r, ok := m.records[id]
+		if !ok || r.Listed {
 			continue
 		}
 		if age := now.Sub(r.seen); age >= unlistedGrace && !r.expired {
@@ -63,11 +67,7 @@
 			m.touch(r)
 		} else if age >= retention {
 			delete(m.records, id)
-		}
-	}
-	for seq, h := range m.helping {
-		if !now.Before(h.until) {
-			delete(m.helping, seq)
+			m.stale = true
 		}
 	}
 }
@@ -78,13 +78,13 @@
 		return nil
 	}
 	for _, id := range m.randomPeers(m.cfg.PushFanout, m.self.ID) {
-		if m.queue.len() == 0 && m.digestSends <= 0 || !m.pushed.open(now) {
+		if m.queue.len() == 0 && m.digestSends <= 0 || !m.spent.open(now) {
 			return out
 		}
 		m.digestSends--
 		g := m.gossip(pimpb.GossipKind_GOSSIP_KIND_DIGEST, 0)
 		used := m.queue.fill(g, maxDatagram-headerBytes, sendLimit(len(m.peers)))
-		m.pushed.spend(used + headerBytes)
+		m.spent.spend(used + headerBytes)
 		out = append(out, m.message(m.records[id], g))
 	}
 	return out
@@ -97,21 +97,12 @@
 }
 
 func (a *allowance) open(now pimclock.Instant) bool {
-	a.level = min(pushBurst, a.level+pushRate*now.Sub(a.last).Seconds())
+	a.level = min(gossipBurst, a.level+gossipRate*now.Sub(a.last).Seconds())
 	a.last = now
 	return a.level > 0
 }
 
 func (a *allowance) spend(n int) { a.level -= float64(n) }
 
-func (m *Members) sortedIDs() []pimid.NodeID {
-	ids := make([]pimid.NodeID, 0, len(m.records))
-	for id := range m.records {
-		ids = append(ids, id)
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 // helpTimeout is how long a probe on behalf of another VM is remembered.
 const helpTimeout = 2 * time.Second
--- a/internal/coordination/pimmember/update.go
+++ b/internal/coordination/pimmember/update.go
@@ -30,8 +30,18 @@
 	if r.expired || !r.supersedes(u) {
 		return
 	}
+	before := r.class
 	m.merge(now, r, u)
-	m.spread(r)
+	m.spreadChange(r, before)
+}
+
+// spreadChange spreads what changes the role of a VM or refutes a claim. A new incarnation of a VM that is taken to
+// be alive is not spread: a start of N VMs would put N updates into every queue, and any later message of the VM
+// tells its incarnation.
+func (m *Members) spreadChange(r *record, before class) {
+	if r.class != before || r.Counter > 0 || r.Leaving {
+		m.spread(r)
+	}
 }
 
 func valid(u *pimpb.MemberUpdate) bool {
@@ -45,13 +55,7 @@
 	if u.GetState() != Alive && u.GetState() != Suspect || u.GetDataCentre() == "" {
 		return nil, false
 	}
-	unlisted := 0
-	for _, r := range m.records {
-		if !r.Listed {
-			unlisted++
-		}
-	}
-	if unlisted > maxUnlisted {
+	if len(m.unlisted) >= maxUnlisted {
 		m.counts.Unlisted++
 		return nil, false
 	}
@@ -89,6 +93,9 @@
 	if inc != m.self.Incarnation {
 		if inc > m.self.Incarnation {
 			m.counts.Conflicts++
+		} else if rank(u.GetState()) > rank(Alive) {
+			// The claim is about an earlier run, or about a VM that was never heard.
+			m.spread(m.self)
 		}
 		return
 	}
@@ -102,11 +109,10 @@
 
 // spread queues the state of a VM for piggybacking.
 func (m *Members) spread(r *record) {
-	limit := sendLimit(len(m.peers))
 	sends := 0
 	if r.State == Alive && r.Counter == 0 {
 		// A VM that joins is less urgent than one that fails or leaves.
-		sends = limit / 2
+		sends = sendLimit(len(m.peers)) / 2
 	}
 	u := r.update()
 	m.queue.add(memberItem(u), sends)
@@ -135,10 +141,12 @@
 		return nil, false
 	}
 	if inc > r.Incarnation {
+		before := r.class
 		m.merge(now, r, &pimpb.MemberUpdate{Node: g.GetSender(), Incarnation: uint64(inc), State: Alive})
-		m.spread(r)
+		m.spreadChange(r, before)
 	}
 	r.Revision = max(r.Revision, pimid.Revision(g.GetConfig().GetRevision()))
+	m.announced = max(m.announced, r.Revision)
 	m.heard[r.DataCentre] = now
 	return r, true
 }
--- /dev/null
+++ b/internal/standin/standfleet/doc.go
@@ -0,0 +1,2 @@
+// Package standfleet runs many VMs of the coordination layer in one process on a simulated network and clock.
+package standfleet
--- /dev/null
+++ b/internal/standin/standfleet/pull.go
@@ -0,0 +1,76 @@
+package standfleet
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+var errNoAnswer = errors.New("no answer")
+
+// pull asks another VM for configuration if one has announced more.
+func (vm *VM) pull() {
+	ahead := vm.Members.Ahead(vm.Store.Revision())
+	if len(ahead) == 0 {
+		return
+	}
+	peer, req, ok, err := vm.syncer.Next(vm.fleet.Now(), ahead)
+	if err != nil {
+		panic(err)
+	}
+	if ok {
+		vm.call(peer, req)
+	}
+}
+
+// call sends a request and its reply; a lost segment costs a resend, and a cut or dead peer costs the timeout.
+func (vm *VM) call(peer pimid.NodeID, req *pimpb.PullConfigRequest) {
+	f, to, run, syncer := vm.fleet, vm.fleet.VM(peer), vm.run, vm.syncer
+	done := func(after time.Duration, reply *pimpb.PullConfigReply, failure error) {
+		f.at(f.Now().Add(after), func() {
+			if vm.run == run && vm.syncer == syncer {
+				_, err := syncer.Done(f.Now(), peer, req, reply, failure)
+				vm.took(err)
+			}
+		})
+	}
+	vm.count(req)
+	if f.cut(vm.ID, peer) {
+		done(pimconfig.PullTimeout, nil, errNoAnswer)
+		return
+	}
+	f.at(f.Now().Add(f.callDelay(vm, to)), func() {
+		if !to.up || to.paused || f.cut(vm.ID, peer) {
+			done(pimconfig.PullTimeout, nil, errNoAnswer)
+			return
+		}
+		reply, err := to.server.Pull(f.Now(), to.rng, req)
+		if err != nil {
+			panic(err)
+		}
+		to.count(reply)
+		done(f.callDelay(to, vm), reply, nil)
+	})
+}
+
+func (vm *VM) count(m proto.Message) {
+	vm.Messages++
+	vm.Bytes += uint64(proto.Size(m) + callBytes)
+}
+
+func (f *Fleet) callDelay(a, b *VM) time.Duration {
+	d := f.delay(a, b)
+	if f.rng.Float64() < f.opts.Loss {
+		d += resendDelay
+	}
+	return d
+}
+
+// phase spreads the first ticks over one interval.
+func phase(rng *rand.Rand) time.Duration { return time.Duration(rng.Int64N(int64(tickInterval))) }
