test: check fleet invariants in simulated time

Cause: bounds of R6, R8 and the byte budget were only argued. Ruled out: checks against the wall clock, whose verdict would depend on the machine. Change: add checks for configuration, membership and cost, each with a faulty variant that it must detect.

--- /dev/null
+++ b/internal/standin/standfleet/config_test.go
@@ -0,0 +1,156 @@
+package standfleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+func withoutSync(o *Options) { o.NoSync = true }
+
+// takeAnything is the faulty store that follows the platform also to lower revisions.
+func takeAnything(o *Options) {
+	o.Restore = func(vm *VM, snap pimconfig.Snapshot) error {
+		vm.SetStore(pimconfig.NewStore(pimconfig.Settings{}))
+		return vm.Store.Restore(snap)
+	}
+}
+
+// Guards against an accepted configuration that is not in force everywhere within the bound of R8.
+func TestConfigInForceEverywhere(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		for i := range 3 {
+			if err = f.converged(f.Put("services/2", service(2, fmt.Sprint(i)))); err != nil {
+				return err
+			}
+		}
+		return f.forward()
+	}, withoutSync)
+}
+
+// Guards against a stale or restarted platform that takes the fleet back, and against a lost change afterwards.
+func TestStalePlatformNeverRevertsConfig(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		old := f.PlatformState()
+		if err = f.converged(f.Put("services/1", service(1, "second"))); err != nil {
+			return err
+		}
+		f.SetStale(old)
+		f.Run(10 * time.Second)
+		f.SetStale(nil)
+		return errors.Join(f.forward(), f.converged(f.Put("services/1", service(1, "third"))), f.forward())
+	}, takeAnything)
+}
+
+// Guards against a VM that restarts with nothing during an outage of the platform and stays behind its peers.
+func TestRestartDuringOutageTakesHighestRevision(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		noSync := o.NoSync
+		o.NoSync = false
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		last := f.Put("services/3", service(3, "late"))
+		if err = f.converged(last); err != nil {
+			return err
+		}
+		f.opts.NoSync = noSync
+		f.SetDown(true)
+		f.VM(5).Restart(1, 2, 3)
+		f.VM(20).Restart(18, 19, 21)
+		return errors.Join(f.converged(last), f.forward())
+	}, withoutSync)
+}
+
+// Guards against a partition whose sides see different platforms: the side that is behind must catch up after the
+// heal, and no side may go back.
+func TestHealedPartitionConverges(t *testing.T) {
+	odd := func(id pimid.NodeID) bool { return id%2 == 1 }
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		old := f.PlatformState()
+		f.Partition(func(a, b pimid.NodeID) bool { return odd(a) != odd(b) })
+		f.CutPlatform(odd)
+		last := f.Put("services/1", service(1, "even side"))
+		f.Run(20 * time.Second)
+		if !f.All(func(vm *VM) bool { return odd(vm.ID) == (vm.Store.Revision() < last) }) {
+			return errors.New("partition did not separate the sides")
+		}
+		f.Partition(nil)
+		f.SetStale(old)
+		f.CutPlatform(nil)
+		return errors.Join(f.converged(last), f.forward())
+	}, takeAnything)
+}
+
+// Guards against VMs that stay behind because updates reach them unevenly.
+func TestUnevenDeliveryStillConverges(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		n := 0
+		o.Drop = func(_ *VM, to pimid.NodeID, _ *pimpb.Gossip) bool {
+			n++
+			return to%4 == 0 && n%2 == 0
+		}
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		return errors.Join(f.converged(f.Put("services/1", service(1, "second"))), f.forward())
+	}, withoutSync)
+}
+
+// Guards against different states at one revision when operators change the same keys at the same time.
+func TestRacingChangesGiveOneState(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		var last pimid.Revision
+		for i := range 40 {
+			last = f.Put(fmt.Sprintf("services/%d", 1+i%3), service(pimid.ServiceID(1+i%3), fmt.Sprint(i)))
+			if i%7 == 0 {
+				last = f.Delete("services/2")
+			}
+			f.Run(30 * time.Millisecond)
+		}
+		if err = f.converged(last); err != nil {
+			return err
+		}
+		want := f.VM(1).Store.Digest()
+		if !f.All(func(vm *VM) bool { return vm.Store.Digest() == want && vm.Store.Counters().Divergences == 0 }) {
+			return errors.New("digests differ")
+		}
+		return f.forward()
+	}, localWrite)
+}
+
+// localWrite is the faulty variant in which one VM numbers a change of its own.
+func localWrite(o *Options) {
+	done := false
+	o.Drop = func(from *VM, _ pimid.NodeID, _ *pimpb.Gossip) bool {
+		if r := from.Store.Revision(); r > 1 && !done {
+			done = true
+			own := pimconfig.Event{Revision: r + 1, Key: "services/9", Value: []byte(`{"id":9}`)}
+			from.took(from.Store.Apply(pimconfig.Batch{From: r, To: r + 1, Events: []pimconfig.Event{own}}))
+		}
+		return false
+	}
+}
--- /dev/null
+++ b/internal/standin/standfleet/cost_test.go
@@ -0,0 +1,98 @@
+package standfleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// cost runs a fleet with a change, a drain and a failure and returns the largest number of bytes that a VM sent per
+// second.
+func cost(o Options) (perSecond float64, err error) {
+	const seconds = 20
+	f, err := started(o)
+	if err != nil {
+		return 0, err
+	}
+	before := make([]uint64, len(f.vms))
+	for i, vm := range f.vms {
+		before[i] = vm.Bytes
+	}
+	f.Put("services/1", service(1, "second"))
+	f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
+	f.VM(3).Kill()
+	f.Run(seconds * time.Second)
+	for i, vm := range f.vms {
+		perSecond = max(perSecond, float64(vm.Bytes-before[i])/seconds)
+	}
+	return perSecond, nil
+}
+
+// Guards against control traffic above 5 KB/s on any VM at three sizes of a data centre.
+func TestControlTrafficStaysInBudget(t *testing.T) {
+	is := is.New(t)
+	for _, n := range []int{64, 256, 1024} {
+		got, err := cost(lossy(1, 1, n))
+		is.NoErr(err)
+		t.Logf("%d vms: at most %.0f B/s per vm", n, got)
+		is.True(got < byteBound)
+	}
+	// The faulty variant asks 60 helpers at once instead of 3 when an answer is late.
+	greedy := lossy(1, 1, 64)
+	greedy.Member.ProbeTimeout, greedy.Member.IndirectProbes = time.Nanosecond, 60
+	greedy.LocalDelay = 60 * time.Millisecond
+	got, err := cost(greedy)
+	is.NoErr(err)
+	is.True(got > byteBound) // the check must detect the faulty variant
+}
+
+// spreadTime returns the mean time until a drain is known everywhere in one data centre.
+func spreadTime(n, runs int, drop func(from *VM, to pimid.NodeID, g *pimpb.Gossip) bool) (time.Duration, error) {
+	var sum time.Duration
+	for seed := range runs {
+		o := lossy(uint64(seed), 1, n)
+		o.Drop = drop
+		f := New(o)
+		f.Run(2 * time.Second)
+		f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
+		took, ok := f.RunUntil(time.Minute, func() bool {
+			return f.All(func(vm *VM) bool { s, _ := vm.Members.BackendStatus(9); return s.Draining })
+		})
+		if !ok {
+			return 0, fmt.Errorf("not known by %d vms within %v", n, took)
+		}
+		sum += took
+	}
+	return sum / time.Duration(runs), nil
+}
+
+// Guards against dissemination that grows faster than the logarithm of the size: from 64 to 1,024 VMs the logarithm
+// grows by 10/6 and the size by 16. The bound of 2.5 leaves room for the variance of three runs.
+func TestSpreadGrowsWithTheLogarithm(t *testing.T) {
+	is := is.New(t)
+	const bound = 2.5
+	var small time.Duration
+	for _, n := range []int{64, 256, 1024} {
+		got, err := spreadTime(n, 3, nil)
+		is.NoErr(err)
+		t.Logf("%d vms: %v", n, got)
+		if n == 64 {
+			small = got
+		}
+		is.True(float64(got) < bound*float64(small))
+	}
+	// The faulty variant reaches only near ids, so that its time grows with the size.
+	near := func(from *VM, to pimid.NodeID, _ *pimpb.Gossip) bool {
+		return max(from.ID, to)-min(from.ID, to) > 8
+	}
+	few, err := spreadTime(64, 1, near)
+	is.NoErr(err)
+	many, err := spreadTime(256, 1, near)
+	is.True(err != nil || float64(many) >= bound*float64(few)) // the check must detect slow dissemination
+}
--- a/internal/standin/standfleet/fleet.go
+++ b/internal/standin/standfleet/fleet.go
@@ -83,10 +83,10 @@
 	f.clock.Advance(limit.Sub(f.Now()))
 }
 
-// RunUntil advances the simulation in steps of 100 ms until done returns true, at most by limit. It returns the
+// RunUntil advances the simulation in steps of 20 ms until done returns true, at most by limit. It returns the
 // time that passed and whether done returned true.
 func (f *Fleet) RunUntil(limit time.Duration, done func() bool) (took time.Duration, ok bool) {
-	const step = 100 * time.Millisecond
+	const step = 20 * time.Millisecond
 	for took < limit {
 		if done() {
 			return took, true
--- /dev/null
+++ b/internal/standin/standfleet/member_test.go
@@ -0,0 +1,121 @@
+package standfleet
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Guards against a failed VM that stays in the fleet, and against losses that make a running VM look failed.
+func TestFailureIsDetectedAndOnlyFailure(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		for range 30 {
+			f.Run(time.Second)
+			if n := f.falselyDead(); n > 0 {
+				return fmt.Errorf("%d running vms taken to be dead", n)
+			}
+		}
+		f.VM(7).Kill()
+		return f.within(detectBound, "failure known", func(vm *VM) bool {
+			return vm.DataCentre != f.VM(7).DataCentre || len(vm.Members.Live(vm.DataCentre)) == o.PerDataCentre-1
+		})
+	}, func(o *Options) { o.Member.SuspicionTimeout, o.Loss = time.Nanosecond, 0.3 })
+}
+
+// Guards against a drain that some VM of the data centre does not know within the bound of R6 without the platform.
+func TestDrainIsKnownWithinBound(t *testing.T) {
+	holdsAndCanFail(t, drainKnown, func(o *Options) { o.Member.PushInterval, o.PerDataCentre = time.Hour, 256 })
+}
+
+func drainKnown(o Options) error {
+	f, err := started(o)
+	if err != nil {
+		return err
+	}
+	f.SetDown(true)
+	f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
+	return f.within(drainBound, "drain known", func(vm *VM) bool {
+		s, _ := vm.Members.BackendStatus(9)
+		return s.Draining || vm.DataCentre != f.VM(2).DataCentre
+	})
+}
+
+// Guards against the sides of a healed partition that keep each other declared dead.
+func TestHealedPartitionRejoins(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		f.Partition(func(a, b pimid.NodeID) bool { return a%2 != b%2 })
+		f.Run(30 * time.Second)
+		if f.falselyDead() == 0 {
+			return errors.New("partition was not noticed")
+		}
+		f.Partition(nil)
+		return f.within(30*time.Second, "all live again", func(vm *VM) bool {
+			return len(vm.Members.Live(vm.DataCentre)) == o.PerDataCentre
+		})
+	}, func(o *Options) {
+		// The faulty variant sends nothing to VMs that it takes to be dead.
+		o.Drop = func(from *VM, to pimid.NodeID, _ *pimpb.Gossip) bool {
+			m, ok := from.Members.Member(to)
+			return ok && m.State == pimmember.Dead
+		}
+	})
+}
+
+// Guards against a paused VM that, when it resumes, takes all others to be dead or cannot come back itself.
+func TestPausedVMComesBack(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		f.VM(3).SetPaused(true)
+		f.Run(20 * time.Second)
+		f.VM(3).SetPaused(false)
+		return f.within(20*time.Second, "paused vm live again", func(vm *VM) bool {
+			return len(vm.Members.Live(vm.DataCentre)) == o.PerDataCentre
+		})
+	}, func(o *Options) {
+		o.Drop = func(from *VM, _ pimid.NodeID, g *pimpb.Gossip) bool {
+			// The faulty variant never refutes.
+			m, _ := from.Members.Member(from.ID)
+			return m.Counter > 0 && len(g.GetMembers()) > 0
+		}
+	})
+}
+
+// Guards against peers that do not learn the successor of a VM that leaves, or that keep giving it keys.
+func TestSuccessorOfLeavingVMIsKnown(t *testing.T) {
+	holdsAndCanFail(t, func(o Options) error {
+		f, err := started(o)
+		if err != nil {
+			return err
+		}
+		vm := f.VM(4)
+		self, _ := vm.Members.Member(4)
+		id, inc, ok := vm.Members.Successor()
+		if !ok || id == 4 {
+			return errors.New("no successor")
+		}
+		vm.Send(vm.Members.Leave(f.Now(), id, inc))
+		return f.within(drainBound, "successor known", func(other *VM) bool {
+			got, gotInc, ok := other.Members.SuccessorOf(4, self.Incarnation)
+			live := len(other.Members.Live(vm.DataCentre)) == o.PerDataCentre-1
+			return other.DataCentre != vm.DataCentre || ok && got == id && gotInc == inc && live
+		})
+	}, func(o *Options) {
+		o.Drop = func(from *VM, _ pimid.NodeID, _ *pimpb.Gossip) bool { return from.ID == 4 }
+	})
+}
--- a/internal/standin/standfleet/platform.go
+++ b/internal/standin/standfleet/platform.go
@@ -15,13 +15,15 @@
 	state   *standplatform.State
 	replica *standplatform.State
 	down    bool
-	calls   uint64
+	// cut reports whether a VM cannot reach the platform.
+	cut   func(id pimid.NodeID) bool
+	calls uint64
 }
 
 // platformDelay is the time of one platform call, in both directions together.
 const platformDelay = 20 * time.Millisecond
 
-func newPlatform() platform { return platform{state: standplatform.NewState()} }
+func newPlatform() platform { return platform{state: standplatform.NewState(), cut: nobody} }
 
 // Put changes a key as an operator does and returns its revision.
 func (f *Fleet) Put(key string, value any) pimid.Revision {
@@ -38,6 +40,16 @@
 // SetDown makes the platform unreachable or reachable.
 func (f *Fleet) SetDown(down bool) { f.platform.down = down }
 
+// CutPlatform makes the platform unreachable for some VMs; nil ends this.
+func (f *Fleet) CutPlatform(cut func(id pimid.NodeID) bool) {
+	if cut == nil {
+		cut = nobody
+	}
+	f.platform.cut = cut
+}
+
+func nobody(pimid.NodeID) bool { return false }
+
 // SetStale makes the platform serve the given old state; nil ends this.
 func (f *Fleet) SetStale(old *standplatform.State) { f.platform.replica = old }
 
@@ -49,7 +61,7 @@
 
 // read is what a reader does: watch from its revision, and read all keys if that is not possible.
 func (f *Fleet) read(vm *VM) {
-	if f.platform.down || vm.reading {
+	if f.platform.down || f.platform.cut(vm.ID) || vm.reading {
 		return
 	}
 	state := f.platform.state
