--- a/internal/coordination/pimconfig/chunk.go
+++ b/internal/coordination/pimconfig/chunk.go
@@ -45,16 +45,24 @@
 	return nil
 }
 
-func compress(p []byte) (out []byte, err error) {
+// compressor keeps one flate writer for all chunks of a reply, since a writer allocates more than 1 MB.
+type compressor struct {
+	w *flate.Writer
+}
+
+func (c *compressor) compress(p []byte) (out []byte, err error) {
 	var buf bytes.Buffer
-	w, err := flate.NewWriter(&buf, flate.DefaultCompression)
-	if err != nil {
-		return nil, err
+	if c.w == nil {
+		if c.w, err = flate.NewWriter(&buf, flate.DefaultCompression); err != nil {
+			return nil, err
+		}
+	} else {
+		c.w.Reset(&buf)
 	}
-	if _, err = w.Write(p); err != nil {
+	if _, err = c.w.Write(p); err != nil {
 		return nil, err
 	}
-	if err = w.Close(); err != nil {
+	if err = c.w.Close(); err != nil {
 		return nil, err
 	}
 	return buf.Bytes(), nil
--- a/internal/coordination/pimconfig/pull.go
+++ b/internal/coordination/pimconfig/pull.go
@@ -16,6 +16,8 @@
 
 	mu     sync.Mutex
 	chunks map[[HashSize]byte][]byte
+	// listed is set after a list of hashes was received, until the snapshot is complete.
+	listed bool
 }
 
 // NewPuller returns a puller for one store.
@@ -35,7 +37,7 @@
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	req.FromRevision = uint64(p.store.digest.Revision)
-	if len(p.chunks) == 0 {
+	if !p.listed {
 		// The own chunks are named only during a snapshot, since most pulls are answered from the log.
 		return req, nil
 	}
@@ -74,7 +76,7 @@
 func (p *Puller) reset() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.chunks = map[[HashSize]byte][]byte{}
+	p.chunks, p.listed = map[[HashSize]byte][]byte{}, false
 }
 
 func (p *Puller) acceptChunks(reply *pimpb.PullConfigReply) (more bool, err error) {
@@ -92,9 +94,11 @@
 	if err != nil {
 		return false, err
 	}
+	first := !p.listed
+	p.listed = true
 	if !p.complete(reply.GetChunkHashes(), own) {
-		// A reply without a new chunk means that the sender's budget is spent.
-		return len(reply.GetChunks()) > 0, nil
+		// A later reply without a chunk means that the sender's budget is spent.
+		return first || len(reply.GetChunks()) > 0, nil
 	}
 	for _, h := range reply.GetChunkHashes() {
 		events, err := p.events([HashSize]byte(h), own)
@@ -103,7 +107,7 @@
 		}
 		snap.Entries = append(snap.Entries, events...)
 	}
-	p.chunks = map[[HashSize]byte][]byte{}
+	p.chunks, p.listed = map[[HashSize]byte][]byte{}, false
 	return false, p.store.Restore(snap)
 }
 
--- /dev/null
+++ b/internal/coordination/pimconfig/pull_test.go
@@ -0,0 +1,164 @@
+package pimconfig
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// filled returns a store with n backend servers whose log starts at its revision.
+func filled(n int) *Store {
+	s := NewStore(Settings{})
+	snap := Snapshot{Revision: pimid.Revision(n)}
+	for i := 1; i <= n; i++ {
+		snap.Entries = append(snap.Entries, set(pimid.Revision(i), fmt.Sprintf("backends/%d", i), fmt.Sprintf(`{"id":%d}`, i)))
+	}
+	if err := s.Restore(snap); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+func unlimited() *Budget { return NewBudget(0, 1e12, 1e12) }
+
+// pullAll pulls until the receiver has nothing more to ask for and returns the bytes of all replies.
+func pullAll(is *is.I, p *Puller, servers ...*Server) (bytes int) {
+	rng := rand.New(rand.NewPCG(1, 1))
+	for i, more := 0, true; more; i++ {
+		is.True(i < 1000) // the pull must end
+		req, err := p.Request(DefaultPullBytes)
+		is.NoErr(err)
+		reply, err := servers[i%len(servers)].Pull(0, rng, req)
+		is.NoErr(err)
+		bytes += replySize(reply)
+		more, err = p.Accept(req, reply)
+		is.NoErr(err)
+	}
+	return bytes
+}
+
+// Guards against snapshots that are not restored exactly, also from several VMs, and against resending what the
+// receiver has.
+func TestSnapshotBySeveralVMsAndOnlyChanges(t *testing.T) {
+	is := is.New(t)
+	a, b := filled(5000), filled(5000)
+	mine := NewStore(Settings{})
+	p := NewPuller(mine)
+	whole := pullAll(is, p, NewServer(a, unlimited()), NewServer(b, unlimited()))
+	is.Equal(mine.Digest(), a.Digest())
+	is.Equal(len(mine.View().Backends), 5000)
+	is.NoErr(a.Restore(Snapshot{Revision: 5001, Entries: append(snapshotEntries(a), set(5001, "backends/6000", `{"id":6000}`))}))
+	some := pullAll(is, p, NewServer(a, unlimited()))
+	is.Equal(mine.Digest(), a.Digest())
+	t.Logf("whole snapshot %d bytes, after one change %d bytes", whole, some)
+	is.True(some < whole/4) // two lists of hashes and one chunk
+}
+
+func snapshotEntries(s *Store) (out []Event) {
+	for key, e := range s.entries {
+		out = append(out, Event{Revision: e.revision, Key: key, Value: e.value})
+	}
+	return out
+}
+
+// Guards against a batch that is cut between events of one revision or is not contiguous for the receiver.
+func TestBatchesCutOnlyBetweenRevisions(t *testing.T) {
+	is := is.New(t)
+	s := NewStore(Settings{})
+	value := `{"id":1,"name":"` + strings.Repeat("x", 900) + `"}`
+	for r := pimid.Revision(1); r <= 30; r++ {
+		is.NoErr(s.Apply(batch(r-1, r, set(r, "services/1", value), set(r, "services/2", `{"id":2}`))))
+	}
+	mine := NewStore(Settings{})
+	p, server := NewPuller(mine), NewServer(s, unlimited())
+	rounds := 0
+	for more := true; more; rounds++ {
+		req, err := p.Request(2500)
+		is.NoErr(err)
+		reply, err := server.Pull(0, rand.New(rand.NewPCG(1, 1)), req)
+		is.NoErr(err)
+		is.True(len(reply.GetEvents())%2 == 0)
+		more, err = p.Accept(req, reply)
+		is.NoErr(err)
+	}
+	is.True(rounds > 5)
+	is.Equal(mine.Digest(), s.Digest())
+}
+
+// Guards against a receiver that keeps deleted keys when the sender's state is empty and its log starts later.
+func TestEmptySnapshotDeletes(t *testing.T) {
+	is := is.New(t)
+	s, mine := NewStore(Settings{}), filled(3)
+	is.NoErr(s.Restore(Snapshot{Revision: 10}))
+	pullAll(is, NewPuller(mine), NewServer(s, unlimited()))
+	is.Equal(len(mine.View().Backends), 0)
+	is.Equal(mine.Revision(), pimid.Revision(10))
+}
+
+// Guards against replies with damaged chunks being accepted.
+func TestDamagedChunksAreRefused(t *testing.T) {
+	is := is.New(t)
+	mine := NewStore(Settings{})
+	p := NewPuller(mine)
+	for _, reply := range []*pimpb.PullConfigReply{
+		{Revision: 5, ChunkHashes: [][]byte{{1, 2}}},
+		{Revision: 5, ChunkHashes: [][]byte{make([]byte, HashSize)}, Chunks: [][]byte{{0xff, 0xff}}},
+	} {
+		_, err := p.Accept(&pimpb.PullConfigRequest{}, reply)
+		is.True(errors.Is(err, ErrBadChunk))
+	}
+	is.Equal(mine.Revision(), pimid.Revision(0))
+}
+
+// Guards against a sender that exceeds its byte budget, and against a value above the burst that is never sent.
+func TestBudgetBoundsAndAllowsLargeMessages(t *testing.T) {
+	is := is.New(t)
+	var clock pimclock.Manual
+	b := NewBudget(clock.Now(), BudgetRate, BudgetBurst)
+	sent := 0
+	for range 600 {
+		for b.Take(clock.Now(), 1000) {
+			sent += 1000
+		}
+		clock.Advance(100 * time.Millisecond)
+	}
+	is.True(sent <= BudgetBurst+60*BudgetRate+1000)
+	is.True(sent >= BudgetBurst+59*BudgetRate)
+	is.True(!b.Take(clock.Now(), 1_000_000))
+	clock.Advance(b.Wait(clock.Now(), 1_000_000))
+	clock.Advance(time.Millisecond)
+	is.True(b.Take(clock.Now(), 1_000_000))
+	is.True(b.Available(clock.Now()) < 0)
+}
+
+// Guards against a syncer that asks one VM again and again although it fails or has no budget left.
+func TestSyncerAvoidsVMsThatFail(t *testing.T) {
+	is := is.New(t)
+	s := NewSyncer(NewStore(Settings{}), rand.New(rand.NewPCG(1, 1)))
+	ahead := []pimid.NodeID{1, 2}
+	seen := map[pimid.NodeID]int{}
+	for range 2 {
+		peer, req, ok, err := s.Next(0, ahead)
+		is.NoErr(err)
+		is.True(ok)
+		seen[peer]++
+		_, _, again, _ := s.Next(0, ahead)
+		is.True(!again) // one pull at a time
+		_, err = s.Done(0, peer, req, nil, errors.New("refused"))
+		is.NoErr(err)
+	}
+	is.Equal(len(seen), 2)
+	_, _, ok, _ := s.Next(0, ahead)
+	is.True(!ok)
+	_, _, ok, _ = s.Next(pimclock.Instant(2*avoidTime), ahead)
+	is.True(ok)
+}
--- a/internal/coordination/pimconfig/serve.go
+++ b/internal/coordination/pimconfig/serve.go
@@ -72,8 +72,14 @@
 	}
 	reply := &pimpb.PullConfigReply{Revision: uint64(s.store.digest.Revision)}
 	missing := s.missing(have, reply)
+	if len(have) == 0 && req.GetFromRevision() > 0 {
+		// The receiver has a state; it learns the hashes first and then names what it lacks.
+		reply.More = true
+		return reply, nil
+	}
 	rng.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	size := HashSize * len(reply.GetChunkHashes())
+	var c compressor
 	for _, b := range missing {
 		if size >= limit {
 			break
@@ -82,7 +88,7 @@
 		if err != nil {
 			return nil, err
 		}
-		if p, err = compress(p); err != nil {
+		if p, err = c.compress(p); err != nil {
 			return nil, err
 		}
 		if len(reply.Chunks) > 0 && size+len(p) > limit {
--- a/internal/standin/standfleet/config_test.go
+++ b/internal/standin/standfleet/config_test.go
@@ -23,6 +23,7 @@
 
 // Guards against an accepted configuration that is not in force everywhere within the bound of R8.
 func TestConfigInForceEverywhere(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
@@ -39,6 +40,7 @@
 
 // Guards against a stale or restarted platform that takes the fleet back, and against a lost change afterwards.
 func TestStalePlatformNeverRevertsConfig(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
@@ -57,6 +59,7 @@
 
 // Guards against a VM that restarts with nothing during an outage of the platform and stays behind its peers.
 func TestRestartDuringOutageTakesHighestRevision(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		noSync := o.NoSync
 		o.NoSync = false
@@ -79,6 +82,7 @@
 // Guards against a partition whose sides see different platforms: the side that is behind must catch up after the
 // heal, and no side may go back.
 func TestHealedPartitionConverges(t *testing.T) {
+	t.Parallel()
 	odd := func(id pimid.NodeID) bool { return id%2 == 1 }
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
@@ -102,6 +106,7 @@
 
 // Guards against VMs that stay behind because updates reach them unevenly.
 func TestUnevenDeliveryStillConverges(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		n := 0
 		o.Drop = func(_ *VM, to pimid.NodeID, _ *pimpb.Gossip) bool {
@@ -118,6 +123,7 @@
 
 // Guards against different states at one revision when operators change the same keys at the same time.
 func TestRacingChangesGiveOneState(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
--- a/internal/standin/standfleet/member_test.go
+++ b/internal/standin/standfleet/member_test.go
@@ -13,6 +13,7 @@
 
 // Guards against a failed VM that stays in the fleet, and against losses that make a running VM look failed.
 func TestFailureIsDetectedAndOnlyFailure(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
@@ -33,6 +34,7 @@
 
 // Guards against a drain that some VM of the data centre does not know within the bound of R6 without the platform.
 func TestDrainIsKnownWithinBound(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, drainKnown, func(o *Options) { o.Member.PushInterval, o.PerDataCentre = time.Hour, 256 })
 }
 
@@ -51,6 +53,7 @@
 
 // Guards against the sides of a healed partition that keep each other declared dead.
 func TestHealedPartitionRejoins(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
@@ -76,6 +79,7 @@
 
 // Guards against a paused VM that, when it resumes, takes all others to be dead or cannot come back itself.
 func TestPausedVMComesBack(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
@@ -98,6 +102,7 @@
 
 // Guards against peers that do not learn the successor of a VM that leaves, or that keep giving it keys.
 func TestSuccessorOfLeavingVMIsKnown(t *testing.T) {
+	t.Parallel()
 	holdsAndCanFail(t, func(o Options) error {
 		f, err := started(o)
 		if err != nil {
