--- a/internal/coordination/pimpick/host.go
+++ b/internal/coordination/pimpick/host.go
@@ -60,24 +60,37 @@
 	h.placedAt = now
 }
 
-// estimate returns the expected number of connections. A reported count loses weight with its age in favour of the
-// mean of the service, so that a host without a report is not taken for an empty one. Flows placed since the report
-// count once for every VM, since the others place at the same rate. The count of own placed flows is a lower bound, so
-// that a report that is too low cannot attract all new flows.
-func (h *host) estimate(now pimclock.Instant, mean float64, cfg *Config) float64 {
+// estimate returns the expected number of connections. The count expected from own placed flows is a lower bound, so
+// that a report that is too low attracts no flows. A report loses weight with its age in favour of that count and the
+// median of the service, so that a host without a report is not taken for an empty one.
+func (h *host) estimate(now pimclock.Instant, g *group, cfg *Config) float64 {
 	h.decay(now, cfg.PlacedAge)
-	known := mean
-	if h.hasReport {
-		weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(cfg.ReportAge))
-		known = weight*h.reported + (1-weight)*mean
+	placed := g.perPlaced * h.placed
+	return h.blend(now, placed, math.Max(g.median, placed), cfg)
+}
+
+// full reports whether the host has reached its connection limit; unlike estimate, it uses nothing but observations of
+// this host, since a busy host must not close the others.
+func (h *host) full(now pimclock.Instant, g *group, cfg *Config) bool {
+	h.decay(now, cfg.PlacedAge)
+	placed := g.perPlaced * h.placed
+	return h.blend(now, placed, placed, cfg) >= float64(h.MaxConnections)
+}
+
+// blend weighs the last report against the count that is assumed without one. Flows placed since the report count once
+// for every VM, since the others place at the same rate.
+func (h *host) blend(now pimclock.Instant, least, unreported float64, cfg *Config) float64 {
+	if !h.hasReport {
+		return unreported
 	}
-	peers := float64(cfg.Peers)
-	return math.Max(known+h.sinceReport*peers, h.placed*peers)
+	weight := math.Exp2(-float64(now.Sub(h.reportedAt)) / float64(cfg.ReportAge))
+	reported := h.reported + h.sinceReport*float64(cfg.Peers)
+	return math.Max(weight*reported+(1-weight)*unreported, least)
 }
 
-// warmth returns the part of the normal load that a host may receive during its slow start.
+// warmth returns the part of the normal rate of new flows that a host may receive during its slow start.
 func (h *host) warmth(now pimclock.Instant, cfg *Config) float64 {
-	const least = 0.1
+	const least = 0.05
 	if !h.cold {
 		return 1
 	}
--- a/internal/coordination/pimpick/hosts.go
+++ b/internal/coordination/pimpick/hosts.go
@@ -20,15 +20,6 @@
 	services map[pimid.ServiceID]*group
 }
 
-// group holds the hosts of one service.
-type group struct {
-	hosts []*host
-	// usable is rebuilt by each pick.
-	usable []*host
-	mean   float64
-	meanAt pimclock.Instant
-}
-
 // NewHosts returns an empty table with the given policy.
 func NewHosts(cfg Config, policy Policy) *Hosts {
 	return &Hosts{
@@ -77,41 +68,31 @@
 	if g == nil {
 		return 0, 0, ErrNoHost
 	}
-	mean := g.reportedMean(now)
+	g.refresh(now, &t.cfg)
 	g.usable = g.usable[:0]
 	for _, h := range g.hosts {
-		if h.usable(now) && h.estimate(now, mean, &t.cfg) < float64(h.MaxConnections) {
+		if h.usable(now) && !h.full(now, g, &t.cfg) {
 			g.usable = append(g.usable, h)
 		}
 	}
 	if len(g.usable) == 0 {
 		return 0, 0, ErrNoHost
 	}
-	h := g.usable[t.policy.Choose(rnd, len(g.usable), func(i int) float64 { return t.load(now, g.usable[i], mean) })]
+	g.keepWarm(now, &t.cfg, rnd)
+	h := g.usable[t.policy.Choose(rnd, len(g.usable), func(i int) float64 { return t.load(now, g, g.usable[i]) })]
 	h.placed++
 	h.sinceReport++
 	return h.ID, h.Generation, nil
 }
 
-// load is the used part of the connection limit, raised during a slow start.
-func (t *Hosts) load(now pimclock.Instant, h *host, mean float64) float64 {
-	return (h.estimate(now, mean, &t.cfg) + 1) / (float64(h.MaxConnections) * h.warmth(now, &t.cfg))
-}
-
-// reportedMean returns the mean reported count, recomputed at most once per instant.
-func (g *group) reportedMean(now pimclock.Instant) float64 {
-	if g.meanAt == now && now != 0 {
-		return g.mean
-	}
-	sum, n := 0.0, 0
-	for _, h := range g.hosts {
-		if h.hasReport {
-			sum += h.reported
-			n++
-		}
+// load is the used part of the connection limit. A cold host counts as one with the median load, so that its lack of
+// flows does not attract more than its share.
+func (t *Hosts) load(now pimclock.Instant, g *group, h *host) float64 {
+	estimate := h.estimate(now, g, &t.cfg)
+	if h.cold {
+		estimate = max(estimate, g.median)
 	}
-	g.mean, g.meanAt = sum/float64(max(n, 1)), now
-	return g.mean
+	return (estimate + 1) / float64(h.MaxConnections)
 }
 
 // Report records a connection count that was read at the given instant; an older report is ignored.
--- a/internal/coordination/pimpick/outlier.go
+++ b/internal/coordination/pimpick/outlier.go
@@ -31,6 +31,8 @@
 	}
 	const maxDoublings = 16
 	h.ejectedTill = now.Add(min(t.cfg.EjectBase<<min(h.ejections, maxDoublings), t.cfg.EjectMax))
+	// The host returns with a slow start: few flows are lost if it still fails.
+	h.cold, h.coldSince = true, h.ejectedTill
 	h.ejections++
 	h.failures = 0
 }
--- a/internal/coordination/pimslot/owner.go
+++ b/internal/coordination/pimslot/owner.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -29,7 +30,7 @@
 
 // Acquire waits for a slot; the error is a *RefusalError, ErrClosed or the error of ctx.
 func (o *Owner) Acquire(ctx context.Context, r SlotRequest) (g Grant, err error) {
-	defer func() { err = oops.In("pimslot").Wrapf(err, "acquire slot") }()
+	defer func() { err = annotate(err) }()
 	id, ch, err := o.offer(r)
 	if err != nil {
 		return Grant{}, err
@@ -42,6 +43,16 @@
 	}
 }
 
+// annotate wraps errors other than refusals: a refusal is an answer to the caller, and recording a stack for each takes
+// most of its time in a flood.
+func annotate(err error) error {
+	var refusal *RefusalError
+	if errors.As(err, &refusal) {
+		return refusal
+	}
+	return oops.In("pimslot").Wrapf(err, "acquire slot")
+}
+
 func (o *Owner) offer(r SlotRequest) (OfferID, chan Decision, error) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
--- /dev/null
+++ b/internal/scenario/pimbalance/balance_test.go
@@ -0,0 +1,40 @@
+package pimbalance
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+)
+
+// TestBalance guards against hosts that receive much more than their share when reports lag, are wrong or absent and
+// hosts fail; the choice by reports alone must fail the same check.
+func TestBalance(t *testing.T) {
+	cases := []struct {
+		name   string
+		faults bool
+		limit  float64
+	}{
+		{"lagging reports", false, 1.05},
+		{"wrong reports and faulty hosts", true, 1.1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			is := is.New(t)
+			reports := map[Choice]Report{}
+			for _, choice := range Choices {
+				r := Run(DefaultConfig(1, choice, c.faults))
+				reports[choice] = r
+				t.Logf("%s: max/mean %.3f (worst %.3f), p99 wait %.1f ms, failed %d", choice, r.MaxToMean, r.WorstMaxToMean, r.WaitP99Millis, r.Failed)
+			}
+			two := reports[TwoChoices]
+			is.True(two.MaxToMean <= c.limit) // the fullest host
+			if !c.faults {
+				// Without faults, load reports must help; equal hosts with wrong reports favour choices that ignore them.
+				is.True(two.MaxToMean < reports[RoundRobin].MaxToMean)
+				is.True(two.MaxToMean < reports[Random].MaxToMean)
+			}
+			is.True(reports[LeastReported].MaxToMean > c.limit) // the check does not detect herding
+			is.Equal(two.Refused, 0)                            // every flow found a host
+		})
+	}
+}
--- /dev/null
+++ b/internal/scenario/pimbalance/stats.go
@@ -0,0 +1,95 @@
+package pimbalance
+
+import (
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// stats collects the results of one run after its warm-up.
+type stats struct {
+	wait            *hdrhistogram.Histogram
+	refused, failed int
+	ratios          []float64
+	worst           float64
+}
+
+func newStats() stats {
+	return stats{wait: hdrhistogram.New(1, int64(time.Minute/time.Microsecond), 3)}
+}
+
+func (s *stats) opened(now, created pimclock.Instant) {
+	if created >= pimclock.Instant(warmUp) {
+		_ = s.wait.RecordValue(int64(now.Sub(created) / time.Microsecond))
+	}
+}
+
+// sample records the largest count of flows divided by the mean, over the hosts that work and are warm.
+func (w *world) sample() {
+	now := time.Duration(w.Now())
+	if now < warmUp {
+		return
+	}
+	sum, n, most := 0, 0, 0
+	for _, b := range w.backends {
+		if w.settling(b, now) {
+			continue
+		}
+		sum += b.flows
+		n++
+		most = max(most, b.flows)
+	}
+	ratio := float64(most) * float64(n) / float64(max(sum, 1))
+	w.stats.ratios = append(w.stats.ratios, ratio)
+	w.stats.worst = max(w.stats.worst, ratio)
+}
+
+// settling reports whether a host is faulty, cold, or was so a short time ago.
+func (w *world) settling(b *backend, now time.Duration) bool {
+	if !w.cfg.Faults {
+		return false
+	}
+	within := func(from, until time.Duration) bool { return now >= from && now < until+settleAfter }
+	switch b.id {
+	case startsCold:
+		return within(coldAt, coldAt+coldFor)
+	case refusesNew:
+		return within(refusesFrom, refusesUntil)
+	case staysSilent:
+		return within(silentFrom, silentUntil)
+	default:
+		return false
+	}
+}
+
+// Report is the result of one run.
+type Report struct {
+	Seed   uint64 `json:"seed"`
+	Choice Choice `json:"choice"`
+	Faults bool   `json:"faults"`
+	// MaxToMean and WorstMaxToMean are the mean and the maximum over time of the fullest host's flows divided by the
+	// mean flows of a host.
+	MaxToMean      float64 `json:"max_to_mean"`
+	WorstMaxToMean float64 `json:"worst_max_to_mean"`
+	// WaitP99Millis is the 99th percentile of the time to open a flow in milliseconds.
+	WaitP99Millis float64 `json:"wait_p99_ms"`
+	// Failed counts attempts at refusing and silent hosts, Refused the flows that found no host.
+	Failed  int `json:"failed"`
+	Refused int `json:"refused"`
+}
+
+func (s *stats) report(cfg Config) Report {
+	sum := 0.0
+	for _, r := range s.ratios {
+		sum += r
+	}
+	return Report{
+		Seed: cfg.Seed, Choice: cfg.Choice, Faults: cfg.Faults,
+		MaxToMean:      sum / float64(max(len(s.ratios), 1)),
+		WorstMaxToMean: s.worst,
+		WaitP99Millis:  float64(s.wait.ValueAtQuantile(99)) / float64(time.Millisecond/time.Microsecond),
+		Failed:         s.failed, Refused: s.refused,
+	}
+}
