fix: keep the successors of earlier runs and accept handed-over records at once

Cause: after a planned stop, 2 to 5 requests were answered unknown (home_lost). The successor got relayed requests before the announcement that names it, a VM that joins did not know VMs that had left, and a VM restarted in place replaced the record that named its successor. Ruled out: lost records, since the handover was acknowledged each time; a later announcement, which would only widen the window.

--- /dev/null
+++ b/internal/coordination/pimmember/former.go
@@ -0,0 +1,48 @@
+package pimmember
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// run is one run of one VM.
+type run struct {
+	id          pimid.NodeID
+	incarnation pimid.Incarnation
+}
+
+// formerRun is the successor of a run that ended as planned.
+type formerRun struct {
+	successor run
+	until     pimclock.Instant
+}
+
+// keepFormer remembers the successor of a run that is replaced by the next run of the same VM, since its tokens permit
+// requests for longer than a restart takes.
+func (m *Members) keepFormer(now pimclock.Instant, r *record) {
+	if r.Successor == 0 {
+		return
+	}
+	m.former[run{r.ID, r.Incarnation}] = formerRun{
+		successor: run{r.Successor, r.SuccessorIncarnation}, until: now.Add(retention),
+	}
+}
+
+func (m *Members) expireFormer(now pimclock.Instant) {
+	for k, f := range m.former {
+		if !now.Before(f.until) {
+			delete(m.former, k)
+		}
+	}
+}
+
+// SuccessorOf returns the VM that accepts the tokens of one incarnation of a VM that announced a planned stop.
+func (m *Members) SuccessorOf(id pimid.NodeID, inc pimid.Incarnation) (pimid.NodeID, pimid.Incarnation, bool) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if r, ok := m.records[id]; ok && r.Incarnation == inc && r.Successor != 0 {
+		return r.Successor, r.SuccessorIncarnation, true
+	}
+	f, ok := m.former[run{id, inc}]
+	return f.successor.id, f.successor.incarnation, ok
+}
--- a/internal/coordination/pimmember/leave.go
+++ b/internal/coordination/pimmember/leave.go
@@ -18,15 +18,6 @@
 	return 0, 0, false
 }
 
-// SuccessorOf returns the VM that accepts the tokens of one incarnation of a VM that announced a planned stop.
-func (m *Members) SuccessorOf(id pimid.NodeID, inc pimid.Incarnation) (pimid.NodeID, pimid.Incarnation, bool) {
-	r, ok := m.Member(id)
-	if !ok || r.Incarnation != inc || r.Successor == 0 {
-		return 0, 0, false
-	}
-	return r.Successor, r.SuccessorIncarnation, true
-}
-
 // Leave announces a planned stop and the successor, or no successor if it is 0. The VM owns no keys from now on.
 func (m *Members) Leave(now pimclock.Instant, successor pimid.NodeID, inc pimid.Incarnation) []Message {
 	return m.announce(now, Leaving, func() {
--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -44,6 +44,8 @@
 	mu      sync.Mutex
 	rng     *rand.Rand
 	records map[pimid.NodeID]*record
+	// former holds the successors of earlier runs of VMs that stopped as planned.
+	former  map[run]formerRun
 	self    *record
 	changed map[pimid.DataCentre]bool
 	counts  Counters
@@ -78,7 +80,7 @@
 func New(cfg Settings, now pimclock.Instant, rng *rand.Rand) *Members {
 	cfg = cfg.withDefaults()
 	m := &Members{
-		cfg: cfg, rng: rng, records: map[pimid.NodeID]*record{}, changed: map[pimid.DataCentre]bool{},
+		cfg: cfg, rng: rng, records: map[pimid.NodeID]*record{}, former: map[run]formerRun{}, changed: map[pimid.DataCentre]bool{},
 		helping: map[uint64]help{}, heard: map[pimid.DataCentre]pimclock.Instant{}, lastTick: now,
 		remote: queue{cap: remoteQueue}, spent: allowance{level: gossipBurst, last: now}, digest: &pimpb.ConfigDigest{},
 	}
--- a/internal/coordination/pimmember/tick.go
+++ b/internal/coordination/pimmember/tick.go
@@ -54,6 +54,7 @@
 			delete(m.helping, seq)
 		}
 	}
+	m.expireFormer(now)
 	if !m.listed {
 		return
 	}
--- a/internal/coordination/pimmember/update.go
+++ b/internal/coordination/pimmember/update.go
@@ -68,6 +68,7 @@
 func (m *Members) merge(now pimclock.Instant, r *record, u *pimpb.MemberUpdate) {
 	inc := pimid.Incarnation(u.GetIncarnation())
 	if inc != r.Incarnation {
+		m.keepFormer(now, r)
 		r.Leaving, r.Successor, r.SuccessorIncarnation, r.Revision = false, 0, 0, 0
 	}
 	r.Incarnation, r.Counter, r.State = inc, u.GetCounter(), u.GetState()
--- a/internal/coordination/pimonce/handover.go
+++ b/internal/coordination/pimonce/handover.go
@@ -44,6 +44,14 @@
 	return min(end.Add(-h.store.cfg.MaxSkew), a.until), true
 }
 
+// Accepts reports whether this home may run requests of an origin: its own, or one whose records were handed over.
+func (h *Home) Accepts(origin Origin) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	a := h.adopted[origin]
+	return origin == h.self || a != nil && a.complete && h.clock.Now().Before(a.until)
+}
+
 // Stop permanently ends the acceptance of new requests.
 func (h *Home) Stop() {
 	h.mu.Lock()
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -32,6 +32,23 @@
 	is.Equal(outcomes[pimcaller.Failed], 0)
 }
 
+// Guards against lost requests when a VM is restarted in place: the successor holds the records of its earlier run.
+func TestRestartInPlaceIsNotNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	f.list(1, pimview.NodeLeaving)
+	f.signal(1, syscall.SIGTERM)
+	is.Equal(f.exited(1), 0)
+	f.start(1)
+	l.awaitAnswers(200)
+	outcomes := l.finish()
+	l.check(t)
+	is.Equal(outcomes[pimcaller.Answered], len(l.results))
+}
+
 // Guards against double execution, false refusals and broken flows when a VM dies without notice.
 func TestKilledVM(t *testing.T) {
 	f := newFleet(t)
--- a/internal/pimnode/adapters.go
+++ b/internal/pimnode/adapters.go
@@ -1,15 +1,18 @@
 package pimnode
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
 )
 
 // flowRetry is the retry time of a caller whose flow exceeds the flow limit; flows are refreshed every 30 s.
@@ -48,20 +51,44 @@
 
 // HomeState implements pimroute.Members.
 func (v memberView) HomeState(home pimroute.Home) (pimroute.HomeStatus, pimroute.Home) {
-	m, ok := v.n.members.Member(home.Node)
-	if !ok || (m.Incarnation != 0 && m.Incarnation != home.Incarnation) {
-		return pimroute.HomeLost, pimroute.Home{}
+	// The records may arrive before the announcement that names this VM as successor.
+	if home != v.n.self && !v.n.stop.draining() && v.n.home.Accepts(pimonce.Origin(home)) {
+		return pimroute.HomeLeft, v.n.self
+	}
+	if node, inc, ok := v.n.members.SuccessorOf(home.Node, home.Incarnation); ok {
+		return pimroute.HomeLeft, pimroute.Home{Node: node, Incarnation: inc}
 	}
-	if m.Successor != 0 {
-		return pimroute.HomeLeft, pimroute.Home{Node: m.Successor, Incarnation: m.SuccessorIncarnation}
+	m, ok := v.n.members.Member(home.Node)
+	if !ok || m.Incarnation != home.Incarnation {
+		return v.unheardHome(home)
 	}
 	if m.State == pimmember.Dead || m.State == pimmember.Left {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
-	// A listed VM that was not heard yet is asked; if it does not answer, the outcome is unknown.
 	return pimroute.HomeLive, pimroute.Home{}
 }
 
+// unheardHome handles a run of a VM that this VM never heard. It may have ended before this VM started, so for as long
+// as its tokens permit requests, a peer that may know its successor is asked. Only the VM that holds the records runs a
+// request, so asking the wrong one does no harm.
+func (v memberView) unheardHome(home pimroute.Home) (pimroute.HomeStatus, pimroute.Home) {
+	if v.n.uptime() > pimtoken.PermitLifetime {
+		return pimroute.HomeLost, pimroute.Home{}
+	}
+	live := slices.DeleteFunc(slices.Clone(v.n.members.Live(v.n.cfg.Node.DataCentre)), func(id pimid.NodeID) bool {
+		return id == v.n.self.Node || id == home.Node
+	})
+	if len(live) == 0 {
+		return pimroute.HomeLost, pimroute.Home{}
+	}
+	peer := live[v.n.rng.IntN(len(live))]
+	m, ok := v.n.members.Member(peer)
+	if !ok || m.Incarnation == 0 {
+		return pimroute.HomeLost, pimroute.Home{}
+	}
+	return pimroute.HomeLeft, pimroute.Home{Node: peer, Incarnation: m.Incarnation}
+}
+
 // NewerPeer implements pimroute.Members.
 func (v memberView) NewerPeer(revision pimid.Revision) (pimid.NodeID, bool) {
 	ids := v.n.members.Ahead(revision)
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -104,10 +104,11 @@
 	}
 }
 
-// heardPeers reports whether every listed VM of the data centre was heard.
+// heardPeers reports whether every listed VM of the data centre was heard, also one that is leaving: its successor accepts
+// its tokens.
 func (n *Node) heardPeers() bool {
 	for _, v := range n.store.View().Nodes {
-		if v.ID == n.self.Node || v.DataCentre != n.cfg.Node.DataCentre || v.State != pimview.NodeLive {
+		if v.ID == n.self.Node || v.DataCentre != n.cfg.Node.DataCentre {
 			continue
 		}
 		if m, ok := n.members.Member(v.ID); !ok || m.Incarnation == 0 {
