--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -117,6 +117,7 @@
 	if err = n.awaitView(ctx); err != nil {
 		return err
 	}
+	n.log.Info().Uint64("revision", uint64(n.store.Revision())).Dur("after_ms", n.uptime()).Msg("configuration received")
 	n.awaitPeers(ctx)
 	n.refresh()
 	return n.startEdge()
