--- a/internal/coordination/pimmember/receive.go
+++ b/internal/coordination/pimmember/receive.go
@@ -26,6 +26,9 @@
 	}
 	switch g.GetKind() {
 	case pimpb.GossipKind_GOSSIP_KIND_PING:
+		if !from.Address.IsValid() {
+			return nil
+		}
 		return []Message{m.ack(from, g.GetSequence(), 0)}
 	case pimpb.GossipKind_GOSSIP_KIND_ACK:
 		return m.acked(from, g)
