test: check sealing, peer calls, platform client and stand-in

Cause: forged, replayed and oversized input was not checked. Ruled out: tests that wait for time to pass. Change: add table tests, fuzz tests with seed corpora and loopback tests.

--- /dev/null
+++ b/internal/transport/pimpeer/seal_test.go
@@ -0,0 +1,122 @@
+package pimpeer
+
+import (
+	"encoding/binary"
+	"errors"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const nowMillis = 1_800_000_000_000
+
+func sealer(tb testing.TB, secret string, node pimid.NodeID, inc pimid.Incarnation) *Sealer {
+	tb.Helper()
+	c, err := NewCredentials([]byte(secret), Identity{Node: node, Incarnation: inc})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s, err := NewSealer(c)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
+const testSecret = "0123456789abcdef-test"
+
+func seal(tb testing.TB, s *Sealer) []byte {
+	tb.Helper()
+	p, err := s.Seal(nowMillis, &pimpb.Gossip{Kind: pimpb.GossipKind_GOSSIP_KIND_PING, Sequence: 7})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return p
+}
+
+// Guards against forged, truncated, replayed and late datagrams that reach the detector.
+func TestOpenRefusesBadDatagrams(t *testing.T) {
+	change := func(at int) func([]byte) []byte {
+		return func(p []byte) []byte { p[at] ^= 1; return p }
+	}
+	for name, tc := range map[string]struct {
+		change func([]byte) []byte
+		at     int64
+		want   error
+	}{
+		"empty":             {func([]byte) []byte { return nil }, nowMillis, ErrShort},
+		"header only":       {func(p []byte) []byte { return p[:headerSize] }, nowMillis, ErrShort},
+		"one byte short":    {func(p []byte) []byte { return p[:len(p)-1] }, nowMillis, ErrForged},
+		"one byte more":     {func(p []byte) []byte { return append(p, 0) }, nowMillis, ErrForged},
+		"other version":     {change(0), nowMillis, ErrVersion},
+		"other node":        {change(2), nowMillis, ErrForged},
+		"other incarnation": {change(5), nowMillis, ErrForged},
+		"other sequence":    {change(18), nowMillis, ErrForged},
+		"other content":     {change(headerSize), nowMillis, ErrForged},
+		"other tag":         {func(p []byte) []byte { p[len(p)-1] ^= 1; return p }, nowMillis, ErrForged},
+		"too old":           {nil, nowMillis + windowMillis + 1, ErrTime},
+		"from the future":   {nil, nowMillis - windowMillis - 1, ErrTime},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			from, to := sealer(t, testSecret, 1, 5), sealer(t, testSecret, 2, 6)
+			p := seal(t, from)
+			bad := append([]byte(nil), p...)
+			if tc.change != nil {
+				bad = tc.change(bad)
+			}
+			_, err := to.Open(tc.at, bad)
+			is.True(errors.Is(err, tc.want))
+			g, err := to.Open(nowMillis, p) // a bad datagram must not block the good one
+			is.NoErr(err)
+			is.Equal(g.GetSender(), uint32(1))
+		})
+	}
+}
+
+// Guards against a sender with another cluster secret.
+func TestOpenRefusesOtherSecret(t *testing.T) {
+	is := is.New(t)
+	_, err := sealer(t, testSecret, 2, 6).Open(nowMillis, seal(t, sealer(t, "another-secret-0123", 1, 5)))
+	is.True(errors.Is(err, ErrForged))
+}
+
+// Guards against replays, also of an older run, and against reordered datagrams being taken for replays.
+func TestReplayWindow(t *testing.T) {
+	is := is.New(t)
+	old, from, to := sealer(t, testSecret, 1, 4), sealer(t, testSecret, 1, 5), sealer(t, testSecret, 2, 6)
+	stale := seal(t, old)
+	var sent [][]byte
+	for range windowBits + 10 {
+		sent = append(sent, seal(t, from))
+	}
+	open := func(p []byte) error { _, err := to.Open(nowMillis, p); return err }
+	is.NoErr(open(sent[20]))
+	is.NoErr(open(sent[3])) // reordered
+	is.True(errors.Is(open(sent[3]), ErrReplayed))
+	is.True(errors.Is(open(sent[20]), ErrReplayed))
+	is.NoErr(open(sent[len(sent)-1]))
+	is.True(errors.Is(open(sent[4]), ErrReplayed)) // older than the window
+	is.NoErr(open(sent[100]))
+	is.True(errors.Is(open(sent[100]), ErrReplayed))
+	is.True(errors.Is(open(stale), ErrReplayed)) // older run
+}
+
+// FuzzOpen guards against a crash on any datagram and against any changed datagram being accepted.
+func FuzzOpen(f *testing.F) {
+	from := sealer(f, testSecret, 1, 5)
+	good := seal(f, from)
+	f.Add(good)
+	f.Add(good[:headerSize])
+	f.Add([]byte{sealVersion})
+	f.Add(binary.BigEndian.AppendUint64(make([]byte, Overhead), 1))
+	to := sealer(f, testSecret, 2, 6)
+	f.Fuzz(func(t *testing.T, p []byte) {
+		if g, err := to.Open(nowMillis, p); err == nil && string(p) != string(good) {
+			t.Fatalf("accepted a datagram that was never sealed: %v", g)
+		}
+	})
+}
--- a/internal/transport/pimplatform/backoff.go
+++ b/internal/transport/pimplatform/backoff.go
@@ -6,7 +6,7 @@
 )
 
 // Backoff chooses waits that double from Min to Max with full jitter, so that readers that failed together do not
-// return together.
+// return together. It is owned by one goroutine.
 type Backoff struct {
 	Min, Max time.Duration
 	rng      *rand.Rand
--- /dev/null
+++ b/internal/transport/pimplatform/client_test.go
@@ -0,0 +1,198 @@
+package pimplatform
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+func platform(t *testing.T, hold time.Duration) (*standplatform.State, *standplatform.Server, *Client) {
+	t.Helper()
+	state := standplatform.NewState()
+	server := standplatform.NewServer(state, hold)
+	return state, server, client(t, server, Settings{})
+}
+
+func client(t *testing.T, h http.Handler, cfg Settings) *Client {
+	t.Helper()
+	web := httptest.NewServer(h)
+	t.Cleanup(web.Close)
+	cfg.Address = web.URL
+	c, cleanup, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(cleanup)
+	return c
+}
+
+// Guards against a client and a platform that disagree about the protocol.
+func TestReadsOfAHealthyPlatform(t *testing.T) {
+	is := is.New(t)
+	state, server, c := platform(t, time.Millisecond)
+	state.Put("services/1", []byte(`{"id":1}`))
+	state.Put("services/2", []byte(`{"id":2}`))
+	state.SetVM(pimview.Node{ID: 3, DataCentre: "ikeja", State: pimview.NodeLeaving})
+	snap, err := c.Keys(t.Context())
+	is.NoErr(err)
+	is.Equal(snap.Revision, pimid.Revision(2))
+	is.Equal(len(snap.Entries), 2)
+	is.Equal(string(snap.Entries[0].Value), `{"id":1}`)
+	state.Delete("services/1")
+	b, err := c.Watch(t.Context(), 2)
+	is.NoErr(err)
+	is.Equal(b, pimconfig.Batch{From: 2, To: 3, Events: []pimconfig.Event{{Revision: 3, Key: "services/1", Deleted: true}}})
+	b, err = c.Watch(t.Context(), 3) // held until the server gives up
+	is.NoErr(err)
+	is.Equal(b, pimconfig.Batch{From: 3, To: 3})
+	list, err := c.VMs(t.Context())
+	is.NoErr(err)
+	is.Equal(list.Version, uint64(1))
+	is.Equal(list.VMs[0].State, pimview.NodeLeaving)
+	is.Equal(server.Calls(), standplatform.Calls{Keys: 1, Watch: 2, VMs: 1})
+}
+
+// Guards against failures of the platform that callers cannot tell apart.
+func TestFailuresHaveTypes(t *testing.T) {
+	text := func(s string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte(s)) }
+	}
+	for name, tc := range map[string]struct {
+		handler http.HandlerFunc
+		want    error
+	}{
+		"malformed":     {text(`{"revision":`), ErrMalformed},
+		"unknown field": {text(`{"revision":1,"colour":2}`), ErrMalformed},
+		"trailing":      {text(`{"revision":1} 5`), ErrMalformed},
+		"large":         {text(`{"revision":1,"keys":[` + strings.Repeat(" ", 2000) + `]}`), ErrTooLarge},
+		"gone":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGone) }, ErrCompacted},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, err := client(t, tc.handler, Settings{MaxBytes: 1000}).Keys(t.Context())
+			is.True(errors.Is(err, tc.want))
+		})
+	}
+	is := is.New(t)
+	_, server, c := platform(t, time.Millisecond)
+	server.SetMode(standplatform.Mode{Down: true})
+	_, err := c.Watch(t.Context(), 1)
+	var status *StatusError
+	is.True(errors.As(err, &status))
+	is.Equal(status.Status, http.StatusServiceUnavailable)
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	_, err = c.Keys(ctx)
+	is.True(errors.Is(err, ErrUnreachable))
+	for _, address := range []string{"", "ftp://127.0.0.1", "http://", "::"} {
+		_, _, err = New(Settings{Address: address})
+		is.True(errors.Is(err, ErrAddress))
+	}
+}
+
+// sink tells the test about each change that a follower tries to make.
+type sink struct {
+	*pimconfig.Store
+	results chan error
+}
+
+func (s *sink) Apply(b pimconfig.Batch) error {
+	err := s.Store.Apply(b)
+	s.results <- err
+	return err
+}
+
+func (s *sink) Restore(snap pimconfig.Snapshot) error {
+	err := s.Store.Restore(snap)
+	s.results <- err
+	return err
+}
+
+// Guards against a follower that stops after a failure, follows a stale replica, or misses changes after either.
+func TestFollowerSurvivesOutageStaleReplicaAndCompaction(t *testing.T) {
+	is := is.New(t)
+	state, server, c := platform(t, time.Millisecond)
+	state.Put("services/1", []byte(`{"id":1}`))
+	s := &sink{Store: pimconfig.NewStore(pimconfig.Settings{}), results: make(chan error)}
+	follow := func(c *Client) func() {
+		backoff := NewBackoff(time.Millisecond, 2*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+		_, cleanup := NewFollower(t.Context(), c, s, func() bool { return true }, func() {}, backoff, zerolog.Nop())
+		return cleanup
+	}
+	cleanup := follow(c)
+	is.NoErr(<-s.results)
+	is.Equal(s.Revision(), pimid.Revision(1))
+
+	old := state.Clone()
+	state.Put("services/1", []byte(`{"id":1,"name":"second"}`))
+	is.NoErr(<-s.results)
+
+	server.SetMode(standplatform.Mode{Down: true})
+	state.Put("services/2", []byte(`{"id":2}`))
+	state.Compact()
+	server.SetMode(standplatform.Mode{})
+	is.NoErr(<-s.results)
+	is.Equal(s.Revision(), pimid.Revision(3))
+
+	cleanupBehind := follow(client(t, standplatform.NewServer(old, time.Millisecond), Settings{}))
+	is.True(errors.Is(<-s.results, pimconfig.ErrStale))
+	is.Equal(s.Revision(), pimid.Revision(3))
+	go func() {
+		// The followers end only after their last result was taken.
+		for err := range s.results {
+			_ = err
+		}
+	}()
+	cleanup()
+	cleanupBehind()
+	close(s.results)
+}
+
+// Guards against waits outside the bounds, without growth or without jitter.
+func TestBackoffGrowsWithJitterWithinBounds(t *testing.T) {
+	is := is.New(t)
+	b := NewBackoff(100*time.Millisecond, 10*time.Second, rand.New(rand.NewPCG(1, 1)))
+	var waits []time.Duration
+	for range 200 {
+		waits = append(waits, b.Next())
+	}
+	is.Equal(waits[0], 100*time.Millisecond)
+	distinct, long := map[time.Duration]bool{}, 0
+	for _, w := range waits {
+		is.True(w >= 100*time.Millisecond && w <= 10*time.Second)
+		distinct[w] = true
+		if w > 5*time.Second {
+			long++
+		}
+	}
+	is.True(len(distinct) > 150 && long > 50)
+	b.Reset()
+	is.Equal(b.Next(), 100*time.Millisecond)
+}
+
+// FuzzDecode guards against a crash on any response and against a response above the limit being accepted.
+func FuzzDecode(f *testing.F) {
+	f.Add(`{"revision":1,"events":[{"revision":1,"key":"services/1","value":{"id":1}}]}`)
+	f.Add(`{"revision":1,"keys":[]}`)
+	f.Add(`{}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		const limit = 200
+		var r watchResponse
+		if err := decode(strings.NewReader(body), limit, &r); err == nil && len(body) > limit {
+			t.Fatal("accepted a response above the limit")
+		}
+	})
+}
