feat: add pimcapacity

Cause: the growth of the control plane with the fleet was not measured. Ruled out: gonum stat, which go.mod and go.sum do not provide; the least-squares fit is written here. Change: add the subcommands members, config, gossip and rendezvous with text and JSON output.

--- /dev/null
+++ b/cmd/pimcapacity/gossip.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standfleet"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+)
+
+type gossipCommand struct {
+	out      *output
+	Sizes    []int   `long:"size" default:"64" default:"256" default:"1024" description:"number of VMs of the data centre"`
+	Seconds  int     `long:"seconds" default:"20" description:"simulated time per size"`
+	Loss     float64 `long:"loss" default:"0.02" description:"probability that a datagram is lost"`
+	Seed     uint64  `long:"seed" default:"1" description:"seed of the simulation"`
+	Converge int     `long:"converge-limit" default:"60" description:"simulated seconds to wait for a drain"`
+}
+
+// Execute measures and prints the slopes.
+func (c *gossipCommand) Execute([]string) error {
+	var sizes, idle, busy, messages, spread []float64
+	for _, n := range c.Sizes {
+		f := standfleet.New(standfleet.Options{
+			Seed: c.Seed, DataCentres: 1, PerDataCentre: n, Loss: c.Loss, Delay: 5 * time.Millisecond,
+			LocalDelay: 500 * time.Microsecond,
+		})
+		f.Run(10 * time.Second)
+		sizes = append(sizes, float64(n))
+		b, msgs := c.rates(f)
+		idle, messages = append(idle, b), append(messages, msgs)
+		took, err := c.spread(f)
+		if err != nil {
+			return err
+		}
+		spread = append(spread, float64(took.Milliseconds()))
+		f.VM(3).Kill()
+		f.Put("services/1", pimview.Service{ID: 1, Name: "changed"})
+		b, _ = c.rates(f)
+		busy = append(busy, b)
+	}
+	return c.out.print([]series{
+		newSeries("sent by a VM at rest", "B/s", "VMs", sizes, idle),
+		newSeries("messages of a VM at rest", "1/s", "VMs", sizes, messages),
+		newSeries("sent by a VM with a change and a failure", "B/s", "VMs", sizes, busy),
+		newSeries("drain known by all VMs", "ms", "VMs", sizes, spread),
+	})
+}
+
+// rates returns the mean bytes and messages per VM and second.
+func (c *gossipCommand) rates(f *standfleet.Fleet) (bytes, messages float64) {
+	bytes0, messages0 := totals(f)
+	f.Run(time.Duration(c.Seconds) * time.Second)
+	bytes1, messages1 := totals(f)
+	per := float64(c.Seconds * len(f.VMs()))
+	return float64(bytes1-bytes0) / per, float64(messages1-messages0) / per
+}
+
+func totals(f *standfleet.Fleet) (bytes, messages uint64) {
+	for _, vm := range f.VMs() {
+		bytes += vm.Bytes
+		messages += vm.Messages
+	}
+	return bytes, messages
+}
+
+// spread returns the simulated time until all VMs know a drain that one reports.
+func (c *gossipCommand) spread(f *standfleet.Fleet) (time.Duration, error) {
+	f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
+	took, ok := f.RunUntil(time.Duration(c.Converge)*time.Second, func() bool {
+		return f.All(func(vm *standfleet.VM) bool { s, _ := vm.Members.BackendStatus(9); return s.Draining })
+	})
+	if !ok {
+		return 0, fmt.Errorf("drain not known by all vms after %v", took)
+	}
+	return took, nil
+}
--- /dev/null
+++ b/cmd/pimcapacity/options.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"io"
+
+	"github.com/jessevdk/go-flags"
+)
+
+// output is how each subcommand prints its result.
+type output struct {
+	w    io.Writer
+	JSON bool `long:"json" description:"print JSON instead of a table"`
+}
+
+// newParser returns the command line with one subcommand per slope.
+func newParser(w io.Writer) *flags.Parser {
+	out := &output{w: w}
+	p := flags.NewParser(out, flags.Default)
+	add := func(name, short string, cmd flags.Commander) {
+		if _, err := p.AddCommand(name, short, short+".", cmd); err != nil {
+			panic(err) // the command names are constants
+		}
+	}
+	add("members", "bytes per VM in the member table", &membersCommand{out: out})
+	add("config", "bytes per key in store and view, and time per change", &configCommand{out: out})
+	add("gossip", "bytes per VM and second at several sizes of a data centre", &gossipCommand{out: out})
+	add("rendezvous", "time per owner lookup and per membership change", &rendezvousCommand{out: out})
+	return p
+}
