fix: keep configuration values compressed in memory

Cause: raw values took half of the 32 MB of a VM, although they are only needed to serve and to compare. Change: a bucket holds its chunk as it is sent; a change packs one bucket; a failed change leaves the state untouched.

--- a/cmd/pimcapacity/config.go
+++ b/cmd/pimcapacity/config.go
@@ -49,7 +49,7 @@
 		if err != nil {
 			return nil, err
 		}
-		ns, err := c.changeTime(prefix, n, value)
+		ns, err := c.changeTime(prefix, value)
 		if err != nil {
 			return nil, err
 		}
@@ -83,7 +83,7 @@
 	return s, nil
 }
 
-func (c *configCommand) changeTime(prefix string, n int, value func(i int) any) (ns float64, err error) {
+func (c *configCommand) changeTime(prefix string, value func(i int) any) (ns float64, err error) {
 	s := c.keepValue
 	p, err := json.Marshal(value(1))
 	if err != nil {
--- a/internal/coordination/pimconfig/chunk.go
+++ b/internal/coordination/pimconfig/chunk.go
@@ -16,41 +16,54 @@
 // chunkLimit bounds a decompressed chunk in bytes; a value has at most 1 MB, and some may share a chunk.
 const chunkLimit = 16 << 20
 
-// chunk returns the encoded entries of one bucket in order of key.
-func (s *Store) chunk(b *bucket) ([]byte, error) {
-	list := &pimpb.PullConfigReply{}
-	for _, key := range slices.Sorted(maps.Keys(b.keys)) {
-		e := s.entries[key]
-		list.Events = append(list.Events, &pimpb.ConfigEvent{
-			Revision: uint64(e.revision), Key: key, Value: e.value,
-		})
-	}
-	return proto.MarshalOptions{Deterministic: true}.Marshal(list)
+// bucket holds the keys of one snapshot chunk as they are sent. Values are only needed to serve and to compare, and
+// compressed they take a fraction of their size in memory.
+type bucket struct {
+	packed []byte
+	hash   [HashSize]byte
 }
 
-// rehash updates the chunk hashes that changed since the last call.
-func (s *Store) rehash() error {
-	for i := range s.buckets {
-		b := &s.buckets[i]
-		if !b.dirty {
-			continue
-		}
-		p, err := s.chunk(b)
-		if err != nil {
-			return err
-		}
-		b.hash = contentHash(p)
-		b.dirty = false
+func (b *bucket) empty() bool { return len(b.packed) == 0 }
+
+// entries decodes the bucket.
+func (b *bucket) entries() (map[string]Event, error) {
+	if b.empty() {
+		return map[string]Event{}, nil
 	}
-	return nil
+	events, err := unpack(b.packed)
+	if err != nil {
+		return nil, err
+	}
+	entries := make(map[string]Event, len(events))
+	for _, e := range events {
+		entries[e.Key] = e
+	}
+	return entries, nil
 }
 
-// compressor keeps one flate writer for all chunks of a reply, since a writer allocates more than 1 MB.
-type compressor struct {
+// packer encodes buckets; it keeps one flate writer, since a writer allocates more than 1 MB.
+type packer struct {
 	w *flate.Writer
 }
 
-func (c *compressor) compress(p []byte) (out []byte, err error) {
+func (c *packer) pack(entries map[string]Event) (b bucket, err error) {
+	if len(entries) == 0 {
+		return b, nil
+	}
+	list := make([]Event, 0, len(entries))
+	for _, key := range slices.Sorted(maps.Keys(entries)) {
+		list = append(list, entries[key])
+	}
+	raw, err := proto.MarshalOptions{Deterministic: true}.Marshal(&pimpb.PullConfigReply{Events: toProto(list)})
+	if err != nil {
+		return b, err
+	}
+	b.hash = contentHash(raw)
+	b.packed, err = c.compress(raw)
+	return b, err
+}
+
+func (c *packer) compress(p []byte) (out []byte, err error) {
 	var buf bytes.Buffer
 	if c.w == nil {
 		if c.w, err = flate.NewWriter(&buf, flate.DefaultCompression); err != nil {
@@ -65,7 +78,7 @@
 	if err = c.w.Close(); err != nil {
 		return nil, err
 	}
-	return buf.Bytes(), nil
+	return slices.Clone(buf.Bytes()), nil
 }
 
 func decompress(p []byte) ([]byte, error) {
@@ -77,6 +90,14 @@
 	return out, nil
 }
 
+func unpack(p []byte) ([]Event, error) {
+	raw, err := decompress(p)
+	if err != nil {
+		return nil, err
+	}
+	return decodeChunk(raw)
+}
+
 func decodeChunk(p []byte) (events []Event, err error) {
 	var list pimpb.PullConfigReply
 	if err = proto.Unmarshal(p, &list); err != nil {
--- a/internal/coordination/pimconfig/entries.go
+++ b/internal/coordination/pimconfig/entries.go
@@ -3,54 +3,97 @@
 import (
 	"maps"
 	"slices"
+	"unicode/utf8"
 )
 
-// bucket is the group of keys that form one snapshot chunk.
-type bucket struct {
-	keys map[string]struct{}
-	// hash is valid unless dirty.
-	hash  [HashSize]byte
-	dirty bool
+// plan is a change of the state that is complete before any of it is stored.
+type plan struct {
+	buckets map[int]bucket
+	hash    [HashSize]byte
 }
 
-// put stores or deletes one key and keeps digest and buckets up to date.
-func (s *Store) put(e Event) {
-	b := &s.buckets[bucketOf(e.Key)]
-	b.dirty = true
-	if old, ok := s.entries[e.Key]; ok {
-		xorInto(&s.digest.Hash, entryHash(e.Key, old.revision, old.value))
-	}
-	if e.Deleted {
-		delete(s.entries, e.Key)
-		delete(b.keys, e.Key)
-		return
+// prepare applies changes to copies of the buckets that they touch.
+func (s *Store) prepare(changes []Event) (p plan, err error) {
+	p = plan{buckets: map[int]bucket{}, hash: s.digest.Hash}
+	for at, events := range byBucket(changes) {
+		entries, err := s.buckets[at].entries()
+		if err != nil {
+			return p, err
+		}
+		for _, e := range events {
+			if old, ok := entries[e.Key]; ok {
+				xorInto(&p.hash, entryHash(old))
+			}
+			delete(entries, e.Key)
+			if !e.Deleted {
+				entries[e.Key] = e
+				xorInto(&p.hash, entryHash(e))
+			}
+		}
+		if p.buckets[at], err = s.packer.pack(entries); err != nil {
+			return p, err
+		}
 	}
-	if b.keys == nil {
-		b.keys = map[string]struct{}{}
+	return p, nil
+}
+
+func (s *Store) commit(p plan) {
+	for at, b := range p.buckets {
+		s.buckets[at] = b
 	}
-	b.keys[e.Key] = struct{}{}
-	s.entries[e.Key] = entry{revision: e.Revision, value: e.Value}
-	xorInto(&s.digest.Hash, entryHash(e.Key, e.Revision, e.Value))
+	s.digest.Hash = p.hash
 }
 
 // difference lists the changes from the current state to a snapshot, in order of key.
-func (s *Store) difference(snap Snapshot) (changes []Event) {
-	missing := make(map[string]struct{}, len(s.entries))
-	for key := range s.entries {
-		missing[key] = struct{}{}
-	}
-	for _, e := range snap.Entries {
-		if e.Deleted {
-			continue
+func (s *Store) difference(snap Snapshot) (changes []Event, err error) {
+	groups := byBucket(snap.Entries)
+	for at := range s.buckets {
+		old, err := s.buckets[at].entries()
+		if err != nil {
+			return nil, err
+		}
+		for _, e := range groups[at] {
+			if e.Deleted {
+				continue
+			}
+			if have, ok := old[e.Key]; !ok || have.Revision != e.Revision || string(have.Value) != string(e.Value) {
+				changes = append(changes, e)
+			}
+			delete(old, e.Key)
 		}
-		delete(missing, e.Key)
-		if old, ok := s.entries[e.Key]; ok && old.revision == e.Revision && string(old.value) == string(e.Value) {
-			continue
+		for _, key := range slices.Sorted(maps.Keys(old)) {
+			changes = append(changes, Event{Revision: snap.Revision, Key: key, Deleted: true})
 		}
-		changes = append(changes, e)
 	}
-	for _, key := range slices.Sorted(maps.Keys(missing)) {
-		changes = append(changes, Event{Revision: snap.Revision, Key: key, Deleted: true})
+	return changes, nil
+}
+
+// Snapshot returns the complete state, in no particular order.
+func (s *Store) Snapshot() (snap Snapshot, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	snap.Revision = s.digest.Revision
+	for at := range s.buckets {
+		entries, err := s.buckets[at].entries()
+		if err != nil {
+			return snap, err
+		}
+		snap.Entries = slices.AppendSeq(snap.Entries, maps.Values(entries))
+	}
+	return snap, nil
+}
+
+// byBucket groups events by bucket and keeps their order.
+func byBucket(events []Event) map[int][]Event {
+	groups := map[int][]Event{}
+	for _, e := range events {
+		at := bucketOf(e.Key)
+		groups[at] = append(groups[at], e)
 	}
-	return changes
+	return groups
+}
+
+// validKeys reports whether all keys can be encoded.
+func validKeys(events []Event) bool {
+	return !slices.ContainsFunc(events, func(e Event) bool { return !utf8.ValidString(e.Key) })
 }
--- a/internal/coordination/pimconfig/errors.go
+++ b/internal/coordination/pimconfig/errors.go
@@ -15,6 +15,8 @@
 	ErrNotContiguous = errors.New("batch does not start at the current revision")
 	// ErrDisorder means that the events of a batch are not in order of revision.
 	ErrDisorder = errors.New("events are not in order of revision")
+	// ErrBadKey means that a key is not valid UTF-8.
+	ErrBadKey = errors.New("key is not valid utf-8")
 	// ErrBadChunk means that a snapshot chunk cannot be decoded.
 	ErrBadChunk = errors.New("snapshot chunk is not valid")
 	// ErrUnknownKey means that a key has no known prefix.
--- a/internal/coordination/pimconfig/hash.go
+++ b/internal/coordination/pimconfig/hash.go
@@ -5,8 +5,6 @@
 
 	"github.com/cespare/xxhash/v2"
 	"golang.org/x/crypto/blake2b"
-
-	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // HashSize is the length of digests and chunk hashes in bytes; 128 bits keep the hash list of a snapshot short.
@@ -29,12 +27,12 @@
 
 // entryHash covers key, revision and value; the digest of a store is the XOR over its entries, so that one change
 // costs two hashes at any size.
-func entryHash(key string, revision pimid.Revision, value []byte) [HashSize]byte {
-	buf := make([]byte, 0, 12+len(key)+len(value))
-	buf = binary.BigEndian.AppendUint64(buf, uint64(revision))
-	buf = binary.BigEndian.AppendUint32(buf, uint32(len(key)))
-	buf = append(buf, key...)
-	buf = append(buf, value...)
+func entryHash(e Event) [HashSize]byte {
+	buf := make([]byte, 0, 12+len(e.Key)+len(e.Value))
+	buf = binary.BigEndian.AppendUint64(buf, uint64(e.Revision))
+	buf = binary.BigEndian.AppendUint32(buf, uint32(len(e.Key)))
+	buf = append(buf, e.Key...)
+	buf = append(buf, e.Value...)
 	return contentHash(buf)
 }
 
--- a/internal/coordination/pimconfig/pull.go
+++ b/internal/coordination/pimconfig/pull.go
@@ -25,31 +25,27 @@
 	return &Puller{store: store, chunks: map[[HashSize]byte][]byte{}}
 }
 
-// Request returns the next request; it names the chunks that the receiver holds already.
-func (p *Puller) Request(maxBytes int) (req *pimpb.PullConfigRequest, err error) {
-	defer func() { err = oops.In("pimconfig").Wrapf(err, "build pull request") }()
+// Request returns the next request; during a snapshot it names the chunks that the receiver holds already.
+func (p *Puller) Request(maxBytes int) *pimpb.PullConfigRequest {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	req = &pimpb.PullConfigRequest{MaxBytes: uint32(maxBytes)}
-	for h := range p.chunks {
-		req.HaveChunks = append(req.HaveChunks, h[:])
-	}
+	req := &pimpb.PullConfigRequest{MaxBytes: uint32(maxBytes)}
 	p.store.mu.Lock()
 	defer p.store.mu.Unlock()
 	req.FromRevision = uint64(p.store.digest.Revision)
 	if !p.listed {
-		// The own chunks are named only during a snapshot, since most pulls are answered from the log.
-		return req, nil
+		// Most pulls are answered from the log, for which the chunks do not matter.
+		return req
 	}
-	if err = p.store.rehash(); err != nil {
-		return nil, err
+	for h := range p.chunks {
+		req.HaveChunks = append(req.HaveChunks, h[:])
 	}
 	for i := range p.store.buckets {
-		if b := &p.store.buckets[i]; len(b.keys) > 0 {
+		if b := &p.store.buckets[i]; !b.empty() {
 			req.HaveChunks = append(req.HaveChunks, b.hash[:])
 		}
 	}
-	return req, nil
+	return req
 }
 
 // Accept applies a reply and reports whether another request makes sense at once.
@@ -90,18 +86,21 @@
 		p.chunks[contentHash(raw)] = c
 	}
 	snap := Snapshot{Revision: pimid.Revision(reply.GetRevision())}
-	own, err := p.ownChunks(reply.GetChunkHashes())
-	if err != nil {
+	if err = p.adoptOwn(reply.GetChunkHashes()); err != nil {
 		return false, err
 	}
 	first := !p.listed
 	p.listed = true
-	if !p.complete(reply.GetChunkHashes(), own) {
+	if !p.complete(reply.GetChunkHashes()) {
 		// A later reply without a chunk means that the sender's budget is spent.
 		return first || len(reply.GetChunks()) > 0, nil
 	}
 	for _, h := range reply.GetChunkHashes() {
-		events, err := p.events([HashSize]byte(h), own)
+		c, ok := p.chunks[[HashSize]byte(h)]
+		if !ok {
+			continue
+		}
+		events, err := unpack(c)
 		if err != nil {
 			return false, err
 		}
@@ -111,56 +110,30 @@
 	return false, p.store.Restore(snap)
 }
 
-// ownChunks returns those chunks of the own state that the list names.
-func (p *Puller) ownChunks(hashes [][]byte) (own map[[HashSize]byte][]byte, err error) {
+// adoptOwn adds those chunks of the own state that a list names.
+func (p *Puller) adoptOwn(hashes [][]byte) error {
 	want := map[[HashSize]byte]bool{}
 	for _, h := range hashes {
 		if len(h) != HashSize {
-			return nil, ErrBadChunk
+			return ErrBadChunk
 		}
 		want[[HashSize]byte(h)] = true
 	}
-	s := p.store
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if err = s.rehash(); err != nil {
-		return nil, err
-	}
-	own = map[[HashSize]byte][]byte{}
-	for i := range s.buckets {
-		b := &s.buckets[i]
-		if !want[b.hash] {
-			continue
-		}
-		if own[b.hash], err = s.chunk(b); err != nil {
-			return nil, err
+	p.store.mu.Lock()
+	defer p.store.mu.Unlock()
+	for i := range p.store.buckets {
+		if b := &p.store.buckets[i]; !b.empty() && want[b.hash] {
+			p.chunks[b.hash] = b.packed
 		}
 	}
-	return own, nil
+	return nil
 }
 
-func (p *Puller) complete(hashes [][]byte, own map[[HashSize]byte][]byte) bool {
+func (p *Puller) complete(hashes [][]byte) bool {
 	for _, h := range hashes {
-		_, isOwn := own[[HashSize]byte(h)]
-		_, isPulled := p.chunks[[HashSize]byte(h)]
-		if !isOwn && !isPulled && [HashSize]byte(h) != emptyHash {
+		if _, ok := p.chunks[[HashSize]byte(h)]; !ok && [HashSize]byte(h) != emptyHash {
 			return false
 		}
 	}
 	return true
 }
-
-func (p *Puller) events(h [HashSize]byte, own map[[HashSize]byte][]byte) (events []Event, err error) {
-	if raw, ok := own[h]; ok {
-		return decodeChunk(raw)
-	}
-	c, ok := p.chunks[h]
-	if !ok {
-		return nil, nil
-	}
-	raw, err := decompress(c)
-	if err != nil {
-		return nil, err
-	}
-	return decodeChunk(raw)
-}
--- a/internal/coordination/pimconfig/serve.go
+++ b/internal/coordination/pimconfig/serve.go
@@ -3,8 +3,6 @@
 import (
 	"math/rand/v2"
 
-	"github.com/samber/oops"
-
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
@@ -26,23 +24,20 @@
 // that the budget does not allow is empty with More set, and the receiver tries another VM. Chunks start at a random
 // place, so that pulls from several VMs bring different chunks.
 func (s *Server) Pull(now pimclock.Instant, rng *rand.Rand, req *pimpb.PullConfigRequest) (
-	reply *pimpb.PullConfigReply, err error,
+	reply *pimpb.PullConfigReply,
 ) {
-	defer func() { err = oops.In("pimconfig").Wrapf(err, "answer pull") }()
 	limit := int(req.GetMaxBytes())
 	if limit <= 0 || limit > DefaultPullBytes {
 		limit = DefaultPullBytes
 	}
 	if limit = min(limit, s.budget.Available(now)); limit <= 0 {
-		return &pimpb.PullConfigReply{Revision: req.GetFromRevision(), More: true}, nil
+		return &pimpb.PullConfigReply{Revision: req.GetFromRevision(), More: true}
 	}
 	if reply = s.batch(pimid.Revision(req.GetFromRevision()), limit); reply == nil {
-		if reply, err = s.snapshot(rng, req, limit); err != nil {
-			return nil, err
-		}
+		reply = s.snapshot(rng, req, limit)
 	}
 	s.budget.Take(now, replySize(reply))
-	return reply, nil
+	return reply
 }
 
 func (s *Server) batch(from pimid.Revision, limit int) *pimpb.PullConfigReply {
@@ -60,52 +55,41 @@
 	}
 }
 
-func (s *Server) snapshot(rng *rand.Rand, req *pimpb.PullConfigRequest, limit int) (*pimpb.PullConfigReply, error) {
+func (s *Server) snapshot(rng *rand.Rand, req *pimpb.PullConfigRequest, limit int) *pimpb.PullConfigReply {
 	have := map[string]bool{}
 	for _, h := range req.GetHaveChunks() {
 		have[string(h)] = true
 	}
 	s.store.mu.Lock()
 	defer s.store.mu.Unlock()
-	if err := s.store.rehash(); err != nil {
-		return nil, err
-	}
 	reply := &pimpb.PullConfigReply{Revision: uint64(s.store.digest.Revision)}
 	missing := s.missing(have, reply)
 	if len(have) == 0 && req.GetFromRevision() > 0 {
 		// The receiver has a state; it learns the hashes first and then names what it lacks.
 		reply.More = true
-		return reply, nil
+		return reply
 	}
 	rng.Shuffle(len(missing), func(i, j int) { missing[i], missing[j] = missing[j], missing[i] })
 	size := HashSize * len(reply.GetChunkHashes())
-	var c compressor
 	for _, b := range missing {
 		if size >= limit {
 			break
 		}
-		p, err := s.store.chunk(b)
-		if err != nil {
-			return nil, err
-		}
-		if p, err = c.compress(p); err != nil {
-			return nil, err
-		}
-		if len(reply.Chunks) > 0 && size+len(p) > limit {
+		if len(reply.Chunks) > 0 && size+len(b.packed) > limit {
 			break
 		}
-		reply.Chunks = append(reply.Chunks, p)
-		size += len(p)
+		reply.Chunks = append(reply.Chunks, b.packed)
+		size += len(b.packed)
 	}
 	reply.More = len(reply.Chunks) < len(missing)
-	return reply, nil
+	return reply
 }
 
 // missing lists the hashes of all chunks in the reply and returns the buckets that the receiver lacks.
 func (s *Server) missing(have map[string]bool, reply *pimpb.PullConfigReply) (missing []*bucket) {
 	for i := range s.store.buckets {
 		b := &s.store.buckets[i]
-		if len(b.keys) == 0 {
+		if b.empty() {
 			continue
 		}
 		reply.ChunkHashes = append(reply.ChunkHashes, b.hash[:])
--- a/internal/coordination/pimconfig/store.go
+++ b/internal/coordination/pimconfig/store.go
@@ -31,8 +31,8 @@
 
 	mu      sync.Mutex
 	digest  Digest
-	entries map[string]entry
 	buckets [buckets]bucket
+	packer  packer
 	log     eventLog
 	decoder *decoder
 	counts  Counters
@@ -43,7 +43,7 @@
 	if cfg.LogBytes == 0 {
 		cfg.LogBytes = DefaultLogBytes
 	}
-	s := &Store{cfg: cfg, entries: map[string]entry{}, log: eventLog{limit: cfg.LogBytes}}
+	s := &Store{cfg: cfg, log: eventLog{limit: cfg.LogBytes}}
 	s.decoder = newDecoder(cfg.CheckContract)
 	s.view.Store(s.decoder.view)
 	return s
@@ -100,9 +100,15 @@
 		s.counts.Disorder++
 		return nil, &RevisionError{Have: have, From: b.From, To: b.To, Err: ErrDisorder}
 	}
-	for _, e := range b.Events {
-		s.put(e)
+	if !validKeys(b.Events) {
+		s.counts.Disorder++
+		return nil, &RevisionError{Have: have, From: b.From, To: b.To, Err: ErrBadKey}
+	}
+	p, err := s.prepare(b.Events)
+	if err != nil {
+		return nil, err
 	}
+	s.commit(p)
 	s.log.add(b)
 	s.counts.Applied++
 	return s.publish(b.To, b.Events), nil
@@ -124,10 +130,19 @@
 		s.counts.Stale++
 		return nil, &RevisionError{Have: have, From: snap.Revision, To: snap.Revision, Err: ErrStale}
 	}
-	changes := s.difference(snap)
-	for _, e := range changes {
-		s.put(e)
+	if !validKeys(snap.Entries) {
+		s.counts.Disorder++
+		return nil, &RevisionError{Have: have, From: snap.Revision, To: snap.Revision, Err: ErrBadKey}
+	}
+	changes, err := s.difference(snap)
+	if err != nil {
+		return nil, err
+	}
+	p, err := s.prepare(changes)
+	if err != nil {
+		return nil, err
 	}
+	s.commit(p)
 	s.log.reset(snap.Revision)
 	s.counts.Restored++
 	return s.publish(snap.Revision, changes), nil
--- a/internal/coordination/pimconfig/syncer.go
+++ b/internal/coordination/pimconfig/syncer.go
@@ -39,21 +39,17 @@
 // Next chooses one of the VMs that announced a higher revision and returns the request to send; ok is false if
 // there is nothing to do now. Each request must be ended by Done, also after a failure.
 func (s *Syncer) Next(now pimclock.Instant, ahead []pimid.NodeID) (
-	peer pimid.NodeID, req *pimpb.PullConfigRequest, ok bool, err error,
+	peer pimid.NodeID, req *pimpb.PullConfigRequest, ok bool,
 ) {
-	defer func() { err = oops.In("pimconfig").Wrapf(err, "choose pull") }()
 	if s.busy && now.Before(s.busyUntil) {
-		return 0, nil, false, nil
+		return 0, nil, false
 	}
 	usable := slices.DeleteFunc(slices.Clone(ahead), func(id pimid.NodeID) bool { return now.Before(s.avoid[id]) })
 	if len(usable) == 0 {
-		return 0, nil, false, nil
-	}
-	if req, err = s.puller.Request(DefaultPullBytes); err != nil {
-		return 0, nil, false, err
+		return 0, nil, false
 	}
 	s.busy, s.busyUntil = true, now.Add(PullTimeout)
-	return usable[s.rng.IntN(len(usable))], req, true, nil
+	return usable[s.rng.IntN(len(usable))], s.puller.Request(DefaultPullBytes), true
 }
 
 // Done ends a pull with its reply or error and reports whether the store moved forward.
