--- a/internal/pimnode/peerserver.go
+++ b/internal/pimnode/peerserver.go
@@ -142,5 +142,5 @@
 
 // PullConfig answers from the configuration of this VM.
 func (s *peerServer) PullConfig(_ context.Context, req *pimpb.PullConfigRequest) (*pimpb.PullConfigReply, error) {
-	return s.n.pulls.Pull(s.n.clock.Now(), s.n.rng, req)
+	return s.n.pulls.Pull(s.n.clock.Now(), s.n.rng, req), nil
 }
--- a/internal/pimnode/pull.go
+++ b/internal/pimnode/pull.go
@@ -31,22 +31,16 @@
 		return err
 	}
 	for more := true; more; {
-		req, err := n.puller.Request(pimconfig.DefaultPullBytes)
-		if err != nil {
-			return err
-		}
+		req := n.puller.Request(pimconfig.DefaultPullBytes)
 		reply, err := peer.PullConfig(ctx, req)
 		if err != nil {
 			return err
 		}
-		if len(reply.GetChunks()) == 0 && len(reply.GetEvents()) == 0 {
-			// The sender has spent its byte budget; the next round asks another VM.
-			_, err = n.puller.Accept(req, reply)
-			return err
-		}
 		if more, err = n.puller.Accept(req, reply); err != nil {
 			return err
 		}
+		// A reply without content means that the sender has spent its byte budget; the next round asks another VM.
+		more = more && len(reply.GetChunkHashes())+len(reply.GetChunks())+len(reply.GetEvents()) > 0
 	}
 	return nil
 }
