fix: never take back permits that a member has spent

Cause: a member that restarted, whose grant had just expired, or that accepted a late reply of an earlier owner reported an older grant; the owner then returned the permits of the newer one to its pool although they were spent. Ruled out: dropping the return of unused permits; every lost reply would cost its permits. Change: members report the newest grant they accepted, also when it has expired, and ignore earlier ones. Owners keep the grants of an earlier incarnation until they expire.

--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -10,7 +10,9 @@
 
 // borrower is the owner's record of one member.
 type borrower struct {
-	node   pimid.NodeID
+	node        pimid.NodeID
+	incarnation pimid.Incarnation
+
 	demand float64
 	flows  float64
 	seen   pimclock.Instant
@@ -30,6 +32,8 @@
 	depth    float64
 	added    float64
 	expires  pimclock.Instant
+	// earlierRun is set if the grant went to an earlier incarnation of the member.
+	earlierRun bool
 }
 
 // lend registers the member's share. The lease counts from the owner's stamp that the request echoes, which is earlier
@@ -52,15 +56,16 @@
 	return rate, depth
 }
 
-// confirm drops all grants but the one in use and returns the permits of those that the member will never use.
-func (b *borrower) confirm(d *pimpb.QuotaDemand) (unused float64) {
-	if d.GetRelease() {
-		b.given = nil
-		return 0
-	}
+// confirm drops all grants but the one in use and returns the permits of those that the member will never use. Grants to
+// an earlier run of the member stay until they expire, since it is not known what that run used.
+func (b *borrower) confirm(now pimclock.Instant, d *pimpb.QuotaDemand) (unused float64) {
 	kept := b.given[:0]
 	for _, g := range b.given {
 		switch {
+		case !now.Before(g.expires):
+		case g.earlierRun:
+			kept = append(kept, g)
+		case d.GetRelease():
 		case g.sequence == d.GetGrant():
 			if g.rate == 0 {
 				g.depth = min(g.depth, d.GetHeld())
@@ -74,6 +79,13 @@
 	return unused
 }
 
+// restart notes that the member runs in a new incarnation.
+func (b *borrower) restart() {
+	for i := range b.given {
+		b.given[i].earlierRun = true
+	}
+}
+
 func (b *borrower) idle(now pimclock.Instant) bool {
 	rate, depth := b.active(now)
 	return rate == 0 && depth == 0 && !now.Before(b.leaseEnd) && now.Sub(b.seen) > demandMemory
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -94,14 +94,15 @@
 	a.demand.decay(now)
 	a.asked, a.wanted = a.wanted+a.queued(), 0
 	if a.releasing {
-		a.grant = grant{}
+		a.grant = grant{sequence: a.grant.sequence}
 	}
 	d := &pimpb.QuotaDemand{Contract: uint32(a.id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
 	d.Flows = a.flows.estimate(now)
 	a.sum.asked = a.sum.opens
+	d.Grant = a.grant.sequence
 	if now.Before(a.grant.expires) {
 		a.grant.advance(now)
-		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
+		d.Held = a.grant.tokens
 	}
 	return d
 }
@@ -122,8 +123,12 @@
 	return notices
 }
 
-// receive replaces the grant in use.
+// receive replaces the grant in use, unless another owner has answered a later request: an owner that sees an earlier
+// grant in use takes back the permits of the later ones.
 func (a *account) receive(now pimclock.Instant, l *link, g *pimpb.QuotaGrant) {
+	if l.sequence < a.grant.sequence {
+		return
+	}
 	a.grant.advance(now)
 	if !now.Before(a.grant.expires) {
 		a.grant.tokens = 0
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -40,13 +40,13 @@
 	for _, d := range req.GetDemands() {
 		p := o.pool(pimid.ContractID(d.GetContract()), now)
 		p.advance(now)
-		b := p.borrower(pimid.NodeID(req.GetNode()))
+		b := p.borrower(pimid.NodeID(req.GetNode()), pimid.Incarnation(req.GetIncarnation()))
 		b.demand, b.flows, b.seen = d.GetRate(), d.GetFlows(), now
+		p.settle(now, b, d)
 		if d.GetRelease() && known && p.release(now, b) {
 			reply.Grants = append(reply.Grants, &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true})
 			continue
 		}
-		p.settle(now, b, d)
 		if known {
 			b.lend(now, req, d)
 		}
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -70,29 +70,32 @@
 	p.tokens = max(min(p.tokens, depth-used), 0)
 }
 
-func (p *sharedPool) borrower(node pimid.NodeID) *borrower {
+func (p *sharedPool) borrower(node pimid.NodeID, incarnation pimid.Incarnation) *borrower {
 	b := p.borrowers[node]
 	if b == nil {
 		b = &borrower{node: node}
 		p.borrowers[node] = b
 		p.order = append(p.order, b)
 	}
+	if b.incarnation != incarnation {
+		b.incarnation = incarnation
+		b.restart()
+	}
 	return b
 }
 
 // settle takes back the grants that the member does not use.
 func (p *sharedPool) settle(now pimclock.Instant, b *borrower, d *pimpb.QuotaDemand) {
-	p.tokens += b.confirm(d)
+	p.tokens += b.confirm(now, d)
 	p.clamp(now)
 }
 
-// release returns the member's share if the grants of the others are covered without it. The member uses none itself.
+// release returns the member's share if all grants are covered without it.
 func (p *sharedPool) release(now pimclock.Instant, b *borrower) bool {
-	b.given = nil
 	end := b.leaseEnd
 	b.leaseEnd = 0
 	rate, depth := p.capacity(now.Add(grantValidity))
-	usedRate, usedDepth := p.granted(now, b)
+	usedRate, usedDepth := p.granted(now, nil)
 	if usedRate > rate+rounding || usedDepth > depth+rounding {
 		b.leaseEnd = end
 		return false
