test: restart the pool owner in the fault simulation

Cause: a fast restart loses the owner's memory while its grants and leases are still in use. Ruled out: nothing, the fault was missing. Change: a ninth fault, alone and in pairs.

--- a/internal/coordination/pimquota/faultset_test.go
+++ b/internal/coordination/pimquota/faultset_test.go
@@ -75,6 +75,11 @@
 		}, 3 * ownerOutage.Seconds()},
 		{"pause of the owner", pause(faultVMs - 1), 4*ownerOutage.Seconds() + unusedShare*(listed+DefaultGrowthDelay.Seconds())},
 		{"pause of a member", pause(2), unusedShare * (listed + DefaultGrowthDelay.Seconds())},
+		{"restart of the owner", func(s *sim) {
+			owner := s.owner(0)
+			s.vms[owner].pool = s.newPool(owner, 2)
+			s.publish(owner, len(s.vms))
+		}, 2*ownerOutage.Seconds() + unusedShare*DefaultGrowthDelay.Seconds()},
 		{"lagging list", func(s *sim) {
 			s.vms[1].up = false
 			s.after(20*time.Second, func() { s.drop(1) })
