test: read the clock of the blocked caller before it starts

Cause: TestAwait read the variable of the manual time from the caller's goroutine while the test advanced it. Ruled out: a race in the pool; both accesses are in the test. Change: the goroutine gets its own copy. Conclusion: the check is as strict as before.

--- a/internal/coordination/pimquota/void_test.go
+++ b/internal/coordination/pimquota/void_test.go
@@ -71,9 +71,9 @@
 	cancel()
 	ok, _ = p.Await(gone, now, time.Second, 0, 1<<40)
 	is.True(!ok)
-	done := make(chan bool)
+	done, asked := make(chan bool), now
 	go func() {
-		ok, _ := p.Await(t.Context(), now, time.Second, 0, 1<<40)
+		ok, _ := p.Await(t.Context(), asked, time.Second, 0, 1<<40)
 		done <- ok
 	}()
 	for waiting := true; waiting; {
