fix: reject bursts that leave a data centre less than one permit

Cause: a burst of 2 over 3 data centres is 0.67 permits in each, with which the pool never admits a request. Ruled out: rounding the part up; the sum over the data centres would exceed the burst. Change: a fault below 1 and a warning of plan below 2, since VMs without a share reduce the pool's depth.

--- a/internal/pimplan/compare_test.go
+++ b/internal/pimplan/compare_test.go
@@ -30,7 +30,7 @@
 		p.Nodes = append(p.Nodes, pimcontract.Node{ID: pimid.NodeID(i + 1), DataCentre: "ikeja", State: pimcontract.StateLive})
 	}
 	for i := range p.Contracts {
-		p.Contracts[i].Terms = pimcontract.Terms{RateLimit: 40, FlowLimit: 100, GuaranteedSlots: 3, ShareWeight: 1}
+		p.Contracts[i].Terms = pimcontract.Terms{RateLimit: 40, Burst: 8, FlowLimit: 100, GuaranteedSlots: 3, ShareWeight: 1}
 	}
 	return p
 }
@@ -53,6 +53,7 @@
 		{"guarantee", func(p *pimcontract.Publication) { p.Contracts[1].Terms.GuaranteedSlots = 2 }, "from 3 to 2", 0},
 		{"sum", func(p *pimcontract.Publication) { p.Contracts[1].Terms.GuaranteedSlots = 6 }, "add up to 9", 0},
 		{"rate", func(p *pimcontract.Publication) { p.Contracts[1].Terms.RateLimit = 2 }, "0.5 requests per second", 0},
+		{"burst", func(p *pimcontract.Publication) { p.Contracts[1].Terms.Burst = 1.5 }, "the burst in ikeja is 1.5", 0},
 		{"VM removed", func(p *pimcontract.Publication) { p.Nodes = p.Nodes[:3] }, "home VM", 0},
 		{"no VM", func(p *pimcontract.Publication) { p.Nodes = nil }, "no live VM", 0},
 		{"service", func(p *pimcontract.Publication) { p.Services = nil }, "is removed", 4},
--- a/internal/pimplan/warnings.go
+++ b/internal/pimplan/warnings.go
@@ -18,6 +18,7 @@
 func (c *comparison) warnings() {
 	c.warnContracts()
 	c.warnRates()
+	c.warnBursts()
 	c.warnSums()
 	c.warnBackends()
 	c.warnNodes()
@@ -84,6 +85,23 @@
 	}
 }
 
+// minBurst is the part of a burst of which at least one permit is left while half of the VMs of a data centre have no
+// share, as after a restart.
+const minBurst = 2.0
+
+func (c *comparison) warnBursts() {
+	for i := range c.after.pub.Contracts {
+		now := &c.after.pub.Contracts[i]
+		for _, dc := range c.after.dataCentres() {
+			burst := now.TermsAt(c.after.at).Burst * c.after.part(now, dc)
+			if burst > 0 && burst < minBurst {
+				c.warn(contractName(now), "the burst in %s is %.3g; below %g nothing is admitted there while too few VMs "+
+					"have a share", dc, burst, minBurst)
+			}
+		}
+	}
+}
+
 func (c *comparison) warnSums() {
 	for _, s := range c.report.Sums {
 		if !s.OK {
--- a/pkg/pimcontract/validate_contract.go
+++ b/pkg/pimcontract/validate_contract.go
@@ -27,6 +27,7 @@
 		v.check(offset >= minUTCOffset && offset <= maxUTCOffset, o, "utc_offset", "must be between -12h and 14h")
 		v.checkService(c.Service, o)
 		v.checkTerms(&c.Terms, o.below("terms"))
+		v.checkBurst(c, &c.Terms, o.below("terms"))
 		v.checkPlans(c, o)
 		v.checkWeights(c, o)
 		ids.check(c.ID, o, "id")
@@ -48,6 +49,23 @@
 		"is 0 as well as guaranteed_slots, so no request could run")
 }
 
+// checkBurst rejects a burst that leaves a data centre less than one permit, with which it could admit nothing.
+func (v *validator) checkBurst(c *Contract, t *Terms, o origin) {
+	var names []pimid.DataCentre
+	for i := range v.pub.Nodes {
+		names = append(names, v.pub.Nodes[i].DataCentre)
+	}
+	slices.Sort(names)
+	names = slices.Compact(names)
+	for _, name := range names {
+		part := t.Burst * c.DataCentrePart(name, len(names))
+		if t.Burst >= 1 && part > 0 && part < 1 {
+			v.fault(o, "burst", "leaves %.2f permits for %s, which needs at least 1", part, name)
+			return
+		}
+	}
+}
+
 func (v *validator) checkPlans(c *Contract, o origin) {
 	for i := range c.Plans {
 		p, at := &c.Plans[i], o.element("plan", i)
@@ -55,6 +73,7 @@
 		v.check(validTime(p.To), at, "to", "must be a time of day from 0h to before 24h")
 		v.check(p.From != p.To, at, "to", "must differ from the start")
 		v.checkTerms(&p.Terms, at.below("terms"))
+		v.checkBurst(c, &p.Terms, at.below("terms"))
 		for j := range i {
 			v.check(!p.overlaps(&c.Plans[j]), at, "from", "overlaps with %s", o.element("plan", j).key)
 		}
