feat: add pimbench with the flood and balance subcommands

Cause: policy figures need one program that prints them for several seeds. Ruled out: golden files of simulated figures, which would change with every policy; the tables of fixed reports are golden instead. Change: add the program with text, JSON and PNG output; recovery is the time to three seconds in a row with less than 1% refusals.

--- /dev/null
+++ b/cmd/pimbench/command_test.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/jessevdk/go-flags"
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/scenario/pimbalance"
+	"github.com/pimentoyard/pimentoyard/internal/scenario/pimflood"
+)
+
+var update = flag.Bool("update", false, "rewrite the golden files")
+
+// TestCommands guards against subcommands that do not parse their options or do not write all of their files.
+func TestCommands(t *testing.T) {
+	cases := []struct {
+		command command
+		args    []string
+	}{
+		{newFloodCommand(zerolog.Nop()), []string{"flood", "--seeds=1", "--flood=1s", "--calm=1s"}},
+		{newBalanceCommand(zerolog.Nop()), []string{"balance", "--seeds=1", "--length=45s"}},
+	}
+	for _, c := range cases {
+		t.Run(c.command.name(), func(t *testing.T) {
+			is := is.New(t)
+			directory, name := t.TempDir(), c.command.name()
+			parser := flags.NewParser(nil, flags.None)
+			_, err := parser.AddCommand(name, c.command.summary(), "", c.command)
+			is.NoErr(err)
+			_, err = parser.ParseArgs(append(c.args, "--out="+directory))
+			is.NoErr(err)
+			for _, extension := range []string{".json", ".txt", ".png"} {
+				info, err := os.Stat(filepath.Join(directory, name+extension))
+				is.NoErr(err)
+				is.True(info.Size() > 0)
+			}
+		})
+	}
+}
+
+// TestTables guards against columns that change without notice; scripts read the tables.
+func TestTables(t *testing.T) {
+	flood := pimflood.Report{Seed: 7, Policy: pimflood.Shares, Load: 0.9, Sheds: 2, Phases: []pimflood.PhaseReport{{
+		Name: "both", Busy: 0.998, IdleWhileWaiting: 0.0001, RecoverySeconds: 5, StormSeconds: 2,
+		Contracts: []pimflood.ContractReport{{Flooding: true}, {Kept: 0.98, Steady: 0.97}},
+	}}}
+	balance := pimbalance.Report{
+		Seed: 7, Choice: pimbalance.TwoChoices, Faults: true, MaxToMean: 1.05, WorstMaxToMean: 1.1, WaitP99Millis: 9, Failed: 3,
+	}
+	var floodTable, balanceTable strings.Builder
+	writeFloodTable(&floodTable, []pimflood.Report{flood})
+	writeBalanceTable(&balanceTable, []pimbalance.Report{balance})
+	for name, got := range map[string]string{"flood.txt": floodTable.String(), "balance.txt": balanceTable.String()} {
+		is := is.New(t)
+		golden := filepath.Join("testdata", name)
+		if *update {
+			is.NoErr(os.WriteFile(golden, []byte(got), 0o600))
+		}
+		want, err := os.ReadFile(golden)
+		is.NoErr(err)
+		is.Equal(got, string(want))
+	}
+}
