fix: keep a few queue places for every contract

Cause: the limit on all waiting requests refused contracts with empty queues once floods of others had filled it. Ruled out: a larger limit, which only moves the point. Change: a contract with fewer than MinQueue (8) waiting requests may exceed the limit on all queues; Owner.Load. Conclusion: the queues of a flood do not close those of other contracts.

--- a/internal/coordination/pimslot/config.go
+++ b/internal/coordination/pimslot/config.go
@@ -6,8 +6,9 @@
 type Config struct {
 	// MaxQueue is the largest number of waiting requests of one contract.
 	MaxQueue int
-	// MaxQueued is the largest number of waiting requests of all contracts.
-	MaxQueued int
+	// MaxQueued is the largest number of waiting requests of all contracts. A contract with fewer than MinQueue waiting
+	// requests may exceed it, so that floods of some contracts do not close the queues of the others.
+	MaxQueued, MinQueue int
 	// ShareCredit is the time over which an unused fraction of a guaranteed slot can be used later. Requests reach an
 	// owner unevenly, so without credit a contract would lose part of its guarantee.
 	ShareCredit time.Duration
@@ -34,6 +35,7 @@
 	return Config{
 		MaxQueue:        256,
 		MaxQueued:       4096,
+		MinQueue:        8,
 		ShareCredit:     500 * time.Millisecond,
 		GrantGrace:      time.Second,
 		SlowStart:       10 * time.Second,
--- a/internal/coordination/pimslot/core.go
+++ b/internal/coordination/pimslot/core.go
@@ -76,7 +76,7 @@
 	switch {
 	case !now.Before(r.Deadline):
 		c.refuse(id, pimedge.ReasonDeadline, wait)
-	case len(ct.queue) >= c.cfg.MaxQueue || len(c.offers) >= c.cfg.MaxQueued:
+	case c.queuesFull(ct):
 		c.refuse(id, pimedge.ReasonOverload, wait)
 	case !now.Add(wait).Before(r.Deadline) || s.excludesAll(now, r):
 		c.refuse(id, pimedge.ReasonNoSlot, wait)
@@ -86,6 +86,11 @@
 	return true
 }
 
+func (c *Core) queuesFull(ct *contract) bool {
+	waiting := len(ct.queue)
+	return waiting >= c.cfg.MaxQueue || len(c.offers) >= c.cfg.MaxQueued && waiting >= c.cfg.MinQueue
+}
+
 // excludesAll reports whether the request has tried every usable host.
 func (s *service) excludesAll(now pimclock.Instant, r SlotRequest) bool {
 	for _, h := range s.hosts {
--- a/internal/coordination/pimslot/core_test.go
+++ b/internal/coordination/pimslot/core_test.go
@@ -204,3 +204,19 @@
 	}
 	is.Equal(len(r.refused), queued) // no queued request misses its deadline when durations are as estimated
 }
+
+// TestQueueLimits guards against queues without a limit and against floods that close the queues of other contracts.
+func TestQueueLimits(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, 1, terms(1, 0, 0, 1, 1, 1), terms(2, 0, 0, 1, 1, 1), terms(3, 0, 0, 1, 1, 1))
+	r.core.cfg.MaxQueue, r.core.cfg.MaxQueued, r.core.cfg.MinQueue = 20, 30, 2
+	// The limit of one contract, the rest of the limit of all, and a few of each contract beyond it.
+	for i, want := range []int{20, 10, 2} {
+		c := pimid.ContractID(i + 1)
+		for range 60 {
+			r.offer(c, time.Hour)
+		}
+		is.Equal(r.waiting[c], want)
+	}
+	is.Equal(r.refused[0].Reason, pimedge.ReasonOverload)
+}
--- a/internal/coordination/pimslot/owner.go
+++ b/internal/coordination/pimslot/owner.go
@@ -152,6 +152,13 @@
 	return o.core.Ejected(o.clock.Now())
 }
 
+// Load returns the waiting and running requests and the usable slots of a service.
+func (o *Owner) Load(service pimid.ServiceID) Load {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.core.Load(service)
+}
+
 func (o *Owner) close() {
 	o.mu.Lock()
 	defer o.mu.Unlock()
