--- a/internal/coordination/pimslot/core_test.go
+++ b/internal/coordination/pimslot/core_test.go
@@ -174,7 +174,8 @@
 // TestPriorityAndWeight guards against an order of unowned slots other than priority first, then share weight.
 func TestPriorityAndWeight(t *testing.T) {
 	is := is.New(t)
-	r := newRig(4, 4, terms(1, 0, 0, 4, 3, 1), terms(2, 0, 0, 4, 1, 1), terms(3, 0, 0, 4, 9, 2))
+	// The contract of the lower priority asks first, so that the order of arrival cannot stand in for the priority.
+	r := newRig(4, 4, terms(1, 0, 0, 4, 9, 2), terms(2, 0, 0, 4, 3, 1), terms(3, 0, 0, 4, 1, 1))
 	for r.now < pimclock.Instant(20*time.Second) {
 		for c := pimid.ContractID(1); c <= 3; c++ {
 			for r.waiting[c] < 6 {
@@ -183,9 +184,9 @@
 		}
 		r.step()
 	}
-	ratio := r.used[1].Seconds() / r.used[2].Seconds()
-	is.True(ratio > 2.8 && ratio < 3.2) // equal priority divides by weight
-	is.True(r.used[3] <= testDuration)  // a lower priority waits while a higher one has requests
+	ratio := r.used[2].Seconds() / r.used[3].Seconds()
+	is.True(ratio > 2.8 && ratio < 3.2)  // equal priority divides by weight
+	is.True(r.used[1] <= 4*testDuration) // a lower priority gets the slots before the first request of a higher one only
 }
 
 // TestHonestWait guards against requests that are queued although they cannot start before their deadline.
@@ -204,3 +205,19 @@
 	}
 	is.Equal(len(r.refused), queued) // no queued request misses its deadline when durations are as estimated
 }
+
+// TestQueueLimits guards against queues without a limit and against floods that close the queues of other contracts.
+func TestQueueLimits(t *testing.T) {
+	is := is.New(t)
+	r := newRig(1, 1, terms(1, 0, 0, 1, 1, 1), terms(2, 0, 0, 1, 1, 1), terms(3, 0, 0, 1, 1, 1))
+	r.core.cfg.MaxQueue, r.core.cfg.MaxQueued, r.core.cfg.MinQueue = 20, 30, 2
+	// The limit of one contract, the rest of the limit of all, and a few of each contract beyond it.
+	for i, want := range []int{20, 10, 2} {
+		c := pimid.ContractID(i + 1)
+		for range 60 {
+			r.offer(c, time.Hour)
+		}
+		is.Equal(r.waiting[c], want)
+	}
+	is.Equal(r.refused[0].Reason, pimedge.ReasonOverload)
+}
