--- a/cmd/standin-platform/run.go
+++ b/cmd/standin-platform/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/hex"
 	"errors"
 	"net"
 	"net/http"
@@ -16,9 +17,11 @@
 )
 
 type options struct {
-	Listen string        `long:"listen" default:"127.0.0.1:7000" description:"address to serve on"`
-	Config string        `long:"config" description:"TOML or JSON file, or directory with one file per key"`
-	Hold   time.Duration `long:"hold" default:"20s" description:"how long a watch without events is held"`
+	Listen      string        `long:"listen" default:"127.0.0.1:7000" description:"address to serve on"`
+	Config      string        `long:"config" description:"TOML or JSON file, or directory with one file per key"`
+	Publication []string      `long:"publication" description:"contract or fleet file, instead of --config"`
+	Key         string        `long:"key" default:"000102030405060708090a0b0c0d0e0f" description:"token key of a publication, 32 hexadecimal digits"`
+	Hold        time.Duration `long:"hold" default:"20s" description:"how long a watch without events is held"`
 }
 
 const (
@@ -28,12 +31,9 @@
 
 func run(opts options) error {
 	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-platform").Logger()
-	state := standplatform.NewState()
-	if opts.Config != "" {
-		var err error
-		if state, err = standplatform.Load(opts.Config); err != nil {
-			return err
-		}
+	state, err := load(opts)
+	if err != nil {
+		return err
 	}
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer cancel()
@@ -51,6 +51,21 @@
 	return nil
 }
 
+func load(opts options) (*standplatform.State, error) {
+	switch {
+	case len(opts.Publication) > 0:
+		key, err := hex.DecodeString(opts.Key)
+		if err != nil {
+			return nil, err
+		}
+		return standplatform.LoadPublication(time.Now(), key, opts.Publication...)
+	case opts.Config != "":
+		return standplatform.Load(opts.Config)
+	default:
+		return standplatform.NewState(), nil
+	}
+}
+
 // stop gives pending watches a short time, since they may be held longer than a stop may take.
 func stop(server *http.Server) {
 	ctx, cancel := context.WithTimeout(context.Background(), stopTimeout)
--- a/internal/coordination/pimmember/rendezvous.go
+++ b/internal/coordination/pimmember/rendezvous.go
@@ -53,7 +53,7 @@
 	if id, ok := r.cache.get(key); ok {
 		return id
 	}
-	id := best(r.nodes[1:], key, r.nodes[0])
+	id := OwnerAmong(r.nodes, key)
 	r.cache.put(key, id)
 	return id
 }
@@ -91,6 +91,14 @@
 	return out
 }
 
+// OwnerAmong returns the VM among the given ones that owns a key, or 0 if there is none; every VM chooses the same one.
+func OwnerAmong(nodes []pimid.NodeID, key uint64) pimid.NodeID {
+	if len(nodes) == 0 {
+		return 0
+	}
+	return best(nodes[1:], key, nodes[0])
+}
+
 // best returns the node with the highest score; with equal scores the lowest id wins.
 func best(nodes []pimid.NodeID, key uint64, first pimid.NodeID) pimid.NodeID {
 	top, id := score(first, key), first
--- a/internal/pimnode/adapters.go
+++ b/internal/pimnode/adapters.go
@@ -59,23 +59,29 @@
 		return pimroute.HomeLeft, pimroute.Home{Node: node, Incarnation: inc}
 	}
 	m, ok := v.n.members.Member(home.Node)
-	if !ok || m.Incarnation != home.Incarnation {
-		return v.unheardHome(home)
-	}
-	if m.State == pimmember.Dead || m.State == pimmember.Left {
+	switch {
+	case !ok:
+		return v.askPeer(home, v.n.cfg.Node.DataCentre)
+	case m.Incarnation > home.Incarnation:
+		return v.askPeer(home, m.DataCentre)
+	case m.State == pimmember.Dead || m.State == pimmember.Left:
 		return pimroute.HomeLost, pimroute.Home{}
+	case m.Incarnation == 0 && m.DataCentre == v.n.cfg.Node.DataCentre:
+		return v.askPeer(home, m.DataCentre)
+	default:
+		// News of other data centres lag, so a run that is newer than the known one is asked itself.
+		return pimroute.HomeLive, pimroute.Home{}
 	}
-	return pimroute.HomeLive, pimroute.Home{}
 }
 
-// unheardHome handles a run of a VM that this VM never heard. It may have ended before this VM started, so for as long
-// as its tokens permit requests, a peer that may know its successor is asked. Only the VM that holds the records runs a
-// request, so asking the wrong one does no harm.
-func (v memberView) unheardHome(home pimroute.Home) (pimroute.HomeStatus, pimroute.Home) {
+// askPeer handles a run of a VM that this VM never heard, or only its next run. It may have ended as planned before this
+// VM started, so for as long as its tokens permit requests, a VM that may know its successor is asked. Only the VM that
+// holds the records runs a request, so asking the wrong one does no harm.
+func (v memberView) askPeer(home pimroute.Home, dataCentre pimid.DataCentre) (pimroute.HomeStatus, pimroute.Home) {
 	if v.n.uptime() > pimtoken.PermitLifetime {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
-	live := slices.DeleteFunc(slices.Clone(v.n.members.Live(v.n.cfg.Node.DataCentre)), func(id pimid.NodeID) bool {
+	live := slices.DeleteFunc(slices.Clone(v.n.members.Live(dataCentre)), func(id pimid.NodeID) bool {
 		return id == v.n.self.Node || id == home.Node
 	})
 	if len(live) == 0 {
--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -44,5 +44,5 @@
 	// stop within this time.
 	lingerTime = 2 * time.Second
 	// failedPolls is the number of failed health checks after which an owner reports a backend server as failed.
-	failedPolls = 3
+	failedPolls = 2
 )
--- a/internal/pimnode/topology.go
+++ b/internal/pimnode/topology.go
@@ -13,9 +13,9 @@
 type topology struct {
 	// owned are the backend servers of which this VM is the slot owner.
 	owned []pimview.Backend
-	// local and remote list the slot owners of a service in this and in the other data centres.
-	local  map[pimid.ServiceID][]pimpick.Owner
-	remote map[pimid.ServiceID][]pimpick.Owner
+	// local and remote list the slot owners of working hosts in this and in the other data centres; failed lists those of
+	// local hosts that their owners take for failed.
+	local, remote, failed map[pimid.ServiceID][]pimpick.Owner
 	// services counts the slots and hosts of each service.
 	services map[pimid.ServiceID]serviceCounts
 	// runs are the generations of all backend servers; cold are those that an earlier topology did not have.
@@ -39,9 +39,10 @@
 	t := newTopology(view, n.topology.Load())
 	local := map[ownedService]pimid.Slots{}
 	remote := map[ownedService]pimid.Slots{}
+	failed := map[ownedService]pimid.Slots{}
 	for _, b := range view.Backends {
-		isLocal := b.DataCentre == n.cfg.Node.DataCentre
-		t.count(b, isLocal, n.hasFailed(b))
+		isLocal, hasFailed := b.DataCentre == n.cfg.Node.DataCentre, n.hasFailed(b)
+		t.count(b, isLocal, hasFailed)
 		owner := n.members.Owner(b.DataCentre, uint64(b.ID))
 		if owner == n.self.Node {
 			t.owned = append(t.owned, b)
@@ -50,14 +51,17 @@
 			continue
 		}
 		key := ownedService{node: owner, service: b.Service}
-		if isLocal {
+		switch {
+		case isLocal && hasFailed:
+			failed[key] += b.Slots
+		case isLocal:
 			local[key] += b.Slots
-		} else {
+		default:
 			remote[key] += b.Slots
 		}
 	}
 	slices.SortFunc(t.owned, func(a, b pimview.Backend) int { return cmp.Compare(a.ID, b.ID) })
-	t.local, t.remote = ownersByService(local), ownersByService(remote)
+	t.local, t.remote, t.failed = ownersByService(local), ownersByService(remote), ownersByService(failed)
 	return t
 }
 
@@ -106,12 +110,15 @@
 	return out
 }
 
-// candidates returns the slot owners of a service; other data centres are asked only if this one has none left.
+// candidates returns the slot owners of a service; other data centres are asked only if this one has no working host
+// left, and hosts that seem to have failed only if there is no other.
 func (t *topology) candidates(service pimid.ServiceID) []pimpick.Owner {
-	if owners := t.local[service]; len(owners) > 0 {
-		return owners
+	for _, owners := range []map[pimid.ServiceID][]pimpick.Owner{t.local, t.remote, t.failed} {
+		if len(owners[service]) > 0 {
+			return owners[service]
+		}
 	}
-	return t.remote[service]
+	return nil
 }
 
 func (n *Node) hasFailed(b pimview.Backend) bool {
--- /dev/null
+++ b/internal/standin/standplatform/publication.go
@@ -0,0 +1,59 @@
+package standplatform
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+)
+
+// listAge is the age of the VM list of a publication; VMs use their shares of a list that is older than 16 s at once.
+const listAge = time.Hour
+
+// LoadPublication reads contract and fleet files and publishes them with one token key of 16 bytes.
+func LoadPublication(now time.Time, key []byte, files ...string) (s *State, err error) {
+	defer func() { err = oops.In("standplatform").Wrapf(err, "load publication") }()
+	pub, err := pimcontract.Read(files...)
+	if err != nil {
+		return nil, err
+	}
+	values, err := pub.Values()
+	if err != nil {
+		return nil, err
+	}
+	s = NewState()
+	for k, v := range values {
+		s.Put(k, v)
+	}
+	published := now.Add(-listAge)
+	for _, n := range pub.Nodes {
+		if err = s.putNode(n, published); err != nil {
+			return nil, err
+		}
+	}
+	value, err := json.Marshal(pimview.Key{ID: 1, Secret: key, PublishedAt: published})
+	if err != nil {
+		return nil, err
+	}
+	s.Put("keys/1", value)
+	return s, nil
+}
+
+// putNode publishes a VM under its key and on the list.
+func (s *State) putNode(n pimcontract.Node, published time.Time) error {
+	v := pimview.Node{
+		ID: n.ID, DataCentre: n.DataCentre, PeerAddress: n.PeerAddress, State: pimview.NodeState(n.State),
+		PublishedAt: published,
+	}
+	value, err := json.Marshal(v)
+	if err != nil {
+		return err
+	}
+	s.Put(fmt.Sprintf("nodes/%d", n.ID), value)
+	s.SetVM(v)
+	return nil
+}
