fix: charge gossip to the byte budget of pulls

Cause: gossip (3 KB/s) and pulls (5 KB/s) had separate budgets, so their sum could exceed 5 KB/s. Ruled out: refusing gossip when pulls have spent the budget, which would delay failures and drains. Conclusion: pulls get what gossip leaves.

--- a/internal/coordination/pimconfig/budget.go
+++ b/internal/coordination/pimconfig/budget.go
@@ -50,6 +50,14 @@
 	return true
 }
 
+// Charge spends n bytes that were sent in any case, such as gossip, so that pulls get only what is left.
+func (b *Budget) Charge(now pimclock.Instant, n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refill(now)
+	b.level = max(b.level-float64(n), -b.burst)
+}
+
 func (b *Budget) refill(now pimclock.Instant) {
 	if !b.last.Before(now) {
 		return
--- a/internal/coordination/pimconfig/pull_test.go
+++ b/internal/coordination/pimconfig/pull_test.go
@@ -132,6 +132,10 @@
 	clock.Advance(time.Millisecond)
 	is.True(b.Take(clock.Now(), 1_000_000))
 	is.True(b.Available(clock.Now()) < 0)
+	b = NewBudget(clock.Now(), BudgetRate, BudgetBurst)
+	b.Charge(clock.Now(), BudgetBurst-10) // gossip leaves 10 bytes for pulls
+	is.Equal(b.Available(clock.Now()), 10)
+	is.True(!b.Take(clock.Now(), 11))
 }
 
 // Guards against a syncer that asks one VM again and again although it fails or has no budget left.
