feat: measure changes in batches

Cause: pimcapacity showed only single changes, while pulls and watches bring batches. Ruled out: none. Change: add the mean time per change in a batch of 50 to pimcapacity config.

--- a/cmd/pimcapacity/capacity_test.go
+++ b/cmd/pimcapacity/capacity_test.go
@@ -32,7 +32,7 @@
 func TestSubcommandsPrintJSON(t *testing.T) {
 	for name, args := range map[string][]string{
 		"members":    {"--size=10", "--size=20", "--size=30"},
-		"config":     {"--backends=10", "--backends=20", "--services=10", "--services=20", "--changes=2"},
+		"config":     {"--backends=10", "--backends=20", "--services=10", "--services=20", "--changes=2", "--batch=5", "--batches=2"},
 		"gossip":     {"--size=8", "--size=16", "--seconds=2"},
 		"rendezvous": {"--size=8", "--size=16", "--keys=100"},
 	} {
--- a/cmd/pimcapacity/config.go
+++ b/cmd/pimcapacity/config.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
@@ -17,6 +18,8 @@
 	Backends  []int `long:"backends" default:"4125" default:"16500" default:"33000" description:"number of backend servers"`
 	Services  []int `long:"services" default:"1112" default:"4450" default:"8900" description:"number of services and contracts"`
 	Changes   int   `long:"changes" default:"200" description:"changes to average over"`
+	Batch     int   `long:"batch" default:"50" description:"changes in one batch"`
+	Batches   int   `long:"batches" default:"10" description:"batches to average over"`
 	keepValue *pimconfig.Store
 }
 
@@ -39,7 +42,7 @@
 
 // measure fills stores of several sizes with one kind of key and then changes keys one at a time.
 func (c *configCommand) measure(kind, prefix string, counts []int, value func(i int) any) ([]series, error) {
-	var sizes, bytes, change []float64
+	var sizes, bytes, change, batched []float64
 	for _, n := range counts {
 		var err error
 		total := liveBytes(func() *pimconfig.Store {
@@ -49,10 +52,15 @@
 		if err != nil {
 			return nil, err
 		}
-		ns, err := c.changeTime(prefix, value)
+		ns, err := c.changeTime(prefix, value, c.Changes, 1)
 		if err != nil {
 			return nil, err
 		}
+		nsBatched, err := c.changeTime(prefix, value, c.Batches, c.Batch)
+		if err != nil {
+			return nil, err
+		}
+		batched = append(batched, nsBatched/float64(c.Batch))
 		sizes, bytes, change = append(sizes, float64(n)), append(bytes, total), append(change, ns)
 		c.keepValue = nil
 	}
@@ -60,6 +68,7 @@
 	return []series{
 		newSeries("store and view", "B", of, sizes, bytes),
 		newSeries("one change of a "+kind, "ns", of, sizes, change),
+		newSeries("change of a "+kind+" in a batch", "ns", of, sizes, batched),
 	}, nil
 }
 
@@ -83,16 +92,24 @@
 	return s, nil
 }
 
-func (c *configCommand) changeTime(prefix string, value func(i int) any) (ns float64, err error) {
+// changeTime returns the mean time of a batch that changes the first size keys.
+func (c *configCommand) changeTime(prefix string, value func(i int) any, times, size int) (ns float64, err error) {
 	s := c.keepValue
-	p, err := json.Marshal(value(1))
-	if err != nil {
-		return 0, err
+	var events []pimconfig.Event
+	for i := 1; i <= size; i++ {
+		p, err := json.Marshal(value(i))
+		if err != nil {
+			return 0, err
+		}
+		events = append(events, pimconfig.Event{Key: fmt.Sprintf("%s%d", prefix, i), Value: p})
 	}
-	ns = perOp(c.Changes, func(int) {
+	ns = perOp(times, func(int) {
 		r := s.Revision()
-		e := pimconfig.Event{Revision: r + 1, Key: prefix + "1", Value: p}
-		if applyErr := s.Apply(pimconfig.Batch{From: r, To: r + 1, Events: []pimconfig.Event{e}}); applyErr != nil {
+		for i := range events {
+			events[i].Revision = r + 1
+		}
+		b := pimconfig.Batch{From: r, To: r + 1, Events: slices.Clone(events)}
+		if applyErr := s.Apply(b); applyErr != nil {
 			err = applyErr
 		}
 	})
