feat: print times of drain, change and failure in pimcapacity gossip

Cause: only the time of a drain was printed. Ruled out: none. Change: add the simulated times until a change is in force and a failure is known on all VMs.

--- a/cmd/pimcapacity/gossip.go
+++ b/cmd/pimcapacity/gossip.go
@@ -15,12 +15,12 @@
 	Seconds  int     `long:"seconds" default:"20" description:"simulated time per size"`
 	Loss     float64 `long:"loss" default:"0.02" description:"probability that a datagram is lost"`
 	Seed     uint64  `long:"seed" default:"1" description:"seed of the simulation"`
-	Converge int     `long:"converge-limit" default:"60" description:"simulated seconds to wait for a drain"`
+	Converge int     `long:"converge-limit" default:"60" description:"simulated seconds to wait for each event"`
 }
 
 // Execute measures and prints the slopes.
 func (c *gossipCommand) Execute([]string) error {
-	var sizes, idle, busy, messages, spread []float64
+	var sizes, idle, busy, messages, drain, config, failure []float64
 	for _, n := range c.Sizes {
 		f := standfleet.New(standfleet.Options{
 			Seed: c.Seed, DataCentres: 1, PerDataCentre: n, Loss: c.Loss, Delay: 5 * time.Millisecond,
@@ -30,12 +30,12 @@
 		sizes = append(sizes, float64(n))
 		b, msgs := c.rates(f)
 		idle, messages = append(idle, b), append(messages, msgs)
-		took, err := c.spread(f)
+		took, err := c.events(f, n)
 		if err != nil {
 			return err
 		}
-		spread = append(spread, float64(took.Milliseconds()))
-		f.VM(3).Kill()
+		drain, config, failure = append(drain, took[0]), append(config, took[1]), append(failure, took[2])
+		f.VM(4).Kill()
 		f.Put("services/1", pimview.Service{ID: 1, Name: "changed"})
 		b, _ = c.rates(f)
 		busy = append(busy, b)
@@ -44,7 +44,9 @@
 		newSeries("sent by a VM at rest", "B/s", "VMs", sizes, idle),
 		newSeries("messages of a VM at rest", "1/s", "VMs", sizes, messages),
 		newSeries("sent by a VM with a change and a failure", "B/s", "VMs", sizes, busy),
-		newSeries("drain known by all VMs", "ms", "VMs", sizes, spread),
+		newSeries("drain known by all VMs", "ms", "VMs", sizes, drain),
+		newSeries("change in force on all VMs", "ms", "VMs", sizes, config),
+		newSeries("failure known by all VMs", "ms", "VMs", sizes, failure),
 	})
 }
 
@@ -65,14 +67,30 @@
 	return bytes, messages
 }
 
-// spread returns the simulated time until all VMs know a drain that one reports.
-func (c *gossipCommand) spread(f *standfleet.Fleet) (time.Duration, error) {
+// events returns the simulated milliseconds until all VMs know a drain, a change and a failure.
+func (c *gossipCommand) events(f *standfleet.Fleet, n int) (ms [3]float64, err error) {
 	f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
-	took, ok := f.RunUntil(time.Duration(c.Converge)*time.Second, func() bool {
-		return f.All(func(vm *standfleet.VM) bool { s, _ := vm.Members.BackendStatus(9); return s.Draining })
+	if ms[0], err = c.until(f, "drain", func(vm *standfleet.VM) bool {
+		s, _ := vm.Members.BackendStatus(9)
+		return s.Draining
+	}); err != nil {
+		return ms, err
+	}
+	revision := f.Put("services/1", pimview.Service{ID: 1, Name: "first"})
+	if ms[1], err = c.until(f, "change", standfleet.AtRevision(revision)); err != nil {
+		return ms, err
+	}
+	f.VM(3).Kill()
+	ms[2], err = c.until(f, "failure", func(vm *standfleet.VM) bool {
+		return len(vm.Members.Live(vm.DataCentre)) == n-1
 	})
+	return ms, err
+}
+
+func (c *gossipCommand) until(f *standfleet.Fleet, what string, cond func(*standfleet.VM) bool) (float64, error) {
+	took, ok := f.RunUntil(time.Duration(c.Converge)*time.Second, func() bool { return f.All(cond) })
 	if !ok {
-		return 0, fmt.Errorf("drain not known by all vms after %v", took)
+		return 0, fmt.Errorf("%s not known by all vms after %v", what, took)
 	}
-	return took, nil
+	return float64(took.Milliseconds()), nil
 }
