fix: name the service in requests to backend servers

Cause: while views differ after an address was reused, a VM could send an order to a server of another service; only the generation protected against it, once the view was new. Change: the Host header carries the service name; 421 (misdirected request) counts as not run.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -22,6 +22,7 @@
 	HTTP        string        `long:"http" description:"http address" default:"127.0.0.1:0"`
 	Flow        string        `long:"flow" description:"flow address" default:"127.0.0.1:0"`
 	Service     string        `long:"service" description:"published service address; empty accepts any"`
+	Name        string        `long:"name" description:"service name; other Host headers get 421, empty accepts any"`
 	Slots       int           `long:"slots" description:"requests that run at once" default:"2"`
 	ServiceTime time.Duration `long:"service-time" description:"time of one request" default:"20ms"`
 	ColdFactor  float64       `long:"cold-factor" description:"factor on the service time at the start" default:"1"`
@@ -67,6 +68,7 @@
 	cfg = standbackend.Config{
 		ID:          pimid.BackendID(o.ID),
 		Generation:  pimid.Generation(o.Generation),
+		Name:        o.Name,
 		Slots:       pimid.Slots(o.Slots),
 		ServiceTime: o.ServiceTime,
 		ColdFactor:  o.ColdFactor,
--- a/internal/standin/standbackend/work.go
+++ b/internal/standin/standbackend/work.go
@@ -30,6 +30,10 @@
 
 // work runs one request in a slot or sheds it.
 func (s *Server) work(w http.ResponseWriter, r *http.Request) {
+	if s.cfg.Name != "" && r.Host != s.cfg.Name {
+		http.Error(w, "request is for another service", http.StatusMisdirectedRequest)
+		return
+	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBody))
 	if err != nil {
 		http.Error(w, "cannot read body", http.StatusBadRequest)
--- a/internal/transport/pimhttp/answer.go
+++ b/internal/transport/pimhttp/answer.go
@@ -60,6 +60,12 @@
 			Err:        ErrShed,
 		}
 	}
+	if resp.StatusCode == http.StatusMisdirectedRequest {
+		return Result{
+			Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonBackendGone, Status: resp.StatusCode,
+			Err: ErrMisdirected,
+		}
+	}
 	outcome := pimedge.OutcomeAnswered
 	if resp.StatusCode >= http.StatusInternalServerError {
 		outcome = pimedge.OutcomeFailed
--- a/internal/transport/pimhttp/client.go
+++ b/internal/transport/pimhttp/client.go
@@ -6,11 +6,15 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // Config holds the settings of a client.
 type Config struct {
 	Clock pimclock.Clock
+	// HostOf returns the Host header of a service, so that a server that took over the address of another service's
+	// server can tell; nil or an empty name means the address.
+	HostOf func(pimid.ServiceID) string
 	// DialTimeout bounds the setup of a connection.
 	DialTimeout time.Duration
 	// SilenceLimit is the time without a received byte after which the connection is checked.
--- a/internal/transport/pimhttp/do.go
+++ b/internal/transport/pimhttp/do.go
@@ -43,6 +43,9 @@
 	if err != nil {
 		return notSent(err)
 	}
+	if c.cfg.HostOf != nil {
+		req.Host = c.cfg.HostOf(b.Service)
+	}
 	w := &watch{client: c, backend: b, attempt: a}
 	stop := w.start(ctx, cancel)
 	defer stop()
--- a/internal/transport/pimhttp/result.go
+++ b/internal/transport/pimhttp/result.go
@@ -21,6 +21,8 @@
 	ErrPath = errors.New("path without leading slash")
 	// ErrShed means that the backend server shed the request.
 	ErrShed = errors.New("shed by the backend server")
+	// ErrMisdirected means that the server at the address does not serve the service (421, RFC 9110, 15.5.20).
+	ErrMisdirected = errors.New("server does not serve the service")
 )
 
 // Result says what is known about one request after its attempt.
