fix: hold no read buffer for idle service sockets

Cause: each of the two read loops of a socket held a buffer of 65,508 bytes; with 8,900 services that is 1.2 GB. Ruled out: smaller buffers, since a request body may fill a datagram; one socket for all services, which needs the destination of each packet and so another carrier. Change: a loop waits for readability and then takes a workspace from a pool. Conclusion: idle addresses cost little; the sockets themselves remain.

--- a/internal/transport/pimudp/reader.go
+++ b/internal/transport/pimudp/reader.go
@@ -5,49 +5,87 @@
 	"errors"
 	"net"
 	"net/netip"
+	"sync"
+	"syscall"
+
+	"golang.org/x/sys/unix"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 )
 
-// reader is one read loop of one socket with its own buffer and decoder.
+// reader is one read loop of one socket. It holds no buffer while its socket is idle, since a VM serves thousands of
+// addresses and a buffer has the size of the largest datagram.
 type reader struct {
-	server  *Server
-	sock    *socket
+	server *Server
+	sock   *socket
+	raw    syscall.RawConn
+	poll   [1]unix.PollFd
+}
+
+// workspace is what one datagram needs while it is handled.
+type workspace struct {
 	decoder *pimedge.Decoder
 	buf     []byte
 	// responder is reused for all flow packets.
 	responder responder
 }
 
-func newReader(s *Server, sock *socket) *reader {
-	return &reader{server: s, sock: sock, decoder: pimedge.NewDecoder(), buf: make([]byte, maxDatagram+1)}
+// workspaces holds idle workspaces of all sockets.
+var workspaces = sync.Pool{New: func() any {
+	return &workspace{decoder: pimedge.NewDecoder(), buf: make([]byte, maxDatagram+1)}
+}}
+
+func newReader(s *Server, sock *socket) (*reader, error) {
+	raw, err := sock.conn.SyscallConn()
+	if err != nil {
+		return nil, err
+	}
+	return &reader{server: s, sock: sock, raw: raw}, nil
 }
 
 func (l *reader) run(ctx context.Context) {
 	for {
-		n, source, err := l.sock.conn.ReadFromUDPAddrPort(l.buf)
-		if errors.Is(err, net.ErrClosed) {
+		if err := l.raw.Read(l.isReadable); err != nil {
 			return
 		}
-		if err != nil {
-			l.server.counters.readErrors.Add(1)
-			continue
+		w := workspaces.Get().(*workspace)
+		isOpen := l.read(ctx, w)
+		workspaces.Put(w)
+		if !isOpen {
+			return
 		}
-		l.handle(ctx, netip.AddrPortFrom(source.Addr().Unmap(), source.Port()), l.buf[:n])
 	}
 }
 
-func (l *reader) handle(ctx context.Context, source netip.AddrPort, datagram []byte) {
+// isReadable reports whether a datagram waits; otherwise the runtime calls it again when one has arrived.
+func (l *reader) isReadable(fd uintptr) bool {
+	l.poll[0] = unix.PollFd{Fd: int32(fd), Events: unix.POLLIN}
+	n, err := unix.Poll(l.poll[:], 0)
+	return n > 0 || err != nil && !errors.Is(err, unix.EINTR)
+}
+
+// read handles one datagram and reports whether the socket is still open.
+func (l *reader) read(ctx context.Context, w *workspace) bool {
+	n, source, err := l.sock.conn.ReadFromUDPAddrPort(w.buf)
+	if err != nil {
+		l.server.counters.readErrors.Add(1)
+		return !errors.Is(err, net.ErrClosed)
+	}
+	l.handle(ctx, w, netip.AddrPortFrom(source.Addr().Unmap(), source.Port()), w.buf[:n])
+	return true
+}
+
+func (l *reader) handle(ctx context.Context, w *workspace, source netip.AddrPort, datagram []byte) {
 	l.server.counters.received.Add(1)
-	pkt, err := l.decoder.Decode(l.sock.service.ID, source, datagram)
+	pkt, err := w.decoder.Decode(l.sock.service.ID, source, datagram)
 	if err != nil {
 		l.reject(source, err)
 		return
 	}
 	r := responder{server: l.server, sock: l.sock, source: source, exchange: pkt.Exchange()}
 	if pkt.Kind == pimedge.KindFlow {
-		l.responder = r
-		l.server.cfg.Handler(ctx, pkt, &l.responder)
+		w.responder = r
+		l.server.cfg.Handler(ctx, pkt, &w.responder)
 		return
 	}
 	l.dispatch(ctx, pkt, r)
--- a/internal/transport/pimudp/server.go
+++ b/internal/transport/pimudp/server.go
@@ -128,7 +128,10 @@
 	sock := &socket{service: service, conn: conn}
 	s.sockets[service.ID] = sock
 	for range s.cfg.ReadLoops {
-		l := newReader(s, sock)
+		l, err := newReader(s, sock)
+		if err != nil {
+			return err
+		}
 		s.wg.Go(func() { l.run(s.ctx) })
 	}
 	return nil
--- a/internal/transport/pimudp/server_test.go
+++ b/internal/transport/pimudp/server_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/netip"
+	"runtime"
 	"testing"
 
 	"github.com/matryer/is"
@@ -170,12 +171,37 @@
 			t.Error(err)
 		}
 	}}, 1)
-	l := newReader(s, s.sockets[1])
+	l, err := newReader(s, s.sockets[1])
+	is.NoErr(err)
+	w := &workspace{decoder: pimedge.NewDecoder()}
 	raw := request(t, 5, codes.GET, message.Option{ID: message.Observe})
-	allocs := testing.AllocsPerRun(500, func() { l.handle(t.Context(), callerAddr, raw) })
+	allocs := testing.AllocsPerRun(500, func() { l.handle(t.Context(), w, callerAddr, raw) })
 	is.Equal(allocs, 0.0)
 }
 
+// Guards against a read buffer for each idle socket: 8,900 services with two loops would hold 1.2 GB.
+func TestIdleSocketsHoldNoBuffer(t *testing.T) {
+	is := is.New(t)
+	const services = 200
+	var ids []pimid.ServiceID
+	for id := range pimid.ServiceID(services) {
+		ids = append(ids, id+1)
+	}
+	before := heap()
+	s := start(t, Config{Handler: func(context.Context, *pimedge.Packet, Responder) {}}, ids...)
+	perSocket := (int64(heap()) - int64(before)) / services
+	t.Logf("%d bytes per idle socket", perSocket)
+	is.True(perSocket < maxDatagram)
+	runtime.KeepAlive(s)
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func BenchmarkForwardFlowPacket(b *testing.B) {
 	backend, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(loopback))
 	if err != nil {
@@ -195,10 +221,14 @@
 		b.Fatal(err)
 	}
 	defer cleanup()
-	l := newReader(s, s.sockets[1])
+	l, err := newReader(s, s.sockets[1])
+	if err != nil {
+		b.Fatal(err)
+	}
+	w := &workspace{decoder: pimedge.NewDecoder()}
 	raw := []byte{0x40, 1, 0, 1, 0x60}
 	b.ReportAllocs()
 	for b.Loop() {
-		l.handle(b.Context(), callerAddr, raw)
+		l.handle(b.Context(), w, callerAddr, raw)
 	}
 }
