fix: describe services, backend servers and vms by one set of types

Cause: pimview and pimcontract each declared the published service, backend server and VM with the same JSON. Ruled out: conversion functions between both, which a new field could miss. Change: pimview names the types of pimcontract; metrics of the peer transport have the prefix of all others. Conclusion: a field is added in one place.

--- a/internal/standin/standplatform/publication.go
+++ b/internal/standin/standplatform/publication.go
@@ -45,15 +45,12 @@
 
 // putNode publishes a VM under its key and on the list.
 func (s *State) putNode(n pimcontract.Node, published time.Time) error {
-	v := pimview.Node{
-		ID: n.ID, DataCentre: n.DataCentre, PeerAddress: n.PeerAddress, State: pimview.NodeState(n.State),
-		PublishedAt: published,
-	}
-	value, err := json.Marshal(v)
+	n.PublishedAt = published
+	value, err := json.Marshal(n)
 	if err != nil {
 		return err
 	}
 	s.Put(fmt.Sprintf("nodes/%d", n.ID), value)
-	s.SetVM(v)
+	s.SetVM(n)
 	return nil
 }
--- a/internal/state/pimview/view.go
+++ b/internal/state/pimview/view.go
@@ -1,7 +1,6 @@
 package pimview
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
@@ -9,65 +8,36 @@
 )
 
 // Service is one published service.
-type Service struct {
-	ID pimid.ServiceID `json:"id"`
-	// Name is the service's name in reports.
-	Name string `json:"name"`
-	// Address is the UDP address that callers send to.
-	Address netip.AddrPort `json:"address"`
-	// EdgePort is the port on which VMs serve the service at their own address, for a fabric that rewrites the
-	// destination; zero means that VMs listen on the published address.
-	EdgePort uint16 `json:"edge_port,omitempty"`
-}
+type Service = pimcontract.Service
+
+// Backend is one backend server.
+type Backend = pimcontract.Backend
 
 // BackendState is the published state of a backend server.
-type BackendState string
+type BackendState = pimcontract.State
 
 // The published states of a backend server.
 const (
 	// BackendLive receives new work.
-	BackendLive BackendState = "live"
+	BackendLive = pimcontract.StateLive
 	// BackendLeaving keeps established flows and receives no new work.
-	BackendLeaving BackendState = "leaving"
+	BackendLeaving = pimcontract.StateLeaving
 )
 
-// Backend is one backend server.
-type Backend struct {
-	ID         pimid.BackendID  `json:"id"`
-	Generation pimid.Generation `json:"generation"`
-	Service    pimid.ServiceID  `json:"service"`
-	DataCentre pimid.DataCentre `json:"data_centre"`
-	// FlowAddress receives encapsulated flow packets over UDP.
-	FlowAddress netip.AddrPort `json:"flow_address"`
-	// HTTPAddress serves requests, health and load.
-	HTTPAddress    netip.AddrPort    `json:"http_address"`
-	Slots          pimid.Slots       `json:"slots"`
-	MaxConnections pimid.Connections `json:"max_connections"`
-	State          BackendState      `json:"state"`
-}
+// Node is one VM on the platform's list.
+type Node = pimcontract.Node
 
 // NodeState is the published state of a VM.
-type NodeState string
+type NodeState = pimcontract.State
 
 // The published states of a VM.
 const (
 	// NodeLive takes part in the fleet.
-	NodeLive NodeState = "live"
+	NodeLive = pimcontract.StateLive
 	// NodeLeaving is being stopped by the platform.
-	NodeLeaving NodeState = "leaving"
+	NodeLeaving = pimcontract.StateLeaving
 )
 
-// Node is one VM on the platform's list.
-type Node struct {
-	ID         pimid.NodeID     `json:"id"`
-	DataCentre pimid.DataCentre `json:"data_centre"`
-	// PeerAddress serves drpc over TCP and receives gossip over UDP.
-	PeerAddress netip.AddrPort `json:"peer_address"`
-	State       NodeState      `json:"state"`
-	// PublishedAt is when the platform last changed this entry.
-	PublishedAt time.Time `json:"published_at,omitzero"`
-}
-
 // Key is a token key in force; Secret holds 16 bytes.
 type Key struct {
 	ID     uint8  `json:"id"`
--- a/internal/transport/pimpeer/gossip.go
+++ b/internal/transport/pimpeer/gossip.go
@@ -38,10 +38,10 @@
 ) {
 	g = &Gossip{
 		conn: conn, sealer: sealer, handle: handle, log: log, set: set,
-		sent:    set.GetOrCreateCounter("pim_gossip_sent_datagrams_total"),
-		sentLen: set.GetOrCreateCounter("pim_gossip_sent_bytes_total"),
-		got:     set.GetOrCreateCounter("pim_gossip_received_datagrams_total"),
-		gotLen:  set.GetOrCreateCounter("pim_gossip_received_bytes_total"),
+		sent:    set.GetOrCreateCounter("pimentoyard_gossip_sent_datagrams_total"),
+		sentLen: set.GetOrCreateCounter("pimentoyard_gossip_sent_bytes_total"),
+		got:     set.GetOrCreateCounter("pimentoyard_gossip_received_datagrams_total"),
+		gotLen:  set.GetOrCreateCounter("pimentoyard_gossip_received_bytes_total"),
 	}
 	g.wg.Add(1)
 	go g.loop()
@@ -89,7 +89,7 @@
 	g.gotLen.Add(len(p))
 	msg, err := g.sealer.Open(time.Now().UnixMilli(), p)
 	if err != nil {
-		g.set.GetOrCreateCounter(fmt.Sprintf("pim_gossip_dropped_total{reason=%q}", reasonOf(err))).Inc()
+		g.set.GetOrCreateCounter(fmt.Sprintf("pimentoyard_gossip_dropped_total{reason=%q}", reasonOf(err))).Inc()
 		g.log.Debug().Err(err).Stringer("remote", from).Msg("gossip dropped")
 		return
 	}
--- a/internal/transport/pimpeer/server.go
+++ b/internal/transport/pimpeer/server.go
@@ -48,7 +48,7 @@
 	}
 	s = &Server{
 		ln: ln, tls: creds.serverConfig(), drpc: drpcserver.New(mux), log: log, slots: make(chan struct{}, maxConns),
-		refused: set.GetOrCreateCounter("pim_peer_refused_connections_total"),
+		refused: set.GetOrCreateCounter("pimentoyard_peer_refused_connections_total"),
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	s.wg.Add(1)
--- a/pkg/pimcontract/fleet.go
+++ b/pkg/pimcontract/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"time"
 
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -53,6 +54,8 @@
 	PeerAddress netip.AddrPort `toml:"peer_address" json:"peer_address"`
 	// State is live if the file names none.
 	State State `toml:"state" json:"state"`
+	// PublishedAt is when the platform last changed this entry; the platform sets it.
+	PublishedAt time.Time `toml:"-" json:"published_at,omitzero"`
 }
 
 // Publication is everything that an operator publishes: contracts and fleet.
