--- a/internal/transport/pimpeer/peer_test.go
+++ b/internal/transport/pimpeer/peer_test.go
@@ -141,7 +141,7 @@
 	g := <-got // loopback keeps the order, so the bad datagram was handled before
 	is.Equal(g.GetSequence(), uint64(5))
 	is.Equal(g.GetSender(), uint32(2))
-	is.Equal(set.GetOrCreateCounter(`pim_gossip_dropped_total{reason="truncated"}`).Get(), uint64(1))
+	is.Equal(set.GetOrCreateCounter(`pimentoyard_gossip_dropped_total{reason="truncated"}`).Get(), uint64(1))
 	big := &pimpb.Gossip{Config: &pimpb.ConfigDigest{Hash: make([]byte, MaxDatagram)}}
 	is.True(errors.Is(from.Send(target, big), ErrTooLarge))
 	cleanup()
