fix: give the stand-in programs one frame

Cause: four programs repeated the handling of options, log, signals and exit codes. Ruled out: a framework; one generic function is enough. Conclusion: each program holds only its own options.

--- a/cmd/standin-backend/main.go
+++ b/cmd/standin-backend/main.go
@@ -4,15 +4,12 @@
 import (
 	"context"
 	"net/netip"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standmain"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -32,27 +29,13 @@
 	FlowTTL     time.Duration `long:"flow-ttl" description:"lifetime of a flow without refresh" default:"100s"`
 }
 
-func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-backend").Logger()
-	if err := run(log); err != nil {
-		log.Error().Err(err).Msg("stopped with an error")
-		os.Exit(1)
-	}
-}
+func main() { standmain.Main("standin-backend", run) }
 
-func run(log zerolog.Logger) error {
-	var o options
-	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
-		return nil
-	} else if err != nil {
-		return err
-	}
+func run(ctx context.Context, o *options, log zerolog.Logger) error {
 	cfg, err := o.config(log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	s, cleanup, err := standbackend.Start(cfg)
 	if err != nil {
 		return err
--- a/cmd/standin-caller/main.go
+++ b/cmd/standin-caller/main.go
@@ -7,14 +7,12 @@
 	"errors"
 	"net/netip"
 	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/pimentoyard/pimentoyard/internal/standin/standcaller"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standmain"
 )
 
 type options struct {
@@ -38,27 +36,13 @@
 // errMismatch means that an answer did not belong to its request.
 var errMismatch = errors.New("mismatched answers")
 
-func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-caller").Logger()
-	if err := run(log); err != nil {
-		log.Error().Err(err).Msg("stopped with an error")
-		os.Exit(1)
-	}
-}
+func main() { standmain.Main("standin-caller", run) }
 
-func run(log zerolog.Logger) error {
-	var o options
-	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
-		return nil
-	} else if err != nil {
-		return err
-	}
+func run(ctx context.Context, o *options, log zerolog.Logger) error {
 	cfg, err := o.config(log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	sum, err := standcaller.Run(ctx, cfg)
 	if err != nil {
 		return err
--- a/cmd/standin-fabric/main.go
+++ b/cmd/standin-fabric/main.go
@@ -3,15 +3,12 @@
 
 import (
 	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
-	"github.com/jessevdk/go-flags"
 	"github.com/rs/zerolog"
 
 	"github.com/pimentoyard/pimentoyard/internal/standin/standfabric"
+	"github.com/pimentoyard/pimentoyard/internal/standin/standmain"
 )
 
 type options struct {
@@ -25,27 +22,13 @@
 	Seed        uint64        `long:"seed" description:"seed of all random choices" default:"1"`
 }
 
-func main() {
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-fabric").Logger()
-	if err := run(log); err != nil {
-		log.Error().Err(err).Msg("stopped with an error")
-		os.Exit(1)
-	}
-}
+func main() { standmain.Main("standin-fabric", run) }
 
-func run(log zerolog.Logger) error {
-	var o options
-	if _, err := flags.Parse(&o); flags.WroteHelp(err) {
-		return nil
-	} else if err != nil {
-		return err
-	}
+func run(ctx context.Context, o *options, log zerolog.Logger) error {
 	cfg, err := o.config(log)
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
 	f, cleanup, err := standfabric.Start(cfg)
 	if err != nil {
 		return err
--- a/cmd/standin-platform/run.go
+++ b/cmd/standin-platform/run.go
@@ -6,9 +6,6 @@
 	"errors"
 	"net"
 	"net/http"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -29,14 +26,11 @@
 	stopTimeout   = 2 * time.Second
 )
 
-func run(opts options) error {
-	log := zerolog.New(os.Stderr).With().Timestamp().Str("program", "standin-platform").Logger()
+func run(ctx context.Context, opts *options, log zerolog.Logger) error {
 	state, err := load(opts)
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer cancel()
 	ln, err := (&net.ListenConfig{}).Listen(ctx, "tcp", opts.Listen)
 	if err != nil {
 		return err
@@ -51,7 +45,7 @@
 	return nil
 }
 
-func load(opts options) (*standplatform.State, error) {
+func load(opts *options) (*standplatform.State, error) {
 	switch {
 	case len(opts.Publication) > 0:
 		key, err := hex.DecodeString(opts.Key)
