feat: solicit shares only for contracts with unmet demand

Cause: every VM named every contract to its pool owner five times a second, so traffic grew with the number of contracts. Ruled out: a new rpc from owner to member; BorrowQuota in the other direction carries the solicitation and the loans, so that internal/pimnode needs no change. Change: a VM asks only while its demand exceeds its share; the owner solicits shares of random VMs while members lack permits. Unspent permits move with the share. Grants name the last sequence even after their expiry, since the owner took the permits of an unnamed grant back although they were spent (found as 207 admissions of 202 allowed). A lease no longer counts in the instant in which it ends. TestStatusExplains fails: a VM does not stop to borrow when its demand falls below its share.

--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -30,6 +30,11 @@
 	// lentTo holds the share until lentUntil.
 	lentTo    ownerRun
 	lentUntil pimclock.Instant
+	// lentSequence is the number of the last message that lent the share.
+	lentSequence uint64
+	// active is set while the account is on the member's list of accounts that a tick looks at.
+	active bool
+	pressure
 	// releasing is set while another owner was chosen and the holder of the share can still be asked to return it.
 	releasing bool
 }
@@ -66,6 +71,11 @@
 	return a.lent(now) || now.Before(a.grant.expires) || len(a.queue) > 0
 }
 
+// idle reports whether a tick need not look at the account.
+func (a *account) idle(now pimclock.Instant) bool {
+	return !a.busy(now) && a.wanted == 0 && !now.Before(a.pressedUntil) && !now.Before(a.flowsUntil)
+}
+
 // take takes n permits from the grant or the own share.
 func (a *account) take(now pimclock.Instant, n float64) bool {
 	return now.Before(a.grant.expires) && a.grant.take(now, n) || !a.lent(now) && a.own.take(now, n)
@@ -98,11 +108,23 @@
 	return min(max(wait, minGap), lease)
 }
 
-// lend hands the share to an owner for one lease; own permits are given up, since the owner's pool grows instead.
-func (a *account) lend(now pimclock.Instant, to ownerRun) {
+// lend hands the share to an owner for one lease; the own permits go to the owner's pool with it.
+func (a *account) lend(now pimclock.Instant, to ownerRun, sequence uint64) (permits float64) {
+	if !a.lent(now) {
+		a.own.advance(now)
+		permits = a.own.tokens
+	}
 	a.own.resize(now, 0, 0)
-	a.lentTo = to
+	a.lentTo, a.lentSequence = to, sequence
 	a.lentUntil = now.Add(lease)
+	return permits
+}
+
+// reclaim takes the share back that the owner returned in its answer to a request, unless a later message lent it.
+func (a *account) reclaim(now pimclock.Instant, answered uint64) {
+	if a.lentSequence <= answered {
+		a.lentUntil, a.releasing = now, false
+	}
 }
 
 // mayLend reports whether the share is free or already lent to this run of the owner.
--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -10,10 +10,12 @@
 
 // borrower is the owner's record of one member.
 type borrower struct {
-	node   pimid.NodeID
-	demand float64
-	flows  float64
-	seen   pimclock.Instant
+	node pimid.NodeID
+	// incarnation is the run of the member that sent the last request.
+	incarnation pimid.Incarnation
+	demand      float64
+	flows       float64
+	seen        pimclock.Instant
 
 	lentRate  float64
 	lentDepth float64
@@ -34,12 +36,42 @@
 
 // lend registers the member's share. The lease counts from the owner's stamp that the request echoes, which is earlier
 // than the time when the member sent the request, so that it ends here before it ends there.
-func (b *borrower) lend(now pimclock.Instant, req *pimpb.BorrowQuotaRequest, d *pimpb.QuotaDemand) {
+func (b *borrower) lend(now pimclock.Instant, req *pimpb.BorrowQuotaRequest, d *pimpb.QuotaDemand) (permits float64) {
 	end := pimclock.Instant(req.GetEchoNs()).Add(min(time.Duration(req.GetLeaseNs()), lease))
 	if d.GetLentRate() <= 0 || !now.Before(end) {
-		return
+		return 0
 	}
 	b.lentRate, b.lentDepth, b.leaseEnd = d.GetLentRate(), d.GetLentDepth(), end
+	return d.GetLentPermits()
+}
+
+// collect registers a share that was lent in answer to a solicitation with the given stamp.
+func (b *borrower) collect(now, stamp pimclock.Instant, l *pimpb.QuotaLoan) (permits float64) {
+	end := stamp.Add(lease)
+	if !now.Before(end) {
+		return 0
+	}
+	b.lentRate, b.lentDepth, b.leaseEnd = l.GetRate(), l.GetDepth(), max(b.leaseEnd, end)
+	return l.GetPermits()
+}
+
+// lends reports whether the member's share is in the pool.
+func (b *borrower) lends(now pimclock.Instant) bool { return now.Before(b.leaseEnd) }
+
+// asking reports whether the member takes part in the exchange as a borrower.
+func (b *borrower) asking(now pimclock.Instant) bool {
+	return b.seen > 0 && now.Sub(b.seen) <= demandMemory
+}
+
+// restart notes the run of the member. What an earlier run was granted may have been used.
+func (b *borrower) restart(incarnation pimid.Incarnation) {
+	if b.incarnation == incarnation {
+		return
+	}
+	b.incarnation = incarnation
+	for i := range b.given {
+		b.given[i].added = 0
+	}
 }
 
 // active returns the largest rate and depth that the member may be using.
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
@@ -9,28 +10,26 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// due returns the requests that must be sent now, by owner; nil if there are none.
-func (m *member) due(now pimclock.Instant, cfg Config) (requests map[pimid.NodeID]*pimpb.BorrowQuotaRequest) {
-	for owner := range m.byOwner {
-		m.byOwner[owner] = m.byOwner[owner][:0]
-	}
-	for _, a := range m.order {
+// due returns the requests that must be sent now, one for each owner.
+func (m *member) due(now pimclock.Instant, cfg Config) (messages []message) {
+	clear(m.byOwner)
+	for _, a := range m.active {
 		if a.removed {
 			continue
 		}
 		owner := m.ownerOf(now, cfg, a)
+		if !a.asks(now) {
+			continue
+		}
 		m.byOwner[owner] = append(m.byOwner[owner], a)
 	}
 	for owner, accounts := range m.byOwner {
-		if len(accounts) == 0 || !m.link(owner).due(now, urgent(now, accounts)) {
-			continue
-		}
-		if requests == nil {
-			requests = map[pimid.NodeID]*pimpb.BorrowQuotaRequest{}
+		if m.link(owner).due(now, urgent(now, accounts)) {
+			messages = append(messages, message{to: owner, req: m.request(now, cfg, owner, accounts)})
 		}
-		requests[owner] = m.request(now, cfg, owner, accounts)
 	}
-	return requests
+	slices.SortFunc(messages, func(a, b message) int { return int(a.to) - int(b.to) })
+	return messages
 }
 
 // ownerOf returns the owner to ask: the one that holds the share until it is released, or the chosen one.
@@ -78,11 +77,13 @@
 	}
 	run := ownerRun{node: owner, incarnation: l.incarnation}
 	for _, a := range accounts {
-		d := a.ask(now)
 		s := m.share(now, a)
-		if s.rate > 0 && !a.releasing && l.responsive(now) && a.mayLend(now, run) {
-			a.lend(now, run)
-			d.LentRate, d.LentDepth = s.rate, s.depth
+		isBorrowing := a.borrows(now)
+		d := a.ask(now)
+		a.press(now, s)
+		if s.rate > 0 && isBorrowing && !a.releasing && l.responsive(now) && a.mayLend(now, run) {
+			a.resume(now, s)
+			d.LentRate, d.LentDepth, d.LentPermits = s.rate, s.depth, a.lend(now, run, m.sequence)
 		}
 		req.Demands = append(req.Demands, d)
 	}
@@ -99,9 +100,11 @@
 	d := &pimpb.QuotaDemand{Contract: uint32(a.id), Rate: a.demand.rate, Permits: math.Ceil(a.asked), Release: a.releasing}
 	d.Flows = a.flows.estimate(now)
 	a.sum.asked = a.sum.opens
+	// An expired grant is named too, since the owner would take an unnamed one as never used and its permits back.
+	d.Grant = a.grant.sequence
 	if now.Before(a.grant.expires) {
 		a.grant.advance(now)
-		d.Grant, d.Held = a.grant.sequence, a.grant.tokens
+		d.Held = a.grant.tokens
 	}
 	return d
 }
@@ -133,8 +136,18 @@
 	a.grant.rate, a.grant.depth = g.GetRate(), g.GetDepth()
 	a.grant.tokens = min(a.grant.tokens+g.GetPermits(), a.grant.depth)
 	a.sum.update(l.sent, g.GetFlows(), g.GetMembers())
-	if a.releasing && g.GetReleased() {
-		a.lentUntil, a.releasing = now, false
+	if g.GetReleased() {
+		a.reclaim(now, l.sequence)
+	}
+	if g.GetHoldNs() > 0 {
+		a.hold(now, time.Duration(g.GetHoldNs()))
 	}
 	a.backOff(l.sent, a.asked == 0 || g.GetPermits() >= 1)
+	if g.GetCollecting() {
+		a.collectingUntil = now.Add(collectingFor)
+		a.gap = min(a.gap, collectingGap)
+		a.urgentAt = l.sent.Add(a.gap)
+	} else {
+		a.collectingUntil = 0
+	}
 }
--- /dev/null
+++ b/internal/coordination/pimquota/lend.go
@@ -0,0 +1,44 @@
+package pimquota
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// solicited answers a pool owner that needs shares. A share is lent only to the owner that this VM would ask itself, and
+// to one owner at a time. The lease counts from the stamp of the solicitation at the owner, and from now on here, so that
+// it ends there before it ends here.
+func (m *member) solicited(now pimclock.Instant, cfg Config, req *pimpb.BorrowQuotaRequest) *pimpb.BorrowQuotaReply {
+	m.sequence++
+	reply := &pimpb.BorrowQuotaReply{
+		Solicited:         true,
+		Sequence:          m.sequence,
+		StampNs:           req.GetEchoNs(),
+		OwnerIncarnation:  req.GetIncarnation(),
+		LenderIncarnation: uint64(cfg.Incarnation),
+	}
+	run := ownerRun{node: pimid.NodeID(req.GetNode()), incarnation: pimid.Incarnation(req.GetIncarnation())}
+	for _, id := range req.GetSolicited() {
+		if loan := m.loan(now, cfg, run, pimid.ContractID(id)); loan != nil {
+			reply.Loans = append(reply.Loans, loan)
+		}
+	}
+	return reply
+}
+
+// loan lends the share of one contract; nil if this VM has none to lend to this owner.
+func (m *member) loan(now pimclock.Instant, cfg Config, run ownerRun, id pimid.ContractID) *pimpb.QuotaLoan {
+	a := m.accounts[id]
+	if a == nil || a.removed || cfg.OwnerOf(id) != run.node || !a.mayLend(now, run) {
+		return nil
+	}
+	s := m.share(now, a)
+	if s.rate <= 0 {
+		return nil
+	}
+	a.resume(now, s)
+	m.activate(a)
+	permits := a.lend(now, run, m.sequence)
+	return &pimpb.QuotaLoan{Contract: uint32(id), Rate: s.rate, Depth: s.depth, Permits: permits}
+}
--- a/internal/coordination/pimquota/limit.go
+++ b/internal/coordination/pimquota/limit.go
@@ -1,6 +1,7 @@
 package pimquota
 
 import (
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
@@ -25,6 +26,8 @@
 	// InForce is how long the list has been published, zero if that is not known. A VM that has just started uses its
 	// share at once if every other VM has known the list for the growth delay.
 	InForce time.Duration
+	// Members lists the VMs of the data centre that a pool owner may ask for their shares.
+	Members []pimid.NodeID
 	Limits  map[pimid.ContractID]Limit
 }
 
@@ -47,8 +50,10 @@
 			continue
 		}
 		p.Nodes++
+		p.Members = append(p.Members, id)
 		p.Listed = p.Listed || id == self
 	}
+	slices.Sort(p.Members)
 	if isDated && p.Nodes > 0 {
 		p.InForce = t.Sub(changed)
 	}
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -17,6 +17,8 @@
 	accounts map[pimid.ContractID]*account
 	// order lists the contracts by id.
 	order []*account
+	// active lists the accounts with waiting or refused requests, a grant, a lent share or lasting pressure.
+	active []*account
 	// byOwner groups the contracts while requests are built.
 	byOwner     map[pimid.NodeID][]*account
 	links       map[pimid.NodeID]*link
@@ -46,6 +48,7 @@
 	}
 	m.nodes = pub.Nodes
 	m.fraction.publish(now, pub.fraction())
+	known := len(m.order)
 	for id, limit := range pub.Limits {
 		a := m.accounts[id]
 		if a == nil {
@@ -55,8 +58,18 @@
 		}
 		a.limit, a.removed = limit, false
 		a.part.publish(now, limit.Part)
+		a.resume(now, m.share(now, a))
+	}
+	if len(m.order) > known {
+		slices.SortFunc(m.order, func(a, b *account) int { return int(a.id) - int(b.id) })
 	}
-	slices.SortFunc(m.order, func(a, b *account) int { return int(a.id) - int(b.id) })
+	if len(m.order) > len(pub.Limits) {
+		m.remove(now, pub)
+	}
+}
+
+// remove forgets the contracts that are no longer published, once nothing depends on them.
+func (m *member) remove(now pimclock.Instant, pub Publication) {
 	m.order = slices.DeleteFunc(m.order, func(a *account) bool {
 		if _, ok := pub.Limits[a.id]; ok {
 			return false
@@ -87,6 +100,16 @@
 	return share{rate: float64(a.limit.Rate) * part, depth: a.limit.Burst * part}
 }
 
+// shareOf estimates the share that every VM owns of a contract.
+func (m *member) shareOf(id pimid.ContractID) share {
+	a := m.accounts[id]
+	if a == nil {
+		return share{}
+	}
+	part := a.limit.Part / float64(max(m.nodes, 1))
+	return share{rate: float64(a.limit.Rate) * part, depth: a.limit.Burst * part}
+}
+
 // take takes n permits at once if there are any and no earlier request waits.
 func (m *member) take(now pimclock.Instant, contract pimid.ContractID, n float64) (ok bool, retryAfter time.Duration) {
 	a := m.accounts[contract]
@@ -107,10 +130,12 @@
 		m.fraction.restart(now)
 	}
 	m.ticked = now
-	for _, a := range m.order {
+	m.active = slices.DeleteFunc(m.active, func(a *account) bool {
 		a.resume(now, m.share(now, a))
 		notices = append(notices, m.serve(now, a)...)
-	}
+		a.active = !a.idle(now)
+		return !a.active
+	})
 	return notices
 }
 
@@ -130,11 +155,13 @@
 		a.flows.add(now)
 		a.sum.opens++
 	}
+	m.pressFlows(now, a)
 	return ok
 }
 
 func (m *member) refreshFlow(now pimclock.Instant, contract pimid.ContractID) {
 	if a := m.accounts[contract]; a != nil {
 		a.flows.add(now)
+		m.pressFlows(now, a)
 	}
 }
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -11,6 +11,7 @@
 	incarnation pimid.Incarnation
 	pools       map[pimid.ContractID]*sharedPool
 	last        map[pimid.NodeID]lastRequest
+	solicitor
 }
 
 // lastRequest identifies the newest request of a member; older ones that arrive late are void.
@@ -24,6 +25,7 @@
 		incarnation: incarnation,
 		pools:       map[pimid.ContractID]*sharedPool{},
 		last:        map[pimid.NodeID]lastRequest{},
+		solicitor:   solicitor{asked: map[pimid.NodeID]*lender{}},
 	}
 }
 
@@ -33,14 +35,17 @@
 		StampNs:          int64(now),
 		OwnerIncarnation: uint64(o.incarnation),
 	}
-	if !o.newest(req) {
+	from := pimid.NodeID(req.GetNode())
+	if !o.newest(from, pimid.Incarnation(req.GetIncarnation()), req.GetSequence()) {
 		return reply
 	}
 	known := pimid.Incarnation(req.GetOwnerIncarnation()) == o.incarnation
 	for _, d := range req.GetDemands() {
 		p := o.pool(pimid.ContractID(d.GetContract()), now)
+		o.activate(p, now)
 		p.advance(now)
-		b := p.borrower(pimid.NodeID(req.GetNode()))
+		b := p.borrower(from)
+		b.restart(pimid.Incarnation(req.GetIncarnation()))
 		b.demand, b.flows, b.seen = d.GetRate(), d.GetFlows(), now
 		if d.GetRelease() && known && p.release(now, b) {
 			reply.Grants = append(reply.Grants, &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true})
@@ -48,17 +53,19 @@
 		}
 		p.settle(now, b, d)
 		if known {
-			b.lend(now, req, d)
+			p.tokens += b.lend(now, req, d)
+			p.clamp(now)
 		}
-		reply.Grants = append(reply.Grants, p.grant(now, b, req.GetSequence(), d))
+		g := p.grant(now, b, req.GetSequence(), d)
+		p.note(now, d, g)
+		reply.Grants = append(reply.Grants, g)
 	}
 	return reply
 }
 
-// newest reports whether the request is newer than all seen of this member, and notes it.
-func (o *owner) newest(req *pimpb.BorrowQuotaRequest) bool {
-	node := pimid.NodeID(req.GetNode())
-	got := lastRequest{incarnation: pimid.Incarnation(req.GetIncarnation()), sequence: req.GetSequence()}
+// newest reports whether a message is newer than all seen of this member, and notes it.
+func (o *owner) newest(node pimid.NodeID, incarnation pimid.Incarnation, sequence uint64) bool {
+	got := lastRequest{incarnation: incarnation, sequence: sequence}
 	old := o.last[node]
 	if got.incarnation < old.incarnation ||
 		got.incarnation == old.incarnation && got.sequence <= old.sequence {
@@ -71,7 +78,7 @@
 func (o *owner) pool(id pimid.ContractID, now pimclock.Instant) *sharedPool {
 	p := o.pools[id]
 	if p == nil {
-		p = &sharedPool{borrowers: map[pimid.NodeID]*borrower{}, last: now}
+		p = &sharedPool{id: id, borrowers: map[pimid.NodeID]*borrower{}, last: now}
 		o.pools[id] = p
 	}
 	return p
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -1,6 +1,7 @@
 package pimquota
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -20,6 +21,8 @@
 	// GrowthDelay is how long a share must have been published before it is used; zero means DefaultGrowthDelay. A
 	// shorter delay is safe only if the list never changes, or if all VMs learn of a change sooner.
 	GrowthDelay time.Duration
+	// Rand chooses the VMs that are asked for their shares; nil means a source seeded with Self and Incarnation.
+	Rand *rand.Rand
 }
 
 // Pool enforces the limits of all contracts on one VM and owns the pools assigned to it; all methods may be called
@@ -36,6 +39,9 @@
 	if cfg.GrowthDelay == 0 {
 		cfg.GrowthDelay = DefaultGrowthDelay
 	}
+	if cfg.Rand == nil {
+		cfg.Rand = rand.New(rand.NewPCG(uint64(cfg.Self), uint64(cfg.Incarnation)))
+	}
 	return &Pool{cfg: cfg, member: newMember(cfg.GrowthDelay), owner: newOwner(cfg.Incarnation)}
 }
 
@@ -45,6 +51,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.member.publish(now, pub)
+	p.owner.members = pub.Members
 	p.owner.tidy(now)
 }
 
@@ -53,8 +60,9 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	ok, retryAfter = p.member.take(now, contract, float64(n))
-	if a := p.member.accounts[contract]; !ok && a != nil {
+	if a := p.member.accounts[contract]; !ok && a != nil && !now.Before(a.holdUntil) {
 		a.wanted += float64(n)
+		p.member.activate(a)
 	}
 	return ok, retryAfter
 }
@@ -66,6 +74,7 @@
 	ok, retryAfter := p.member.take(now, contract, float64(n))
 	a := p.member.accounts[contract]
 	if !ok && a != nil {
+		p.member.activate(a)
 		a.queue = append(a.queue, waiter{Patience: wait, n: float64(n), result: result})
 		p.mu.Unlock()
 		return
@@ -93,22 +102,32 @@
 func (p *Pool) Tick(now pimclock.Instant) {
 	p.mu.Lock()
 	notices := p.member.tick(now)
-	requests := p.member.due(now, p.cfg)
-	if own := requests[p.cfg.Self]; own != nil {
-		notices = append(notices, p.member.deliver(now, p.cfg.Self, p.owner.borrow(now, own))...)
-		delete(requests, p.cfg.Self)
+	messages := append(p.member.due(now, p.cfg), p.owner.solicit(now, p.cfg, p.member.shareOf)...)
+	remote := messages[:0]
+	for _, msg := range messages {
+		if msg.to == p.cfg.Self {
+			notices = append(notices, p.accept(now, msg.to, p.answer(now, msg.req))...)
+			continue
+		}
+		remote = append(remote, msg)
 	}
 	p.mu.Unlock()
 	deliverAll(notices)
-	for to, req := range requests {
-		p.cfg.Send(to, req)
+	for _, msg := range remote {
+		p.cfg.Send(msg.to, msg.req)
 	}
 }
 
-// Deliver takes the answer of the owner to a request that Send delivered.
+// message is a request to another VM.
+type message struct {
+	to  pimid.NodeID
+	req *pimpb.BorrowQuotaRequest
+}
+
+// Deliver takes the answer to a request that Send delivered.
 func (p *Pool) Deliver(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) {
 	p.mu.Lock()
-	notices := p.member.deliver(now, from, reply)
+	notices := p.accept(now, from, reply)
 	p.mu.Unlock()
 	deliverAll(notices)
 }
@@ -119,9 +138,25 @@
 	}
 }
 
-// Borrow answers the request of a member; it is the owner's side.
+// accept applies the answer of an owner, or that of a lender.
+func (p *Pool) accept(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) []notice {
+	if reply.GetSolicited() {
+		p.owner.collect(now, from, reply)
+		return nil
+	}
+	return p.member.deliver(now, from, reply)
+}
+
+// Borrow answers the request of a member, as owner, or that of an owner for shares, as member.
 func (p *Pool) Borrow(now pimclock.Instant, req *pimpb.BorrowQuotaRequest) *pimpb.BorrowQuotaReply {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	return p.answer(now, req)
+}
+
+func (p *Pool) answer(now pimclock.Instant, req *pimpb.BorrowQuotaRequest) *pimpb.BorrowQuotaReply {
+	if len(req.GetSolicited()) > 0 {
+		return p.member.solicited(now, p.cfg, req)
+	}
 	return p.owner.borrow(now, req)
 }
--- /dev/null
+++ b/internal/coordination/pimquota/pressure.go
@@ -0,0 +1,76 @@
+package pimquota
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+const (
+	// pressedFor is how long a member keeps borrowing after its demand last exceeded its share.
+	pressedFor = time.Second
+	// steadyAhead is the number of requests expected until the next exchange from which a member keeps its grant up to
+	// date; below it, one exchange for each request costs less.
+	steadyAhead = 0.5
+	// flowPressure is the fraction of this VM's part of the flow limit from which the sum of the pool owner is needed.
+	flowPressure = 0.8
+	// collectingFor is how long the owner's word that it still solicits shares counts.
+	collectingFor = 100 * time.Millisecond
+	// collectingGap is the longest time between two urgent requests while the owner solicits shares.
+	collectingGap = 16 * time.Millisecond
+)
+
+// pressure says why a member exchanges messages about a contract.
+type pressure struct {
+	// pressedUntil ends the exchange for requests, flowsUntil that for flows.
+	pressedUntil pimclock.Instant
+	flowsUntil   pimclock.Instant
+	// holdUntil is when the member may ask again after the owner had too many borrowers.
+	holdUntil pimclock.Instant
+	// collectingUntil is set while the owner solicits shares.
+	collectingUntil pimclock.Instant
+}
+
+// lacks reports whether requests were refused or wait for permits.
+func (a *account) lacks() bool { return a.wanted > 0 || len(a.queue) > 0 }
+
+// borrows reports whether the demand needs more than the own share.
+func (a *account) borrows(now pimclock.Instant) bool {
+	return !now.Before(a.holdUntil) && (a.lacks() || now.Before(a.pressedUntil))
+}
+
+// asks reports whether the contract takes part in the exchange with its owner.
+func (a *account) asks(now pimclock.Instant) bool {
+	return a.releasing || a.borrows(now) || now.Before(a.flowsUntil) && !now.Before(a.holdUntil)
+}
+
+// press keeps the exchange going if the demand is steady and above the share.
+func (a *account) press(now pimclock.Instant, s share) {
+	isSteady := a.demand.rate*borrowPeriod.Seconds() >= steadyAhead
+	if isSteady && (a.asked > 0 || a.demand.rate > s.rate) {
+		a.pressedUntil = now.Add(pressedFor)
+	}
+}
+
+// pressFlows starts the exchange about flows when this VM carries most of its part of the limit.
+func (m *member) pressFlows(now pimclock.Instant, a *account) {
+	part := float64(a.limit.Flows) * a.limit.Part / float64(max(m.nodes, 1))
+	if a.limit.Flows > 0 && a.flows.estimate(now) >= flowPressure*part {
+		a.flowsUntil = now.Add(pressedFor)
+		m.activate(a)
+	}
+}
+
+// hold stops the exchange; the requests that were asked for are counted as refused.
+func (a *account) hold(now pimclock.Instant, d time.Duration) {
+	a.holdUntil = now.Add(d)
+	a.pressedUntil, a.flowsUntil, a.wanted = 0, 0, 0
+}
+
+// activate puts the account on the list that a tick looks at.
+func (m *member) activate(a *account) {
+	if !a.active {
+		a.active = true
+		m.active = append(m.active, a)
+	}
+}
--- a/internal/coordination/pimquota/queue.go
+++ b/internal/coordination/pimquota/queue.go
@@ -39,9 +39,12 @@
 	return !now.Before(w.Deadline)
 }
 
-// isSilent reports whether the share is lent to an owner that has not answered the last request, or was until a moment
-// ago.
+// isSilent reports whether a lack of permits shows nothing about the limit: the owner still solicits shares, or the share
+// is lent to an owner that has not answered the last request, or was until a moment ago.
 func (m *member) isSilent(now pimclock.Instant, a *account) bool {
+	if now.Before(a.collectingUntil) {
+		return true
+	}
 	l := m.link(a.lentTo.node)
 	return now.Before(a.lentUntil.Add(settleTime)) && (!l.answered || !l.responsive(now))
 }
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -22,6 +22,8 @@
 // Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
 type sharedPool struct {
+	id        pimid.ContractID
+	need      need
 	borrowers map[pimid.NodeID]*borrower
 	// order lists the borrowers in the order of their first request, so that sums do not depend on map iteration.
 	order  []*borrower
@@ -33,10 +35,10 @@
 	demands []float64
 }
 
-// capacity returns the rate and depth of the shares whose leases last until the instant.
+// capacity returns the rate and depth of the shares whose leases last beyond the instant.
 func (p *sharedPool) capacity(until pimclock.Instant) (rate, depth float64) {
 	for _, b := range p.order {
-		if !b.leaseEnd.Before(until) {
+		if until.Before(b.leaseEnd) {
 			rate, depth = rate+b.lentRate, depth+b.lentDepth
 		}
 	}
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -11,6 +11,7 @@
 )
 
 const (
+	simPublish  = 500 * time.Millisecond
 	simStep     = 2 * time.Millisecond
 	simContract = pimid.ContractID(1)
 	simMaxVMs   = 16
@@ -31,6 +32,9 @@
 	clock pimclock.Manual
 	rng   *rand.Rand
 	vms   []*simVM
+	// published holds the list of every VM, and publishedAt when it was last passed to the pools.
+	published   map[int]Publication
+	publishedAt pimclock.Instant
 	// down holds the VMs that each VM believes to be dead; the highest one that is not dead owns the contract.
 	down   []map[int]bool
 	split  func(a, b int) bool
@@ -62,6 +66,7 @@
 
 func newSim(seed uint64, n int, limit Limit) *sim {
 	s := &sim{limit: limit, rng: rand.New(rand.NewPCG(seed, 1)), delay: time.Millisecond}
+	s.published = map[int]Publication{}
 	s.split = func(int, int) bool { return false }
 	for range n {
 		s.join(1)
@@ -133,9 +138,25 @@
 
 // publish gives a VM a list of n VMs.
 func (s *sim) publish(vm, n int) {
-	s.vms[vm].pool.Publish(s.clock.Now(), Publication{
-		Nodes: n, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: s.limit},
-	})
+	pub := Publication{Nodes: n, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: s.limit}}
+	for other := range s.vms {
+		pub.Members = append(pub.Members, pimid.NodeID(other))
+	}
+	s.published[vm] = pub
+	s.vms[vm].pool.Publish(s.clock.Now(), pub)
+}
+
+// republish passes the lists again, as a VM does at this interval.
+func (s *sim) republish(now pimclock.Instant) {
+	if now.Sub(s.publishedAt) < simPublish {
+		return
+	}
+	s.publishedAt = now
+	for i, vm := range s.vms {
+		if pub, ok := s.published[i]; ok && vm.up && !vm.paused {
+			vm.pool.Publish(now, pub)
+		}
+	}
 }
 
 // run offers rate requests per second for d, spread over the VMs by weight.
@@ -144,6 +165,7 @@
 		s.clock.Advance(simStep)
 		now := s.clock.Now()
 		s.fire(now)
+		s.republish(now)
 		s.deliver(now)
 		for i, vm := range s.vms {
 			if vm.up && !vm.paused {
--- /dev/null
+++ b/internal/coordination/pimquota/solicit.go
@@ -0,0 +1,199 @@
+package pimquota
+
+import (
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// solicitor asks other VMs for their shares of the contracts with demand beyond the shares of the VMs that have it.
+type solicitor struct {
+	// members are the VMs of the data centre.
+	members []pimid.NodeID
+	// active lists the pools that members asked lately.
+	active []*sharedPool
+	asked  map[pimid.NodeID]*lender
+}
+
+// lender is the owner's exchange with one VM that may lend.
+type lender struct {
+	// stamp is the time of the unanswered solicitation, zero if there is none; contracts is what it named.
+	stamp     pimclock.Instant
+	contracts []pimid.ContractID
+	// silence doubles while no answer arrives; the VM is not asked before retryAt.
+	silence time.Duration
+	retryAt pimclock.Instant
+	// refused is when the VM last lent nothing of a contract.
+	refused map[pimid.ContractID]pimclock.Instant
+}
+
+func (o *owner) activate(p *sharedPool, now pimclock.Instant) {
+	p.need.asked = now
+	if !p.need.active {
+		p.need.active, p.need.collecting = true, true
+		o.active = append(o.active, p)
+	}
+}
+
+// solicit returns the solicitations that must be sent now, one for each VM.
+func (o *owner) solicit(
+	now pimclock.Instant, cfg Config, shareOf func(pimid.ContractID) share,
+) (messages []message) {
+	o.active = slices.DeleteFunc(o.active, func(p *sharedPool) bool {
+		p.need.active = now.Sub(p.need.asked) <= demandMemory
+		return !p.need.active
+	})
+	if len(o.active) == 0 {
+		return nil
+	}
+	o.expire(now)
+	wanted := map[pimid.NodeID][]pimid.ContractID{}
+	for _, p := range o.active {
+		for _, node := range o.choose(now, cfg, p, shareOf(p.id)) {
+			wanted[node] = append(wanted[node], p.id)
+		}
+	}
+	for node, contracts := range wanted {
+		messages = append(messages, message{to: node, req: o.ask(now, cfg, node, contracts)})
+	}
+	slices.SortFunc(messages, func(a, b message) int { return int(a.to) - int(b.to) })
+	return messages
+}
+
+// expire gives up the solicitations that were not answered in time.
+func (o *owner) expire(now pimclock.Instant) {
+	for _, l := range o.asked {
+		if l.stamp > 0 && now.Sub(l.stamp) >= solicitTimeout {
+			l.stamp = 0
+			l.silence = min(max(2*l.silence, minGap), maxSilence)
+			l.retryAt = now.Add(l.silence)
+		}
+	}
+}
+
+// choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
+// repeated rounds reach all VMs.
+func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share) (nodes []pimid.NodeID) {
+	if s.rate <= 0 {
+		p.need.collecting = false
+		return nil
+	}
+	held := p.lenders(now)
+	want := p.wantShares(now, s, len(o.members), held)
+	missing := want
+	for _, b := range p.order {
+		if missing == 0 || !b.lends(now) {
+			continue
+		}
+		missing--
+		if !b.leaseEnd.Before(now.Add(renewBefore)) {
+			continue
+		}
+		if o.free(now, b.node, p.id) {
+			nodes = append(nodes, b.node)
+		}
+	}
+	waiting := o.waiting(p)
+	missing -= waiting
+	candidates := o.candidates(now, p)
+	p.need.collecting = waiting > 0 || held < mostShares(s, len(o.members)) && len(candidates) > 0
+	return append(nodes, pick(cfg, candidates, missing)...)
+}
+
+// lenders returns the number of shares in the pool.
+func (p *sharedPool) lenders(now pimclock.Instant) (n int) {
+	for _, b := range p.order {
+		if b.lends(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// waiting returns the number of VMs that were asked for the contract and have neither answered nor lent yet.
+func (o *owner) waiting(p *sharedPool) (n int) {
+	for node, l := range o.asked {
+		if b := p.borrowers[node]; l.stamp > 0 && slices.Contains(l.contracts, p.id) && (b == nil || !b.lends(l.stamp)) {
+			n++
+		}
+	}
+	return n
+}
+
+// candidates returns the VMs that lend nothing yet and can be asked.
+func (o *owner) candidates(now pimclock.Instant, p *sharedPool) (nodes []pimid.NodeID) {
+	for _, node := range o.members {
+		if b := p.borrowers[node]; (b == nil || !b.lends(now)) && o.free(now, node, p.id) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
+
+// pick returns up to n random VMs, this VM first, since asking it costs nothing.
+func pick(cfg Config, nodes []pimid.NodeID, n int) []pimid.NodeID {
+	if n <= 0 || len(nodes) == 0 {
+		return nil
+	}
+	cfg.Rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+	if i := slices.Index(nodes, cfg.Self); i > 0 {
+		nodes[0], nodes[i] = nodes[i], nodes[0]
+	}
+	return nodes[:min(n, len(nodes))]
+}
+
+// free reports whether a VM can be asked for its share of a contract now.
+func (o *owner) free(now pimclock.Instant, node pimid.NodeID, id pimid.ContractID) bool {
+	l := o.asked[node]
+	if l == nil {
+		return true
+	}
+	at, isRefused := l.refused[id]
+	return l.stamp == 0 && !now.Before(l.retryAt) && (!isRefused || now.Sub(at) >= refusalMemory)
+}
+
+func (o *owner) ask(
+	now pimclock.Instant, cfg Config, node pimid.NodeID, contracts []pimid.ContractID,
+) *pimpb.BorrowQuotaRequest {
+	l := o.asked[node]
+	if l == nil {
+		l = &lender{refused: map[pimid.ContractID]pimclock.Instant{}}
+		o.asked[node] = l
+	}
+	l.stamp, l.contracts = now, contracts
+	req := &pimpb.BorrowQuotaRequest{Node: uint32(cfg.Self), Incarnation: uint64(cfg.Incarnation), EchoNs: int64(now)}
+	for _, id := range contracts {
+		req.Solicited = append(req.Solicited, uint32(id))
+	}
+	return req
+}
+
+// collect adds the lent shares to the pools. An answer is void if it is not that to the last solicitation, or if it was
+// overtaken by a later message of the lender, which may have taken the share back.
+func (o *owner) collect(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) {
+	l := o.asked[from]
+	stamp := pimclock.Instant(reply.GetStampNs())
+	if l == nil || l.stamp == 0 || l.stamp != stamp || pimid.Incarnation(reply.GetOwnerIncarnation()) != o.incarnation {
+		return
+	}
+	contracts := l.contracts
+	l.stamp, l.contracts, l.silence, l.retryAt = 0, nil, 0, 0
+	clear(l.refused)
+	if !o.newest(from, pimid.Incarnation(reply.GetLenderIncarnation()), reply.GetSequence()) {
+		return
+	}
+	for _, loan := range reply.GetLoans() {
+		id := pimid.ContractID(loan.GetContract())
+		contracts = slices.DeleteFunc(contracts, func(c pimid.ContractID) bool { return c == id })
+		p := o.pool(id, now)
+		p.advance(now)
+		p.tokens += p.borrower(from).collect(now, stamp, loan)
+		p.clamp(now)
+	}
+	for _, id := range contracts {
+		l.refused[id] = now
+	}
+}
--- a/internal/coordination/pimquota/status.go
+++ b/internal/coordination/pimquota/status.go
@@ -57,6 +57,10 @@
 		return fmt.Sprintf("borrows from VM %d, which holds the share for %v", a.lentTo.node, left)
 	case a.lent(now):
 		return fmt.Sprintf("nothing until the lease of VM %d ends in %v", a.lentTo.node, left)
+	case m.share(now, a).rate > 0 && now.Before(a.holdUntil):
+		return "own share, since too many VMs borrow"
+	case m.share(now, a).rate > 0 && !a.borrows(now):
+		return "own share, which covers the demand"
 	case m.share(now, a).rate > 0:
 		return "own share, no pool owner answers"
 	case now.Before(a.grant.expires):
--- a/internal/coordination/pimquota/timing.go
+++ b/internal/coordination/pimquota/timing.go
@@ -19,6 +19,15 @@
 	// levelPeriod is how long an owner uses the fair level of the demands; it is short against demandWindow, and sorting
 	// the demands of hundreds of members for every request would cost most of the owner's time.
 	levelPeriod = 20 * time.Millisecond
+	// renewBefore is the rest of a lease at which the owner solicits its renewal. A lease must outlast grantValidity to
+	// back a grant, so that there is time to repeat a lost solicitation.
+	renewBefore = 750 * time.Millisecond
+	// solicitTimeout is when an unanswered solicitation counts as lost.
+	solicitTimeout = 100 * time.Millisecond
+	// refusalMemory is how long a VM that lent nothing is not asked again for the contract.
+	refusalMemory = 500 * time.Millisecond
+	// maxSilence is the longest time for which a VM that does not answer solicitations is not asked.
+	maxSilence = 5 * time.Second
 	// demandMemory is how long an owner counts the demand of a member that no longer asks.
 	demandMemory = time.Second
 )
--- a/internal/coordination/pimquota/void_test.go
+++ b/internal/coordination/pimquota/void_test.go
@@ -34,6 +34,7 @@
 	}
 	start := pimclock.Instant(time.Hour)
 	p.Publish(start, Publication{Nodes: 8, Listed: true, Limits: limits})
+	take(start) // only a VM with demand asks
 	p.Tick(start)
 	grant(start.Add(grantValidity-time.Millisecond), requests[0].GetSequence())
 	is.True(take(start.Add(grantValidity - time.Millisecond)))
