--- a/internal/coordination/pimquota/account.go
+++ b/internal/coordination/pimquota/account.go
@@ -86,7 +86,7 @@
 	if now.Before(a.urgentAt) {
 		return false
 	}
-	return a.releasing || a.wanted > 0 || len(a.queue) > 0 || a.grant.depth >= 1 && a.grant.tokens < 1
+	return a.releasing || a.lacks(now) || a.grant.depth >= 1 && a.grant.tokens < 1
 }
 
 // backOff adapts the gap to whether the owner had permits for what was asked.
@@ -121,10 +121,12 @@
 }
 
 // reclaim takes the share back that the owner returned in its answer to a request, unless a later message lent it.
-func (a *account) reclaim(now pimclock.Instant, answered uint64) {
-	if a.lentSequence <= answered {
-		a.lentUntil, a.releasing = now, false
+func (a *account) reclaim(now pimclock.Instant, answered uint64, s share, permits float64) {
+	if a.lentSequence > answered || !a.lent(now) {
+		return
 	}
+	a.lentUntil, a.releasing = now, false
+	a.own = bucket{tokens: min(permits, s.depth), rate: s.rate, depth: s.depth, last: now}
 }
 
 // mayLend reports whether the share is free or already lent to this run of the owner.
--- a/internal/coordination/pimquota/exchange.go
+++ b/internal/coordination/pimquota/exchange.go
@@ -35,7 +35,8 @@
 // ownerOf returns the owner to ask: the one that holds the share until it is released, or the chosen one.
 func (m *member) ownerOf(now pimclock.Instant, cfg Config, a *account) pimid.NodeID {
 	chosen := cfg.OwnerOf(a.id)
-	a.releasing = a.lent(now) && a.lentTo.node != chosen && m.link(a.lentTo.node).responsive(now)
+	isOther := a.lentTo.node != chosen
+	a.releasing = a.lent(now) && m.link(a.lentTo.node).responsive(now) && (isOther || a.returns(now, m.share(now, a)))
 	if a.releasing {
 		return a.lentTo.node
 	}
@@ -118,6 +119,9 @@
 	}
 	for _, g := range reply.GetGrants() {
 		if a := m.accounts[pimid.ContractID(g.GetContract())]; a != nil {
+			if g.GetReleased() {
+				a.reclaim(now, l.sequence, m.share(now, a), g.GetPermits())
+			}
 			a.receive(now, l, g)
 			notices = append(notices, m.serve(now, a)...)
 		}
@@ -136,9 +140,6 @@
 	a.grant.rate, a.grant.depth = g.GetRate(), g.GetDepth()
 	a.grant.tokens = min(a.grant.tokens+g.GetPermits(), a.grant.depth)
 	a.sum.update(l.sent, g.GetFlows(), g.GetMembers())
-	if g.GetReleased() {
-		a.reclaim(now, l.sequence)
-	}
 	if g.GetHoldNs() > 0 {
 		a.hold(now, time.Duration(g.GetHoldNs()))
 	}
--- a/internal/coordination/pimquota/lend.go
+++ b/internal/coordination/pimquota/lend.go
@@ -40,5 +40,6 @@
 	a.resume(now, s)
 	m.activate(a)
 	permits := a.lend(now, run, m.sequence)
+	a.solicitedUntil = a.lentUntil
 	return &pimpb.QuotaLoan{Contract: uint32(id), Rate: s.rate, Depth: s.depth, Permits: permits}
 }
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -47,9 +47,12 @@
 		b := p.borrower(from)
 		b.restart(pimid.Incarnation(req.GetIncarnation()))
 		b.demand, b.flows, b.seen = d.GetRate(), d.GetFlows(), now
-		if d.GetRelease() && known && p.release(now, b) {
-			reply.Grants = append(reply.Grants, &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true})
-			continue
+		if d.GetRelease() && known {
+			if permits, ok := p.release(now, b); ok {
+				g := &pimpb.QuotaGrant{Contract: d.GetContract(), Released: true, Permits: permits}
+				reply.Grants = append(reply.Grants, g)
+				continue
+			}
 		}
 		p.settle(now, b, d)
 		if known {
--- a/internal/coordination/pimquota/pressure.go
+++ b/internal/coordination/pimquota/pressure.go
@@ -14,6 +14,11 @@
 	steadyAhead = 0.5
 	// flowPressure is the fraction of this VM's part of the flow limit from which the sum of the pool owner is needed.
 	flowPressure = 0.8
+	// shareUse is the fraction of its share that the demand of a VM must not exceed before it stops borrowing.
+	shareUse = 0.75
+	// ownWait is how long a request waits for a permit of the own share before the owner is asked; it is short against
+	// the patience of callers.
+	ownWait = 25 * time.Millisecond
 	// collectingFor is how long the owner's word that it still solicits shares counts.
 	collectingFor = 100 * time.Millisecond
 	// collectingGap is the longest time between two urgent requests while the owner solicits shares.
@@ -29,14 +34,38 @@
 	holdUntil pimclock.Instant
 	// collectingUntil is set while the owner solicits shares.
 	collectingUntil pimclock.Instant
+	// solicitedUntil is the end of the last lease that the owner solicited.
+	solicitedUntil pimclock.Instant
 }
 
-// lacks reports whether requests were refused or wait for permits.
-func (a *account) lacks() bool { return a.wanted > 0 || len(a.queue) > 0 }
+// lacks reports whether requests were refused, or wait for permits that the own share will not have soon.
+func (a *account) lacks(now pimclock.Instant) bool {
+	return a.wanted > 0 || len(a.queue) > 0 && !a.covers(now)
+}
+
+// covers reports whether the own share will serve the waiting requests within ownWait and their patience. Short waits
+// for chance maxima then cost no messages.
+func (a *account) covers(now pimclock.Instant) bool {
+	if a.lent(now) || a.own.rate <= 0 || a.queued() > a.own.depth {
+		return false
+	}
+	wait := time.Duration((a.queued() - a.own.tokens) / a.own.rate * float64(time.Second))
+	return wait <= ownWait && now.Add(wait).Before(a.queue[0].Deadline)
+}
+
+// fits reports whether the share alone carries the demand.
+func (a *account) fits(s share) bool {
+	return s.depth >= 1 && a.demand.rate <= shareUse*s.rate
+}
+
+// returns reports whether the share is lent though the demand fits it again and the owner did not solicit it.
+func (a *account) returns(now pimclock.Instant, s share) bool {
+	return a.lent(now) && !now.Before(a.pressedUntil) && !now.Before(a.solicitedUntil) && a.fits(s)
+}
 
 // borrows reports whether the demand needs more than the own share.
 func (a *account) borrows(now pimclock.Instant) bool {
-	return !now.Before(a.holdUntil) && (a.lacks() || now.Before(a.pressedUntil))
+	return !now.Before(a.holdUntil) && (a.lacks(now) || now.Before(a.pressedUntil))
 }
 
 // asks reports whether the contract takes part in the exchange with its owner.
@@ -44,10 +73,10 @@
 	return a.releasing || a.borrows(now) || now.Before(a.flowsUntil) && !now.Before(a.holdUntil)
 }
 
-// press keeps the exchange going if the demand is steady and above the share.
+// press keeps the exchange going if the demand is steady and does not fit the share.
 func (a *account) press(now pimclock.Instant, s share) {
 	isSteady := a.demand.rate*borrowPeriod.Seconds() >= steadyAhead
-	if isSteady && (a.asked > 0 || a.demand.rate > s.rate) {
+	if isSteady && (!a.fits(s) || a.asked > 0 && !a.lent(now)) {
 		a.pressedUntil = now.Add(pressedFor)
 	}
 }
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -88,8 +88,9 @@
 	p.clamp(now)
 }
 
-// release returns the member's share if the grants of the others are covered without it. The member uses none itself.
-func (p *sharedPool) release(now pimclock.Instant, b *borrower) bool {
+// release returns the member's share if the grants of the others are covered without it, with the permits that fit it.
+// The member uses no grant itself.
+func (p *sharedPool) release(now pimclock.Instant, b *borrower) (permits float64, ok bool) {
 	b.given = nil
 	end := b.leaseEnd
 	b.leaseEnd = 0
@@ -97,10 +98,14 @@
 	usedRate, usedDepth := p.granted(now, b)
 	if usedRate > rate+rounding || usedDepth > depth+rounding {
 		b.leaseEnd = end
-		return false
+		return 0, false
+	}
+	if now.Before(end) {
+		permits = min(p.tokens, b.lentDepth)
+		p.tokens -= permits
 	}
 	p.clamp(now)
-	return true
+	return permits, true
 }
 
 // part returns the member's part of the rate by demand.
