feat: renew the leases of one lender together

Cause: at 8 VMs and 20 contracts under pressure, each VM sent 42 solicitations a second, most for one contract. Ruled out: longer leases, which are fixed at 1 s; loans that only confirm the last values, since a lost loan would leave a larger share at the owner. Change: a lease with less than 900 ms left is renewed with that of another contract; members that renew their lease with their own requests are not asked. The answer no longer repeats the owner's incarnation, and a grant names the flow sum only if there are flows.

--- a/internal/coordination/pimquota/lend.go
+++ b/internal/coordination/pimquota/lend.go
@@ -15,7 +15,6 @@
 		Solicited:         true,
 		Sequence:          m.sequence,
 		StampNs:           req.GetEchoNs(),
-		OwnerIncarnation:  req.GetIncarnation(),
 		LenderIncarnation: uint64(cfg.Incarnation),
 	}
 	run := ownerRun{node: pimid.NodeID(req.GetNode()), incarnation: pimid.Incarnation(req.GetIncarnation())}
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -171,6 +171,9 @@
 			members++
 		}
 	}
+	if sum == 0 {
+		return 0, 0
+	}
 	return sum, members
 }
 
--- a/internal/coordination/pimquota/solicit.go
+++ b/internal/coordination/pimquota/solicit.go
@@ -50,14 +50,14 @@
 		return nil
 	}
 	o.expire(now)
-	wanted := map[pimid.NodeID][]pimid.ContractID{}
+	wanted := map[pimid.NodeID]*round{}
 	for _, p := range o.active {
-		for _, node := range o.choose(now, cfg, p, shareOf(p.id)) {
-			wanted[node] = append(wanted[node], p.id)
-		}
+		o.choose(now, cfg, p, shareOf(p.id), wanted)
 	}
-	for node, contracts := range wanted {
-		messages = append(messages, message{to: node, req: o.ask(now, cfg, node, contracts)})
+	for node, r := range wanted {
+		if r.isDue {
+			messages = append(messages, message{to: node, req: o.ask(now, cfg, node, r.contracts)})
+		}
 	}
 	slices.SortFunc(messages, func(a, b message) int { return int(a.to) - int(b.to) })
 	return messages
@@ -76,10 +76,10 @@
 
 // choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
 // repeated rounds reach all VMs.
-func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share) (nodes []pimid.NodeID) {
+func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share, wanted map[pimid.NodeID]*round) {
 	if s.rate <= 0 {
 		p.need.collecting = false
-		return nil
+		return
 	}
 	held := p.lenders(now)
 	want := p.wantShares(now, s, len(o.members), held)
@@ -89,18 +89,34 @@
 			continue
 		}
 		missing--
-		if !b.leaseEnd.Before(now.Add(renewBefore)) {
-			continue
-		}
-		if o.free(now, b.node, p.id) {
-			nodes = append(nodes, b.node)
+		rest := b.leaseEnd.Sub(now)
+		if rest < renewEarly && now.Sub(b.seen) > borrowPeriod+replyTimeout && o.free(now, b.node, p.id) {
+			add(wanted, b.node, p.id, rest < renewBefore)
 		}
 	}
 	waiting := o.waiting(p)
 	missing -= waiting
 	candidates := o.candidates(now, p)
 	p.need.collecting = waiting > 0 || held < mostShares(s, len(o.members)) && len(candidates) > 0
-	return append(nodes, pick(cfg, candidates, missing)...)
+	for _, node := range pick(cfg, candidates, missing) {
+		add(wanted, node, p.id, true)
+	}
+}
+
+// round is what one VM is asked for now; isDue is set if that cannot wait for another contract.
+type round struct {
+	contracts []pimid.ContractID
+	isDue     bool
+}
+
+func add(wanted map[pimid.NodeID]*round, node pimid.NodeID, id pimid.ContractID, isDue bool) {
+	r := wanted[node]
+	if r == nil {
+		r = &round{}
+		wanted[node] = r
+	}
+	r.contracts = append(r.contracts, id)
+	r.isDue = r.isDue || isDue
 }
 
 // lenders returns the number of shares in the pool.
@@ -176,7 +192,7 @@
 func (o *owner) collect(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) {
 	l := o.asked[from]
 	stamp := pimclock.Instant(reply.GetStampNs())
-	if l == nil || l.stamp == 0 || l.stamp != stamp || pimid.Incarnation(reply.GetOwnerIncarnation()) != o.incarnation {
+	if l == nil || l.stamp == 0 || l.stamp != stamp {
 		return
 	}
 	contracts := l.contracts
--- a/internal/coordination/pimquota/timing.go
+++ b/internal/coordination/pimquota/timing.go
@@ -21,7 +21,9 @@
 	levelPeriod = 20 * time.Millisecond
 	// renewBefore is the rest of a lease at which the owner solicits its renewal. A lease must outlast grantValidity to
 	// back a grant, so that there is time to repeat a lost solicitation.
-	renewBefore = 750 * time.Millisecond
+	renewBefore = 700 * time.Millisecond
+	// renewEarly is the rest at which a lease is renewed together with that of another contract of the same VM.
+	renewEarly = 900 * time.Millisecond
 	// solicitTimeout is when an unanswered solicitation counts as lost.
 	solicitTimeout = 100 * time.Millisecond
 	// refusalMemory is how long a VM that lent nothing is not asked again for the contract.
