feat: give borrowers headroom while the pool has spare rate

Cause: a member with a rate equal to its smoothed demand asks again at each chance maximum. Ruled out: a longer borrow period; with 350 ms the lease of a member has less than 500 ms left for 200 ms of each period, so that it would not back the grants of others. Change: up to 25% of a demand is granted beyond it while the capacity allows that.

--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -18,6 +18,9 @@
 // stays at the owner, which gives it to whichever member has a chance maximum.
 const tokenParts = 4
 
+// mostHeadroom bounds the part of the spare rate that members get; with it they ask less often for chance maxima.
+const mostHeadroom = 1.25
+
 // sharedPool is the owner's pool of one contract: the shares that members lend, less what they have been granted.
 // Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
@@ -32,7 +35,9 @@
 	// level is the fair level of the demands at levelAt; demands is its scratch space.
 	level   float64
 	levelAt pimclock.Instant
-	demands []float64
+	// headroom is the factor by which grants exceed the demands while the capacity allows it.
+	headroom float64
+	demands  []float64
 }
 
 // capacity returns the rate and depth of the shares whose leases last beyond the instant.
@@ -119,8 +124,9 @@
 			}
 		}
 		p.level, p.levelAt = fairLevel(capacity, p.demands), now
+		p.headroom = min(max(capacity/max(p.demand(now), 1), 1), mostHeadroom)
 	}
-	return min(b.demand, p.level, capacity)
+	return min(b.demand*p.headroom, p.level, capacity)
 }
 
 // grant gives the member its part of the pool. The leases behind a grant outlast it, so that it stays covered whatever
