feat: let most vms of a large data centre keep their shares in a flood

Cause: in a flood of 20 contracts at all VMs, each VM borrowed from each owner although no VM had a share to lend. Ruled out: the same rule in data centres of up to 16 VMs, where all shares can be pooled within the budget, and for shares of less than one permit, which cannot be used alone. Change: a pool of more than 16 VMs has 4 places; other members keep their own share for 50 ms per VM. If half of the VMs were turned away, there are no places and nothing is solicited. A VM with demand above half of its share does not lend it.

--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -16,6 +16,8 @@
 	demand      float64
 	flows       float64
 	seen        pimclock.Instant
+	// placed is set if the member has one of the places of the pool.
+	placed bool
 
 	lentRate  float64
 	lentDepth float64
--- a/internal/coordination/pimquota/lend.go
+++ b/internal/coordination/pimquota/lend.go
@@ -33,7 +33,7 @@
 		return nil
 	}
 	s := m.share(now, a)
-	if s.rate <= 0 {
+	if s.rate <= 0 || !m.mayLendUnderDemand(now, a, s) {
 		return nil
 	}
 	a.resume(now, s)
--- a/internal/coordination/pimquota/owner.go
+++ b/internal/coordination/pimquota/owner.go
@@ -12,6 +12,7 @@
 	pools       map[pimid.ContractID]*sharedPool
 	last        map[pimid.NodeID]lastRequest
 	solicitor
+	crowd
 }
 
 // lastRequest identifies the newest request of a member; older ones that arrive late are void.
@@ -46,6 +47,10 @@
 		p.advance(now)
 		b := p.borrower(from)
 		b.restart(pimid.Incarnation(req.GetIncarnation()))
+		if g := o.turnAway(now, p, b, d); g != nil {
+			reply.Grants = append(reply.Grants, g)
+			continue
+		}
 		b.demand, b.flows, b.seen = d.GetRate(), d.GetFlows(), now
 		if d.GetRelease() && known {
 			if permits, ok := p.release(now, b); ok {
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -42,7 +42,9 @@
 	if cfg.Rand == nil {
 		cfg.Rand = rand.New(rand.NewPCG(uint64(cfg.Self), uint64(cfg.Incarnation)))
 	}
-	return &Pool{cfg: cfg, member: newMember(cfg.GrowthDelay), owner: newOwner(cfg.Incarnation)}
+	p := &Pool{cfg: cfg, member: newMember(cfg.GrowthDelay), owner: newOwner(cfg.Incarnation)}
+	p.owner.crowd = crowd{rng: cfg.Rand, shareOf: p.member.shareOf}
+	return p
 }
 
 // Publish sets the published limits; call it on every new view and at least once a second, since plans change the
@@ -102,7 +104,7 @@
 func (p *Pool) Tick(now pimclock.Instant) {
 	p.mu.Lock()
 	notices := p.member.tick(now)
-	messages := append(p.member.due(now, p.cfg), p.owner.solicit(now, p.cfg, p.member.shareOf)...)
+	messages := append(p.member.due(now, p.cfg), p.owner.solicit(now, p.cfg)...)
 	remote := messages[:0]
 	for _, msg := range messages {
 		if msg.to == p.cfg.Self {
--- a/internal/coordination/pimquota/scale_test.go
+++ b/internal/coordination/pimquota/scale_test.go
@@ -197,3 +197,22 @@
 		})
 	}
 }
+
+// Guards against a flood of some contracts at all VMs that makes every VM borrow from one owner, whose traffic then grows
+// with the fleet, though no VM has a share to lend.
+func TestTrafficInAFlood(t *testing.T) {
+	for _, n := range []int{64, 380} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(n)
+			mean, most := f.run(func(int, int) float64 { return 1.5 * shareRate })
+			admitted := 0
+			for id := range scalePressed {
+				admitted += f.admitted[id]
+			}
+			used := float64(admitted) / (scalePressed * shareRate * float64(n) * (scaleWarmUp + scaleRun).Seconds())
+			t.Logf("%d VMs: %.0f bytes/s sent per VM, at most %.0f; %.3f of the limits used", n, mean, most, used)
+			is.True(most <= scaleBudget)
+		})
+	}
+}
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -25,9 +25,11 @@
 // Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
 type sharedPool struct {
-	id        pimid.ContractID
-	need      need
-	borrowers map[pimid.NodeID]*borrower
+	id   pimid.ContractID
+	need need
+	// turnedAway counts the members for which there was no place.
+	turnedAway decaying
+	borrowers  map[pimid.NodeID]*borrower
 	// order lists the borrowers in the order of their first request, so that sums do not depend on map iteration.
 	order  []*borrower
 	tokens float64
--- a/internal/coordination/pimquota/solicit.go
+++ b/internal/coordination/pimquota/solicit.go
@@ -39,9 +39,7 @@
 }
 
 // solicit returns the solicitations that must be sent now, one for each VM.
-func (o *owner) solicit(
-	now pimclock.Instant, cfg Config, shareOf func(pimid.ContractID) share,
-) (messages []message) {
+func (o *owner) solicit(now pimclock.Instant, cfg Config) (messages []message) {
 	o.active = slices.DeleteFunc(o.active, func(p *sharedPool) bool {
 		p.need.active = now.Sub(p.need.asked) <= demandMemory
 		return !p.need.active
@@ -52,7 +50,7 @@
 	o.expire(now)
 	wanted := map[pimid.NodeID]*round{}
 	for _, p := range o.active {
-		o.choose(now, cfg, p, shareOf(p.id), wanted)
+		o.choose(now, cfg, p, o.shareOf(p.id), wanted)
 	}
 	for node, r := range wanted {
 		if r.isDue {
@@ -77,7 +75,7 @@
 // choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
 // repeated rounds reach all VMs.
 func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share, wanted map[pimid.NodeID]*round) {
-	if s.rate <= 0 {
+	if s.rate <= 0 || len(o.members) > smallFleet && o.isFlooded(now, p) {
 		p.need.collecting = false
 		return
 	}
@@ -168,7 +166,7 @@
 		return true
 	}
 	at, isRefused := l.refused[id]
-	return l.stamp == 0 && !now.Before(l.retryAt) && (!isRefused || now.Sub(at) >= refusalMemory)
+	return l.stamp == 0 && !now.Before(l.retryAt) && (!isRefused || now.Sub(at) >= max(refusalMemory, o.hold()))
 }
 
 func (o *owner) ask(
@@ -197,13 +195,13 @@
 	}
 	contracts := l.contracts
 	l.stamp, l.contracts, l.silence, l.retryAt = 0, nil, 0, 0
-	clear(l.refused)
 	if !o.newest(from, pimid.Incarnation(reply.GetLenderIncarnation()), reply.GetSequence()) {
 		return
 	}
 	for _, loan := range reply.GetLoans() {
 		id := pimid.ContractID(loan.GetContract())
 		contracts = slices.DeleteFunc(contracts, func(c pimid.ContractID) bool { return c == id })
+		delete(l.refused, id)
 		p := o.pool(id, now)
 		p.advance(now)
 		p.tokens += p.borrower(from).collect(now, stamp, loan)
