fix: let a member confirm spent permits of small pools, and look at fewer pools

Change: one more request confirms spent permits if the share is less than one permit. Pools that lack nothing choose no candidates. Terms without plans are taken as they are.

--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -60,6 +60,11 @@
 // lends reports whether the member's share is in the pool.
 func (b *borrower) lends(now pimclock.Instant) bool { return now.Before(b.leaseEnd) }
 
+// renewsItself reports whether the member's own requests renew its lease.
+func (b *borrower) renewsItself(now pimclock.Instant) bool {
+	return now.Sub(b.seen) <= borrowPeriod+replyTimeout
+}
+
 // asking reports whether the member takes part in the exchange as a borrower.
 func (b *borrower) asking(now pimclock.Instant) bool {
 	return b.seen > 0 && now.Sub(b.seen) <= demandMemory
--- a/internal/coordination/pimquota/limit.go
+++ b/internal/coordination/pimquota/limit.go
@@ -58,7 +58,10 @@
 		p.InForce = t.Sub(changed)
 	}
 	for id, c := range view.Contracts {
-		terms := c.TermsAt(t)
+		terms := c.Terms
+		if len(c.Plans) > 0 {
+			terms = c.TermsAt(t)
+		}
 		p.Limits[id] = Limit{
 			Rate:  terms.RateLimit,
 			Burst: terms.Burst,
--- a/internal/coordination/pimquota/pressure.go
+++ b/internal/coordination/pimquota/pressure.go
@@ -34,6 +34,8 @@
 	holdUntil pimclock.Instant
 	// collectingUntil is set while the owner solicits shares.
 	collectingUntil pimclock.Instant
+	// isSmall is set if the share holds no full permit.
+	isSmall bool
 	// solicitedUntil is the end of the last lease that the owner solicited.
 	solicitedUntil pimclock.Instant
 }
@@ -68,13 +70,20 @@
 	return !now.Before(a.holdUntil) && (a.lacks(now) || now.Before(a.pressedUntil))
 }
 
+// confirms reports whether the owner must learn that the permits of a grant are spent. Until then it keeps the depth of
+// the grant free, and a pool of few permits could not refill.
+func (a *account) confirms(now pimclock.Instant) bool {
+	return a.isSmall && now.Before(a.grant.expires) && a.grant.rate == 0 && a.grant.depth >= 1 && a.grant.tokens < 1
+}
+
 // asks reports whether the contract takes part in the exchange with its owner.
 func (a *account) asks(now pimclock.Instant) bool {
-	return a.releasing || a.borrows(now) || now.Before(a.flowsUntil) && !now.Before(a.holdUntil)
+	return a.releasing || a.borrows(now) || a.confirms(now) || now.Before(a.flowsUntil) && !now.Before(a.holdUntil)
 }
 
 // press keeps the exchange going if the demand is steady and does not fit the share.
 func (a *account) press(now pimclock.Instant, s share) {
+	a.isSmall = s.depth < 1
 	isSteady := a.demand.rate*borrowPeriod.Seconds() >= steadyAhead
 	if isSteady && (!a.fits(s) || a.asked > 0 && !a.lent(now)) {
 		a.pressedUntil = now.Add(pressedFor)
--- a/internal/coordination/pimquota/solicit.go
+++ b/internal/coordination/pimquota/solicit.go
@@ -88,10 +88,14 @@
 		}
 		missing--
 		rest := b.leaseEnd.Sub(now)
-		if rest < renewEarly && now.Sub(b.seen) > borrowPeriod+replyTimeout && o.free(now, b.node, p.id) {
+		if (rest < renewAlways || rest < renewEarly && !b.renewsItself(now)) && o.free(now, b.node, p.id) {
 			add(wanted, b.node, p.id, rest < renewBefore)
 		}
 	}
+	if missing <= 0 && now.Sub(p.need.shortAt) > collectingFor {
+		p.need.collecting = false
+		return
+	}
 	waiting := o.waiting(p)
 	missing -= waiting
 	candidates := o.candidates(now, p)
--- a/internal/coordination/pimquota/timing.go
+++ b/internal/coordination/pimquota/timing.go
@@ -24,6 +24,8 @@
 	renewBefore = 700 * time.Millisecond
 	// renewEarly is the rest at which a lease is renewed together with that of another contract of the same VM.
 	renewEarly = 900 * time.Millisecond
+	// renewAlways is the rest at which the lease of a member is renewed though its own requests may do so.
+	renewAlways = 590 * time.Millisecond
 	// solicitTimeout is when an unanswered solicitation counts as lost.
 	solicitTimeout = 100 * time.Millisecond
 	// refusalMemory is how long a VM that lent nothing is not asked again for the contract.
