feat: look at settled pools every 50 ms

Cause: a tick with 20 contracts under pressure, all owned by this VM, took 0.35 to 0.92 ms, most of it to find VMs that lend nothing yet, and to look through all VMs for unanswered solicitations. Ruled out: a time of its own for each pool, since the renewals of different pools then no longer share a message: at 8 VMs at most 5,242 bytes/s instead of 4,450. Change: random picks instead of a list of all free VMs, a list of unanswered solicitations, and one look at all pools every 50 ms unless permits are lacking. In the benchmark the other VMs now answer.

--- a/internal/coordination/pimquota/benchscale_test.go
+++ b/internal/coordination/pimquota/benchscale_test.go
@@ -42,15 +42,25 @@
 	}
 }
 
+// lendAll answers a solicitation with a loan for every contract.
+func lendAll(req *pimpb.BorrowQuotaRequest, sequence uint64) *pimpb.BorrowQuotaReply {
+	reply := &pimpb.BorrowQuotaReply{Solicited: true, Sequence: sequence, StampNs: req.GetEchoNs(), LenderIncarnation: 1}
+	for _, id := range req.GetSolicited() {
+		reply.Loans = append(reply.Loans, &pimpb.QuotaLoan{Contract: id, Rate: shareRate, Depth: shareDepth})
+	}
+	return reply
+}
+
 // BenchmarkTick is the cost of one tick, every 10 ms, on a VM with demand for all contracts: 20 borrow, the other
 // demands fit the shares.
 func BenchmarkTick(b *testing.B) {
 	for _, n := range []int{100, 1000, scaleContracts} {
 		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var sent []message
 			p := New(Config{
 				Self: 1, GrowthDelay: time.Nanosecond,
 				OwnerOf: func(pimid.ContractID) pimid.NodeID { return 1 },
-				Send:    func(pimid.NodeID, *pimpb.BorrowQuotaRequest) {},
+				Send:    func(to pimid.NodeID, req *pimpb.BorrowQuotaRequest) { sent = append(sent, message{to, req}) },
 			})
 			now := pimclock.Instant(time.Hour)
 			pub := PublicationOf(benchmarkView(n), 1, "ikeja", time.Unix(0, 0))
@@ -69,6 +79,10 @@
 					p.Take(now, pimid.ContractID(id), 1)
 				}
 				p.Tick(now)
+				for _, m := range sent {
+					p.Deliver(now, m.to, lendAll(m.req, uint64(now)))
+				}
+				sent = sent[:0]
 			}
 			b.ReportMetric(float64(len(p.member.active)), "active")
 		})
--- a/internal/coordination/pimquota/need.go
+++ b/internal/coordination/pimquota/need.go
@@ -43,6 +43,9 @@
 	}
 }
 
+// isUrgent reports whether the owner must look at the pool in this tick.
+func (n *need) isUrgent() bool { return n.short > 0 || n.collecting }
+
 // wantShares returns the number of shares that the pool should hold.
 func (p *sharedPool) wantShares(now pimclock.Instant, s share, nodes, lenders int) int {
 	n := &p.need
--- a/internal/coordination/pimquota/solicit.go
+++ b/internal/coordination/pimquota/solicit.go
@@ -16,10 +16,18 @@
 	// active lists the pools that members asked lately.
 	active []*sharedPool
 	asked  map[pimid.NodeID]*lender
+	// lookedAt is when the owner last looked at all pools, at once, so that leases are renewed together.
+	lookedAt pimclock.Instant
+	// pending lists those of asked that have not answered yet.
+	pending []*lender
 }
 
+// lookFactor times the number of VMs wanted is the number of VMs looked at.
+const lookFactor = 4
+
 // lender is the owner's exchange with one VM that may lend.
 type lender struct {
+	node pimid.NodeID
 	// stamp is the time of the unanswered solicitation, zero if there is none; contracts is what it named.
 	stamp     pimclock.Instant
 	contracts []pimid.ContractID
@@ -48,9 +56,15 @@
 		return nil
 	}
 	o.expire(now)
+	isRound := now.Sub(o.lookedAt) >= lookPeriod
+	if isRound {
+		o.lookedAt = now
+	}
 	wanted := map[pimid.NodeID]*round{}
 	for _, p := range o.active {
-		o.choose(now, cfg, p, o.shareOf(p.id), wanted)
+		if isRound || p.need.isUrgent() {
+			o.choose(now, cfg, p, o.shareOf(p.id), wanted)
+		}
 	}
 	for node, r := range wanted {
 		if r.isDue {
@@ -63,13 +77,14 @@
 
 // expire gives up the solicitations that were not answered in time.
 func (o *owner) expire(now pimclock.Instant) {
-	for _, l := range o.asked {
+	o.pending = slices.DeleteFunc(o.pending, func(l *lender) bool {
 		if l.stamp > 0 && now.Sub(l.stamp) >= solicitTimeout {
 			l.stamp = 0
 			l.silence = min(max(2*l.silence, minGap), maxSilence)
 			l.retryAt = now.Add(l.silence)
 		}
-	}
+		return l.stamp == 0
+	})
 }
 
 // choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
@@ -98,9 +113,9 @@
 	}
 	waiting := o.waiting(p)
 	missing -= waiting
-	candidates := o.candidates(now, p)
+	candidates := o.candidates(now, cfg, p, max(missing, 1))
 	p.need.collecting = waiting > 0 || held < mostShares(s, len(o.members)) && len(candidates) > 0
-	for _, node := range pick(cfg, candidates, missing) {
+	for _, node := range candidates[:min(max(missing, 0), len(candidates))] {
 		add(wanted, node, p.id, true)
 	}
 }
@@ -133,36 +148,44 @@
 
 // waiting returns the number of VMs that were asked for the contract and have neither answered nor lent yet.
 func (o *owner) waiting(p *sharedPool) (n int) {
-	for node, l := range o.asked {
-		if b := p.borrowers[node]; l.stamp > 0 && slices.Contains(l.contracts, p.id) && (b == nil || !b.lends(l.stamp)) {
+	for _, l := range o.pending {
+		if b := p.borrowers[l.node]; l.stamp > 0 && slices.Contains(l.contracts, p.id) && (b == nil || !b.lends(l.stamp)) {
 			n++
 		}
 	}
 	return n
 }
 
-// candidates returns the VMs that lend nothing yet and can be asked.
-func (o *owner) candidates(now pimclock.Instant, p *sharedPool) (nodes []pimid.NodeID) {
-	for _, node := range o.members {
-		if b := p.borrowers[node]; (b == nil || !b.lends(now)) && o.free(now, node, p.id) {
+// candidates returns up to n VMs that lend nothing yet and can be asked: this VM first, since asking it costs nothing,
+// then random ones. In a large data centre only some are looked at, which is cheaper than to look for the last free one.
+func (o *owner) candidates(now pimclock.Instant, cfg Config, p *sharedPool, n int) (nodes []pimid.NodeID) {
+	isFree := func(node pimid.NodeID) bool {
+		b := p.borrowers[node]
+		return (b == nil || !b.lends(now)) && o.free(now, node, p.id)
+	}
+	if slices.Contains(o.members, cfg.Self) && isFree(cfg.Self) {
+		nodes = append(nodes, cfg.Self)
+	}
+	if len(o.members) <= smallFleet {
+		first := len(nodes)
+		for _, node := range o.members {
+			if node != cfg.Self && isFree(node) {
+				nodes = append(nodes, node)
+			}
+		}
+		others := nodes[first:]
+		cfg.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		return nodes[:min(n, len(nodes))]
+	}
+	for looks := lookFactor * n; looks > 0 && len(nodes) < n; looks-- {
+		node := o.members[cfg.Rand.IntN(len(o.members))]
+		if !slices.Contains(nodes, node) && isFree(node) {
 			nodes = append(nodes, node)
 		}
 	}
 	return nodes
 }
 
-// pick returns up to n random VMs, this VM first, since asking it costs nothing.
-func pick(cfg Config, nodes []pimid.NodeID, n int) []pimid.NodeID {
-	if n <= 0 || len(nodes) == 0 {
-		return nil
-	}
-	cfg.Rand.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
-	if i := slices.Index(nodes, cfg.Self); i > 0 {
-		nodes[0], nodes[i] = nodes[i], nodes[0]
-	}
-	return nodes[:min(n, len(nodes))]
-}
-
 // free reports whether a VM can be asked for its share of a contract now.
 func (o *owner) free(now pimclock.Instant, node pimid.NodeID, id pimid.ContractID) bool {
 	l := o.asked[node]
@@ -178,10 +201,13 @@
 ) *pimpb.BorrowQuotaRequest {
 	l := o.asked[node]
 	if l == nil {
-		l = &lender{refused: map[pimid.ContractID]pimclock.Instant{}}
+		l = &lender{node: node, refused: map[pimid.ContractID]pimclock.Instant{}}
 		o.asked[node] = l
 	}
 	l.stamp, l.contracts = now, contracts
+	if !slices.Contains(o.pending, l) {
+		o.pending = append(o.pending, l)
+	}
 	req := &pimpb.BorrowQuotaRequest{Node: uint32(cfg.Self), Incarnation: uint64(cfg.Incarnation), EchoNs: int64(now)}
 	for _, id := range contracts {
 		req.Solicited = append(req.Solicited, uint32(id))
--- a/internal/coordination/pimquota/timing.go
+++ b/internal/coordination/pimquota/timing.go
@@ -26,6 +26,8 @@
 	renewEarly = 900 * time.Millisecond
 	// renewAlways is the rest at which the lease of a member is renewed though its own requests may do so.
 	renewAlways = 590 * time.Millisecond
+	// lookPeriod is how often an owner looks at the leases of a pool that lacks nothing.
+	lookPeriod = 50 * time.Millisecond
 	// solicitTimeout is when an unanswered solicitation counts as lost.
 	solicitTimeout = 100 * time.Millisecond
 	// refusalMemory is how long a VM that lent nothing is not asked again for the contract.
