--- a/internal/coordination/pimquota/solicit.go
+++ b/internal/coordination/pimquota/solicit.go
@@ -2,7 +2,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -25,19 +24,6 @@
 // lookFactor times the number of VMs wanted is the number of VMs looked at.
 const lookFactor = 4
 
-// lender is the owner's exchange with one VM that may lend.
-type lender struct {
-	node pimid.NodeID
-	// stamp is the time of the unanswered solicitation, zero if there is none; contracts is what it named.
-	stamp     pimclock.Instant
-	contracts []pimid.ContractID
-	// silence doubles while no answer arrives; the VM is not asked before retryAt.
-	silence time.Duration
-	retryAt pimclock.Instant
-	// refused is when the VM last lent nothing of a contract.
-	refused map[pimid.ContractID]pimclock.Instant
-}
-
 func (o *owner) activate(p *sharedPool, now pimclock.Instant) {
 	p.need.asked = now
 	if !p.need.active {
@@ -75,18 +61,6 @@
 	return messages
 }
 
-// expire gives up the solicitations that were not answered in time.
-func (o *owner) expire(now pimclock.Instant) {
-	o.pending = slices.DeleteFunc(o.pending, func(l *lender) bool {
-		if l.stamp > 0 && now.Sub(l.stamp) >= solicitTimeout {
-			l.stamp = 0
-			l.silence = min(max(2*l.silence, minGap), maxSilence)
-			l.retryAt = now.Add(l.silence)
-		}
-		return l.stamp == 0
-	})
-}
-
 // choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
 // repeated rounds reach all VMs.
 func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share, wanted map[pimid.NodeID]*round) {
@@ -185,59 +159,3 @@
 	}
 	return nodes
 }
-
-// free reports whether a VM can be asked for its share of a contract now.
-func (o *owner) free(now pimclock.Instant, node pimid.NodeID, id pimid.ContractID) bool {
-	l := o.asked[node]
-	if l == nil {
-		return true
-	}
-	at, isRefused := l.refused[id]
-	return l.stamp == 0 && !now.Before(l.retryAt) && (!isRefused || now.Sub(at) >= max(refusalMemory, o.hold()))
-}
-
-func (o *owner) ask(
-	now pimclock.Instant, cfg Config, node pimid.NodeID, contracts []pimid.ContractID,
-) *pimpb.BorrowQuotaRequest {
-	l := o.asked[node]
-	if l == nil {
-		l = &lender{node: node, refused: map[pimid.ContractID]pimclock.Instant{}}
-		o.asked[node] = l
-	}
-	l.stamp, l.contracts = now, contracts
-	if !slices.Contains(o.pending, l) {
-		o.pending = append(o.pending, l)
-	}
-	req := &pimpb.BorrowQuotaRequest{Node: uint32(cfg.Self), Incarnation: uint64(cfg.Incarnation), EchoNs: int64(now)}
-	for _, id := range contracts {
-		req.Solicited = append(req.Solicited, uint32(id))
-	}
-	return req
-}
-
-// collect adds the lent shares to the pools. An answer is void if it is not that to the last solicitation, or if it was
-// overtaken by a later message of the lender, which may have taken the share back.
-func (o *owner) collect(now pimclock.Instant, from pimid.NodeID, reply *pimpb.BorrowQuotaReply) {
-	l := o.asked[from]
-	stamp := pimclock.Instant(reply.GetStampNs())
-	if l == nil || l.stamp == 0 || l.stamp != stamp {
-		return
-	}
-	contracts := l.contracts
-	l.stamp, l.contracts, l.silence, l.retryAt = 0, nil, 0, 0
-	if !o.newest(from, pimid.Incarnation(reply.GetLenderIncarnation()), reply.GetSequence()) {
-		return
-	}
-	for _, loan := range reply.GetLoans() {
-		id := pimid.ContractID(loan.GetContract())
-		contracts = slices.DeleteFunc(contracts, func(c pimid.ContractID) bool { return c == id })
-		delete(l.refused, id)
-		p := o.pool(id, now)
-		p.advance(now)
-		p.tokens += p.borrower(from).collect(now, stamp, loan)
-		p.clamp(now)
-	}
-	for _, id := range contracts {
-		l.refused[id] = now
-	}
-}
