--- a/internal/coordination/pimquota/borrower.go
+++ b/internal/coordination/pimquota/borrower.go
@@ -10,12 +10,14 @@
 
 // borrower is the owner's record of one member.
 type borrower struct {
-	node        pimid.NodeID
+	node pimid.NodeID
+	// incarnation is the run of the member that sent the last request.
 	incarnation pimid.Incarnation
-
-	demand float64
-	flows  float64
-	seen   pimclock.Instant
+	demand      float64
+	flows       float64
+	seen        pimclock.Instant
+	// placed is set if the member has one of the places of the pool.
+	placed bool
 
 	lentRate  float64
 	lentDepth float64
@@ -32,18 +34,51 @@
 	depth    float64
 	added    float64
 	expires  pimclock.Instant
-	// earlierRun is set if the grant went to an earlier incarnation of the member.
-	earlierRun bool
 }
 
 // lend registers the member's share. The lease counts from the owner's stamp that the request echoes, which is earlier
 // than the time when the member sent the request, so that it ends here before it ends there.
-func (b *borrower) lend(now pimclock.Instant, req *pimpb.BorrowQuotaRequest, d *pimpb.QuotaDemand) {
+func (b *borrower) lend(now pimclock.Instant, req *pimpb.BorrowQuotaRequest, d *pimpb.QuotaDemand) (permits float64) {
 	end := pimclock.Instant(req.GetEchoNs()).Add(min(time.Duration(req.GetLeaseNs()), lease))
 	if d.GetLentRate() <= 0 || !now.Before(end) {
-		return
+		return 0
 	}
 	b.lentRate, b.lentDepth, b.leaseEnd = d.GetLentRate(), d.GetLentDepth(), end
+	return d.GetLentPermits()
+}
+
+// collect registers a share that was lent in answer to a solicitation with the given stamp.
+func (b *borrower) collect(now, stamp pimclock.Instant, l *pimpb.QuotaLoan) (permits float64) {
+	end := stamp.Add(lease)
+	if !now.Before(end) {
+		return 0
+	}
+	b.lentRate, b.lentDepth, b.leaseEnd = l.GetRate(), l.GetDepth(), max(b.leaseEnd, end)
+	return l.GetPermits()
+}
+
+// lends reports whether the member's share is in the pool.
+func (b *borrower) lends(now pimclock.Instant) bool { return now.Before(b.leaseEnd) }
+
+// renewsItself reports whether the member's own requests renew its lease.
+func (b *borrower) renewsItself(now pimclock.Instant) bool {
+	return now.Sub(b.seen) <= borrowPeriod+replyTimeout
+}
+
+// asking reports whether the member takes part in the exchange as a borrower.
+func (b *borrower) asking(now pimclock.Instant) bool {
+	return b.seen > 0 && now.Sub(b.seen) <= demandMemory
+}
+
+// restart notes the run of the member. What an earlier run was granted may have been used.
+func (b *borrower) restart(incarnation pimid.Incarnation) {
+	if b.incarnation == incarnation {
+		return
+	}
+	b.incarnation = incarnation
+	for i := range b.given {
+		b.given[i].added = 0
+	}
 }
 
 // active returns the largest rate and depth that the member may be using.
@@ -56,16 +91,15 @@
 	return rate, depth
 }
 
-// confirm drops all grants but the one in use and returns the permits of those that the member will never use. Grants to
-// an earlier run of the member stay until they expire, since it is not known what that run used.
-func (b *borrower) confirm(now pimclock.Instant, d *pimpb.QuotaDemand) (unused float64) {
+// confirm drops all grants but the one in use and returns the permits of those that the member will never use.
+func (b *borrower) confirm(d *pimpb.QuotaDemand) (unused float64) {
+	if d.GetRelease() {
+		b.given = nil
+		return 0
+	}
 	kept := b.given[:0]
 	for _, g := range b.given {
 		switch {
-		case !now.Before(g.expires):
-		case g.earlierRun:
-			kept = append(kept, g)
-		case d.GetRelease():
 		case g.sequence == d.GetGrant():
 			if g.rate == 0 {
 				g.depth = min(g.depth, d.GetHeld())
@@ -79,13 +113,6 @@
 	return unused
 }
 
-// restart notes that the member runs in a new incarnation.
-func (b *borrower) restart() {
-	for i := range b.given {
-		b.given[i].earlierRun = true
-	}
-}
-
 func (b *borrower) idle(now pimclock.Instant) bool {
 	rate, depth := b.active(now)
 	return rate == 0 && depth == 0 && !now.Before(b.leaseEnd) && now.Sub(b.seen) > demandMemory
--- a/internal/coordination/pimquota/restart_test.go
+++ b/internal/coordination/pimquota/restart_test.go
@@ -59,13 +59,18 @@
 		})
 	}
 	p.Publish(now, Publication{Nodes: 8, Listed: true, Limits: map[pimid.ContractID]Limit{simContract: faultLimit}})
-	p.Tick(now)
+	// Only refused demand makes the member ask an owner.
+	tick := func() {
+		p.Take(now, simContract, 1)
+		p.Tick(now)
+	}
+	tick()
 	owner = 3
-	p.Tick(now)
+	tick()
 	reply(3, 2)
 	reply(2, 1) // the first owner answers late
 	now = now.Add(grantValidity)
-	p.Tick(now)
+	tick()
 	is.Equal(last.GetSequence(), uint64(3))
 	is.Equal(last.GetDemands()[0].GetGrant(), uint64(2))
 	is.Equal(last.GetDemands()[0].GetHeld(), 0.0)
--- a/internal/coordination/pimquota/sharedpool.go
+++ b/internal/coordination/pimquota/sharedpool.go
@@ -18,11 +18,18 @@
 // stays at the owner, which gives it to whichever member has a chance maximum.
 const tokenParts = 4
 
+// mostHeadroom bounds the part of the spare rate that members get; with it they ask less often for chance maxima.
+const mostHeadroom = 1.25
+
 // sharedPool is the owner's pool of one contract: the shares that members lend, less what they have been granted.
 // Its own permits, the depths of all grants and the depths of all shares that are not lent never add up to more than
 // the burst, and the same holds for the rates; hence no window of time admits more than rate times time plus burst.
 type sharedPool struct {
-	borrowers map[pimid.NodeID]*borrower
+	id   pimid.ContractID
+	need need
+	// turnedAway counts the members for which there was no place.
+	turnedAway decaying
+	borrowers  map[pimid.NodeID]*borrower
 	// order lists the borrowers in the order of their first request, so that sums do not depend on map iteration.
 	order  []*borrower
 	tokens float64
@@ -30,13 +37,15 @@
 	// level is the fair level of the demands at levelAt; demands is its scratch space.
 	level   float64
 	levelAt pimclock.Instant
-	demands []float64
+	// headroom is the factor by which grants exceed the demands while the capacity allows it.
+	headroom float64
+	demands  []float64
 }
 
-// capacity returns the rate and depth of the shares whose leases last until the instant.
+// capacity returns the rate and depth of the shares whose leases last beyond the instant.
 func (p *sharedPool) capacity(until pimclock.Instant) (rate, depth float64) {
 	for _, b := range p.order {
-		if !b.leaseEnd.Before(until) {
+		if until.Before(b.leaseEnd) {
 			rate, depth = rate+b.lentRate, depth+b.lentDepth
 		}
 	}
@@ -70,38 +79,40 @@
 	p.tokens = max(min(p.tokens, depth-used), 0)
 }
 
-func (p *sharedPool) borrower(node pimid.NodeID, incarnation pimid.Incarnation) *borrower {
+func (p *sharedPool) borrower(node pimid.NodeID) *borrower {
 	b := p.borrowers[node]
 	if b == nil {
 		b = &borrower{node: node}
 		p.borrowers[node] = b
 		p.order = append(p.order, b)
 	}
-	if b.incarnation != incarnation {
-		b.incarnation = incarnation
-		b.restart()
-	}
 	return b
 }
 
 // settle takes back the grants that the member does not use.
 func (p *sharedPool) settle(now pimclock.Instant, b *borrower, d *pimpb.QuotaDemand) {
-	p.tokens += b.confirm(now, d)
+	p.tokens += b.confirm(d)
 	p.clamp(now)
 }
 
-// release returns the member's share if all grants are covered without it.
-func (p *sharedPool) release(now pimclock.Instant, b *borrower) bool {
+// release returns the member's share if the grants of the others are covered without it, with the permits that fit it.
+// The member uses no grant itself.
+func (p *sharedPool) release(now pimclock.Instant, b *borrower) (permits float64, ok bool) {
+	b.given = nil
 	end := b.leaseEnd
 	b.leaseEnd = 0
 	rate, depth := p.capacity(now.Add(grantValidity))
-	usedRate, usedDepth := p.granted(now, nil)
+	usedRate, usedDepth := p.granted(now, b)
 	if usedRate > rate+rounding || usedDepth > depth+rounding {
 		b.leaseEnd = end
-		return false
+		return 0, false
+	}
+	if now.Before(end) {
+		permits = min(p.tokens, b.lentDepth)
+		p.tokens -= permits
 	}
 	p.clamp(now)
-	return true
+	return permits, true
 }
 
 // part returns the member's part of the rate by demand.
@@ -115,8 +126,9 @@
 			}
 		}
 		p.level, p.levelAt = fairLevel(capacity, p.demands), now
+		p.headroom = min(max(capacity/max(p.demand(now), 1), 1), mostHeadroom)
 	}
-	return min(b.demand, p.level, capacity)
+	return min(b.demand*p.headroom, p.level, capacity)
 }
 
 // grant gives the member its part of the pool. The leases behind a grant outlast it, so that it stays covered whatever
@@ -167,6 +179,9 @@
 			members++
 		}
 	}
+	if sum == 0 {
+		return 0, 0
+	}
 	return sum, members
 }
 
--- /dev/null
+++ b/internal/coordination/pimquota/solicit.go
@@ -0,0 +1,160 @@
+package pimquota
+
+import (
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// solicitor asks other VMs for their shares of the contracts with demand beyond the shares of the VMs that have it.
+type solicitor struct {
+	// members are the VMs of the data centre.
+	members []pimid.NodeID
+	// active lists the pools that members asked lately.
+	active []*sharedPool
+	asked  map[pimid.NodeID]*lender
+	// lookedAt is when the owner last looked at all pools, at once, so that leases are renewed together.
+	lookedAt pimclock.Instant
+	// pending lists those of asked that have not answered yet.
+	pending []*lender
+}
+
+// lookFactor times the number of VMs wanted is the number of VMs looked at.
+const lookFactor = 4
+
+func (o *owner) activate(p *sharedPool, now pimclock.Instant) {
+	p.need.asked = now
+	if !p.need.active {
+		p.need.active, p.need.collecting = true, true
+		o.active = append(o.active, p)
+	}
+}
+
+// solicit returns the solicitations that must be sent now, one for each VM.
+func (o *owner) solicit(now pimclock.Instant, cfg Config) (messages []message) {
+	o.active = slices.DeleteFunc(o.active, func(p *sharedPool) bool {
+		p.need.active = now.Sub(p.need.asked) <= demandMemory
+		return !p.need.active
+	})
+	if len(o.active) == 0 {
+		return nil
+	}
+	o.expire(now)
+	isRound := now.Sub(o.lookedAt) >= lookPeriod
+	if isRound {
+		o.lookedAt = now
+	}
+	wanted := map[pimid.NodeID]*round{}
+	for _, p := range o.active {
+		if isRound || p.need.isUrgent() {
+			o.choose(now, cfg, p, o.shareOf(p.id), wanted)
+		}
+	}
+	for node, r := range wanted {
+		if r.isDue {
+			messages = append(messages, message{to: node, req: o.ask(now, cfg, node, r.contracts)})
+		}
+	}
+	slices.SortFunc(messages, func(a, b message) int { return int(a.to) - int(b.to) })
+	return messages
+}
+
+// choose returns the VMs to solicit for a pool: those whose leases must be renewed, and new ones at random, so that
+// repeated rounds reach all VMs.
+func (o *owner) choose(now pimclock.Instant, cfg Config, p *sharedPool, s share, wanted map[pimid.NodeID]*round) {
+	if s.rate <= 0 || len(o.members) > smallFleet && o.isFlooded(now, p) {
+		p.need.collecting = false
+		return
+	}
+	held := p.lenders(now)
+	want := p.wantShares(now, s, len(o.members), held)
+	missing := want
+	for _, b := range p.order {
+		if missing == 0 || !b.lends(now) {
+			continue
+		}
+		missing--
+		rest := b.leaseEnd.Sub(now)
+		if (rest < renewAlways || rest < renewEarly && !b.renewsItself(now)) && o.free(now, b.node, p.id) {
+			add(wanted, b.node, p.id, rest < renewBefore)
+		}
+	}
+	if missing <= 0 && now.Sub(p.need.shortAt) > collectingFor {
+		p.need.collecting = false
+		return
+	}
+	waiting := o.waiting(p)
+	missing -= waiting
+	candidates := o.candidates(now, cfg, p, max(missing, 1))
+	p.need.collecting = waiting > 0 || held < mostShares(s, len(o.members)) && len(candidates) > 0
+	for _, node := range candidates[:min(max(missing, 0), len(candidates))] {
+		add(wanted, node, p.id, true)
+	}
+}
+
+// round is what one VM is asked for now; isDue is set if that cannot wait for another contract.
+type round struct {
+	contracts []pimid.ContractID
+	isDue     bool
+}
+
+func add(wanted map[pimid.NodeID]*round, node pimid.NodeID, id pimid.ContractID, isDue bool) {
+	r := wanted[node]
+	if r == nil {
+		r = &round{}
+		wanted[node] = r
+	}
+	r.contracts = append(r.contracts, id)
+	r.isDue = r.isDue || isDue
+}
+
+// lenders returns the number of shares in the pool.
+func (p *sharedPool) lenders(now pimclock.Instant) (n int) {
+	for _, b := range p.order {
+		if b.lends(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// waiting returns the number of VMs that were asked for the contract and have neither answered nor lent yet.
+func (o *owner) waiting(p *sharedPool) (n int) {
+	for _, l := range o.pending {
+		if b := p.borrowers[l.node]; l.stamp > 0 && slices.Contains(l.contracts, p.id) && (b == nil || !b.lends(l.stamp)) {
+			n++
+		}
+	}
+	return n
+}
+
+// candidates returns up to n VMs that lend nothing yet and can be asked: this VM first, since asking it costs nothing,
+// then random ones. In a large data centre only some are looked at, which is cheaper than to look for the last free one.
+func (o *owner) candidates(now pimclock.Instant, cfg Config, p *sharedPool, n int) (nodes []pimid.NodeID) {
+	isFree := func(node pimid.NodeID) bool {
+		b := p.borrowers[node]
+		return (b == nil || !b.lends(now)) && o.free(now, node, p.id)
+	}
+	if slices.Contains(o.members, cfg.Self) && isFree(cfg.Self) {
+		nodes = append(nodes, cfg.Self)
+	}
+	if len(o.members) <= smallFleet {
+		first := len(nodes)
+		for _, node := range o.members {
+			if node != cfg.Self && isFree(node) {
+				nodes = append(nodes, node)
+			}
+		}
+		others := nodes[first:]
+		cfg.Rand.Shuffle(len(others), func(i, j int) { others[i], others[j] = others[j], others[i] })
+		return nodes[:min(n, len(nodes))]
+	}
+	for looks := lookFactor * n; looks > 0 && len(nodes) < n; looks-- {
+		node := o.members[cfg.Rand.IntN(len(o.members))]
+		if !slices.Contains(nodes, node) && isFree(node) {
+			nodes = append(nodes, node)
+		}
+	}
+	return nodes
+}
--- a/internal/coordination/pimquota/timing.go
+++ b/internal/coordination/pimquota/timing.go
@@ -19,6 +19,21 @@
 	// levelPeriod is how long an owner uses the fair level of the demands; it is short against demandWindow, and sorting
 	// the demands of hundreds of members for every request would cost most of the owner's time.
 	levelPeriod = 20 * time.Millisecond
+	// renewBefore is the rest of a lease at which the owner solicits its renewal. A lease must outlast grantValidity to
+	// back a grant, so that there is time to repeat a lost solicitation.
+	renewBefore = 700 * time.Millisecond
+	// renewEarly is the rest at which a lease is renewed together with that of another contract of the same VM.
+	renewEarly = 900 * time.Millisecond
+	// renewAlways is the rest at which the lease of a member is renewed though its own requests may do so.
+	renewAlways = 590 * time.Millisecond
+	// lookPeriod is how often an owner looks at the leases of a pool that lacks nothing.
+	lookPeriod = 50 * time.Millisecond
+	// solicitTimeout is when an unanswered solicitation counts as lost.
+	solicitTimeout = 100 * time.Millisecond
+	// refusalMemory is how long a VM that lent nothing is not asked again for the contract.
+	refusalMemory = 500 * time.Millisecond
+	// maxSilence is the longest time for which a VM that does not answer solicitations is not asked.
+	maxSilence = 5 * time.Second
 	// demandMemory is how long an owner counts the demand of a member that no longer asks.
 	demandMemory = time.Second
 )
