test: read the clock of TestAwait before the goroutine starts

Cause: go test -race reports that the goroutine of TestAwait reads the variable that the test's loop advances. The two race runs before failed; only the second one's output was read in full, and it names this test alone. Ruled out: a race in Await, which gets the instant by value. Change: the instant is copied before; what the test demands is unchanged. Conclusion: a fault of the test.

--- a/internal/coordination/pimquota/void_test.go
+++ b/internal/coordination/pimquota/void_test.go
@@ -74,8 +74,9 @@
 	ok, _ = p.Await(gone, now, wait, 0, 1<<40)
 	is.True(!ok)
 	done := make(chan bool)
+	asked := now
 	go func() {
-		ok, _ := p.Await(t.Context(), now, wait, 0, 1<<40)
+		ok, _ := p.Await(t.Context(), asked, wait, 0, 1<<40)
 		done <- ok
 	}()
 	for waiting := true; waiting; {
