feat: measure router, request records and slot owner in pimcapacity

Ruled out: benchmarks of the packages, since they print no fitted line and no live heap. Change: add the subcommands router, records, slots and publication.

--- a/cmd/pimcapacity/options.go
+++ b/cmd/pimcapacity/options.go
@@ -25,5 +25,9 @@
 	add("config", "bytes per key in store and view, and time per change", &configCommand{out: out})
 	add("gossip", "bytes per VM and second at several sizes of a data centre", &gossipCommand{out: out})
 	add("rendezvous", "time per owner lookup and per membership change", &rendezvousCommand{out: out})
+	add("router", "bytes of the router's snapshot, and time per packet and per change", &routerCommand{out: out})
+	add("records", "bytes and time per request record, and bytes of a handover", &recordsCommand{out: out})
+	add("slots", "bytes of a slot owner, and time per slot and per tick", &slotsCommand{out: out})
+	add("publication", "generated publication for standin-platform", &publicationCommand{out: out})
 	return p
 }
