feat: measure pooled limits, open flows and a whole node

Ruled out: many VMs in one process, since each opens a socket per service; one process is measured instead.

--- a/cmd/pimcapacity/options.go
+++ b/cmd/pimcapacity/options.go
@@ -28,6 +28,9 @@
 	add("router", "bytes of the router's snapshot, and time per packet and per change", &routerCommand{out: out})
 	add("records", "bytes and time per request record, and bytes of a handover", &recordsCommand{out: out})
 	add("slots", "bytes of a slot owner, and time per slot and per tick", &slotsCommand{out: out})
+	add("quota", "bytes, time and messages of the pooled limits", &quotaCommand{out: out})
+	add("flows", "growth of the heap by open flows, and time per flow packet", &flowsCommand{out: out})
+	add("line", "line through values measured elsewhere", &lineCommand{out: out})
 	add("publication", "generated publication for standin-platform", &publicationCommand{out: out})
 	return p
 }
--- /dev/null
+++ b/cmd/pimcapacity/quotaowner.go
@@ -0,0 +1,52 @@
+package main
+
+import (
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimquota"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// quotaOwner is the owner whose cost is measured.
+const quotaOwner = pimid.NodeID(2)
+
+// ownerCost returns the heap bytes of a pool owner that all VMs of the data centre ask, and the time of one request. The
+// requests are those of the member with the numbers of the other VMs.
+func (m *quotaMember) ownerCost() (bytes, ns float64) {
+	sample := m.requestTo(quotaOwner)
+	if sample == nil {
+		return 0, 0
+	}
+	requests := make([]*pimpb.BorrowQuotaRequest, m.cfg.VMs)
+	for i := range requests {
+		requests[i] = proto.CloneOf(sample)
+		requests[i].Node = uint32(i + 1)
+	}
+	ask := func(p *pimquota.Pool) func(i int) { return func(i int) { p.Borrow(m.now, requests[i]) } }
+	bytes = liveBytes(func() *pimquota.Pool {
+		p := pimquota.New(m.config(quotaOwner))
+		ns = perOp(len(requests), ask(p))
+		return p
+	})
+	return bytes, ns
+}
+
+// requestTo returns the next request of the member to an owner.
+func (m *quotaMember) requestTo(owner pimid.NodeID) *pimpb.BorrowQuotaRequest {
+	end := m.now.Add(time.Second)
+	for m.now.Before(end) {
+		m.now = m.now.Add(quotaTick)
+		m.pool.Tick(m.now)
+		for _, p := range m.pending {
+			if p.to == owner {
+				m.pending = nil
+				return p.req
+			}
+		}
+		m.answer()
+	}
+	return nil
+}
