--- a/cmd/pimcapacity/quotaowner.go
+++ b/cmd/pimcapacity/quotaowner.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"runtime"
 	"time"
 
 	"google.golang.org/protobuf/proto"
@@ -31,6 +32,8 @@
 		ns = perOp(len(requests), ask(p))
 		return p
 	})
+	// Without this, the requests are freed during the measurement.
+	runtime.KeepAlive(requests)
 	return bytes, ns
 }
 
