--- a/scripts/deploymentplan/main.go
+++ b/scripts/deploymentplan/main.go
@@ -42,7 +42,7 @@
 		return false, err
 	}
 	if o.Results != "" {
-		return summarize(o, &pub)
+		return summarise(o, &pub)
 	}
 	return true, layout(o, &pub, time.Now())
 }
--- a/scripts/deploymentplan/summary.go
+++ b/scripts/deploymentplan/summary.go
@@ -10,8 +10,8 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 )
 
-// summarize prints one block per contract; ok is false if a contract has no answer, a wrong one or a broken flow.
-func summarize(o *options, pub *pimcontract.Publication) (ok bool, err error) {
+// summarise prints one block per contract; ok is false if a contract has no answer, a wrong one or a broken flow.
+func summarise(o *options, pub *pimcontract.Publication) (ok bool, err error) {
 	ok = true
 	for i := range pub.Contracts {
 		c := &pub.Contracts[i]
