feat: count changes of roles and backend statuses

Cause: a VM at rest rebuilds the assignment of 33,000 backend servers every 500 ms; it cannot tell that nothing changed. Ruled out: a longer interval, since changes must act within seconds. Change: the membership counts its changes.

--- a/internal/coordination/pimmember/backend.go
+++ b/internal/coordination/pimmember/backend.go
@@ -72,6 +72,7 @@
 	if u.GetGeneration() > 1<<16-1 || !m.backends.set(u) {
 		return
 	}
+	m.changes.Add(1)
 	m.queue.add(backendItem(u), 0)
 }
 
--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -40,6 +40,8 @@
 	cfg      Settings
 	rings    atomic.Pointer[map[pimid.DataCentre]*ring]
 	backends backendTable
+	// changes counts the changes of roles and of backend statuses.
+	changes atomic.Uint64
 
 	mu      sync.Mutex
 	rng     *rand.Rand
@@ -169,8 +171,12 @@
 	m.rebuildLists()
 	m.rebuildRings()
 	clear(m.changed)
+	m.changes.Add(1)
 }
 
+// Changes returns a number that grows whenever an owner or the status of a backend server may have changed.
+func (m *Members) Changes() uint64 { return m.changes.Load() }
+
 // Counters returns the counts so far.
 func (m *Members) Counters() Counters {
 	m.mu.Lock()
