fix: accept adopted records from a vm whose predecessor is not known

Cause: a vm refused the records of an earlier run when it had started after that run had left, so the whole handover of a rolling restart failed and the stopping vm ended with an error. Ruled out: lost announcements; the refusing vm had started after the first stop and cannot know its successor. Change: the chain of known stops is followed, and only a run that is known to serve keeps its records.

--- /dev/null
+++ b/internal/e2e/rolling_test.go
@@ -0,0 +1,68 @@
+package e2e
+
+import (
+	"context"
+	"encoding/json"
+	"sync"
+	"syscall"
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcaller"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Guards against records that are lost in a chain of planned stops: each VM hands over its own records and those that it
+// adopted, also to a VM that started after their first owner had left.
+func TestRollingRestartIsNotNoticed(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start(1, 2, 3)
+	l := f.startLoad()
+	for _, id := range []pimid.NodeID{1, 2, 3} {
+		l.awaitAnswers(50)
+		f.list(id, pimview.NodeLeaving)
+		f.signal(id, syscall.SIGTERM)
+		is.Equal(f.exited(id), 0)
+		f.start(id)
+	}
+	l.awaitAnswers(50)
+	outcomes := l.finish()
+	l.check(t)
+	is.Equal(outcomes[pimcaller.Answered], len(l.results))
+}
+
+// Guards against requests that are repeated or answered falsely when all open connections to a backend server go silent
+// while new ones work: an idempotent request is answered over another connection, and a request that was handed over is
+// unknown and runs at most once.
+func TestSilentConnections(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t)
+	f.start(1, 2)
+	l := f.startLoad()
+	l.awaitAnswers(50)
+	for _, b := range f.backends {
+		b.Silence()
+	}
+	var wg sync.WaitGroup
+	gets := make([]pimcaller.Result, workers)
+	for i := range gets {
+		wg.Go(func() { gets[i] = l.caller.Get(context.Background(), "/board?id=get") })
+	}
+	wg.Wait()
+	l.awaitAnswers(50)
+	outcomes := l.finish()
+	l.check(t)
+	for _, res := range gets {
+		is.Equal(res.Outcome, pimcaller.Answered) // new connections work
+		var a standbackend.Answer
+		is.NoErr(json.Unmarshal(res.Body, &a))
+		is.Equal(a.ID, "get")
+	}
+	is.True(outcomes[pimcaller.Unknown] > 0) // requests were on the silent connections
+	is.Equal(outcomes[pimcaller.NotRun], 0)  // they had been handed over
+	is.Equal(outcomes[pimcaller.Answered]+outcomes[pimcaller.Unknown], len(l.results))
+}
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -7,6 +7,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
@@ -116,13 +117,34 @@
 	}
 }
 
-// mayHandOver reports whether the sender may hand over the records of an origin: its own, or those that it adopted.
+// maxSuccessors bounds the chain of planned stops that is followed; few stops fit into the lifetime of a permit.
+const maxSuccessors = 8
+
+// mayHandOver reports whether the sender may hand over the records of an origin: its own, or those that it adopted
+// directly or through other VMs. A VM that started after a stop cannot know the successor, so only a run that is known to
+// serve keeps its records.
 func (n *Node) mayHandOver(sender pimpeer.Identity, origin pimonce.Origin) bool {
-	if pimonce.Origin(sender) == origin {
-		return true
+	holder := origin
+	for range maxSuccessors {
+		if holder == pimonce.Origin(sender) {
+			return true
+		}
+		node, inc, ok := n.members.SuccessorOf(holder.Node, holder.Incarnation)
+		if !ok {
+			return !n.isServing(holder)
+		}
+		holder = pimonce.Origin{Node: node, Incarnation: inc}
+	}
+	return false
+}
+
+// isServing reports whether this run of a VM accepts requests, as far as this VM knows.
+func (n *Node) isServing(o pimonce.Origin) bool {
+	if o == pimonce.Origin(n.self) {
+		return !n.stop.draining()
 	}
-	node, inc, ok := n.members.SuccessorOf(origin.Node, origin.Incarnation)
-	return ok && node == sender.Node && inc == sender.Incarnation
+	m, ok := n.members.Member(o.Node)
+	return ok && m.Incarnation == o.Incarnation && m.State == pimmember.Alive
 }
 
 func handoverRequest(b pimonce.Batch) *pimpb.HandoverRequest {
