fix: end waits for slots at a vm that owns no usable host any longer

Cause: a slot owner that left, or whose last host went to another owner, kept waiting requests until their deadline, so a planned stop took as long as the caller's timeout. The reply of a relayed flow packet also used a responder that the next packet overwrites, the gossip loop could run before its socket was set, and the records shared the drain time. Ruled out: lost grants; the stopping vm waited exactly for the 20 s timeout of its callers. Change: waits end with ErrNotOwner and another owner is asked; the responder is retained; gossip waits for its socket; the handover has its own time; a vm that does not hold the records of an old run asks the longest-lived peer first and then others.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -193,7 +193,7 @@
 [operator]
 address = "%s"
 [log]
-level = "warn"
+level = "info"
 %s`, id, f.addr(10+int(id), peerPort), 7, f.url, f.addr(10+int(id), opsPort), f.peers(id))
 	is.NoErr(os.WriteFile(path, []byte(settings), 0o600))
 	cmd := exec.Command(binary, "run", "--settings", path)
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -69,7 +69,7 @@
 }
 
 func (n *Node) acquireLocal(ctx context.Context, w pimonce.Work, exclude []pimid.BackendID) (s pimonce.Slot, err error) {
-	g, err := n.slots.Acquire(ctx, pimslot.SlotRequest{
+	g, err := n.acquireOwned(ctx, pimslot.SlotRequest{
 		Service: w.Service, Contract: w.Contract, Deadline: w.Deadline, Exclude: exclude,
 	})
 	if err != nil {
--- a/internal/pimnode/adapters.go
+++ b/internal/pimnode/adapters.go
@@ -87,12 +87,23 @@
 	if len(live) == 0 {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
-	peer := live[v.n.rng.IntN(len(live))]
-	m, ok := v.n.members.Member(peer)
-	if !ok || m.Incarnation == 0 {
+	peer, ok := v.oldest(live)
+	if !ok {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
-	return pimroute.HomeLeft, pimroute.Home{Node: peer, Incarnation: m.Incarnation}
+	return pimroute.HomeLeft, peer
+}
+
+// oldest returns the VM that has run for the longest time, which knows most of the earlier stops. An incarnation starts
+// with the start time.
+func (v memberView) oldest(ids []pimid.NodeID) (oldest pimroute.Home, ok bool) {
+	for _, id := range ids {
+		m, known := v.n.members.Member(id)
+		if known && m.Incarnation != 0 && (!ok || m.Incarnation < oldest.Incarnation) {
+			oldest, ok = pimroute.Home{Node: id, Incarnation: m.Incarnation}, true
+		}
+	}
+	return oldest, ok
 }
 
 // NewerPeer implements pimroute.Members.
--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -40,6 +40,8 @@
 	warmUp = 3 * time.Second
 	// viewBehindRetry is the retry time of a caller whose token is newer than the view of this VM.
 	viewBehindRetry = time.Second
+	// handoverTimeout bounds the transfer of the records to the successor.
+	handoverTimeout = 10 * time.Second
 	// lingerTime is how long a stopping VM goes on forwarding and relaying after the handover; the fabric learns of the
 	// stop within this time.
 	lingerTime = 2 * time.Second
--- a/internal/pimnode/handle.go
+++ b/internal/pimnode/handle.go
@@ -20,7 +20,7 @@
 	case a.Kind == pimroute.Forward:
 		err = r.Forward(p, a.Address)
 	case a.Kind == pimroute.Relay && p.Kind == pimedge.KindFlow:
-		f := flowRelay{n: n, packet: p.Clone(), to: a.Node, contract: a.Contract, responder: r}
+		f := flowRelay{n: n, packet: p.Clone(), to: a.Node, contract: a.Contract, responder: r.Retain()}
 		n.wg.Go(func() { f.run(ctx) })
 	case a.Kind == pimroute.Reply:
 		n.countReply(&a, p)
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -63,6 +63,8 @@
 	// changed wakes the refresh loop after a change of the view.
 	changed chan struct{}
 	polls   pollTable
+	// ownership ends waits for slots of hosts that have another owner.
+	ownership ownership
 	// heard is the instant of the last message of a peer.
 	heard atomic.Int64
 	// serving is the number of requests that this VM is carrying out.
@@ -90,7 +92,7 @@
 func newNode(cfg pimsettings.Settings, log zerolog.Logger) *Node {
 	n := &Node{
 		cfg: cfg, log: log, set: metrics.NewSet(), clock: pimclock.Boot{}, rng: newRandom(),
-		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), stop: newStopState(),
+		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), ownership: newOwnership(), stop: newStopState(),
 	}
 	now := time.Now()
 	n.started = n.clock.Now()
--- /dev/null
+++ b/internal/pimnode/ownership.go
@@ -0,0 +1,80 @@
+package pimnode
+
+import (
+	"context"
+	"errors"
+	"sync"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// ErrNotOwner means that this VM has no host that could grant a slot of the service; another slot owner has to be asked.
+var ErrNotOwner = errors.New("vm owns no usable host of the service")
+
+// ownership ends the wait for slots of services whose last usable host went to another owner. Without it, a waiting
+// request would stay until its deadline and hold up a planned stop.
+type ownership struct {
+	mu *sync.Mutex
+	// terms are cancelled when the last usable host of the service is gone.
+	terms map[pimid.ServiceID]ownedTerm
+}
+
+type ownedTerm struct {
+	ctx    context.Context
+	cancel context.CancelCauseFunc
+}
+
+func newOwnership() ownership {
+	return ownership{mu: &sync.Mutex{}, terms: map[pimid.ServiceID]ownedTerm{}}
+}
+
+// set replaces the services with a usable owned host.
+func (o *ownership) set(hosts []pimslot.Host) {
+	usable := map[pimid.ServiceID]bool{}
+	for _, h := range hosts {
+		if !h.Draining {
+			usable[h.Service] = true
+		}
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for id, t := range o.terms {
+		if !usable[id] {
+			t.cancel(ErrNotOwner)
+			delete(o.terms, id)
+		}
+	}
+	for id := range usable {
+		if _, ok := o.terms[id]; !ok {
+			ctx, cancel := context.WithCancelCause(context.Background())
+			o.terms[id] = ownedTerm{ctx: ctx, cancel: cancel}
+		}
+	}
+}
+
+// bind returns a context that also ends when the service has no usable owned host any longer.
+func (o *ownership) bind(ctx context.Context, service pimid.ServiceID) (context.Context, context.CancelFunc, error) {
+	o.mu.Lock()
+	t, ok := o.terms[service]
+	o.mu.Unlock()
+	if !ok {
+		return nil, nil, ErrNotOwner
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	stop := context.AfterFunc(t.ctx, func() { cancel(ErrNotOwner) })
+	return ctx, func() {
+		stop()
+		cancel(nil)
+	}, nil
+}
+
+// acquireOwned waits for a slot of an owned host; it fails with ErrNotOwner if there is none.
+func (n *Node) acquireOwned(ctx context.Context, r pimslot.SlotRequest) (g pimslot.Grant, err error) {
+	ctx, cancel, err := n.ownership.bind(ctx, r.Service)
+	if err != nil {
+		return g, err
+	}
+	defer cancel()
+	return n.slots.Acquire(ctx, r)
+}
--- a/internal/pimnode/peerserver.go
+++ b/internal/pimnode/peerserver.go
@@ -78,7 +78,7 @@
 	for _, id := range req.GetExclude() {
 		r.Exclude = append(r.Exclude, pimid.BackendID(id))
 	}
-	g, err := n.slots.Acquire(ctx, r)
+	g, err := n.acquireOwned(ctx, r)
 	var refusal *pimslot.RefusalError
 	if errors.As(err, &refusal) {
 		return &pimpb.AcquireSlotReply{
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -73,6 +73,7 @@
 		n.slots.SetPolicy(p)
 	}
 	n.slots.SetHosts(hosts)
+	n.ownership.set(hosts)
 }
 
 // policies returns the terms in force of every service with an owned host.
--- a/internal/pimnode/relay.go
+++ b/internal/pimnode/relay.go
@@ -18,9 +18,13 @@
 // relay hands a request to another VM. Without an answer, the request may have run there, so its outcome is unknown;
 // an idempotent one may be repeated.
 func (n *Node) relay(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
-	timeout := n.deadline(p, a.Contract).Sub(n.clock.Now()) + relayGrace
-	reply, err := n.callRelay(ctx, p, a.Node, a.Contract, timeout)
-	if err == nil {
+	deadline := n.deadline(p, a.Contract)
+	reply, err := n.callRelay(ctx, p, a.Node, a.Contract, deadline.Sub(n.clock.Now())+relayGrace)
+	switch {
+	case err != nil:
+	case n.mayBeHeldElsewhere(p, a, reply):
+		return n.searchHolder(ctx, p, a, deadline, reply)
+	default:
 		return reply
 	}
 	n.log.Debug().Stringer("vm", a.Node).Err(err).Msg("relay not answered")
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimplatform"
@@ -59,8 +60,15 @@
 	if err != nil {
 		return err
 	}
-	g, cleanup := pimpeer.NewGossip(conn, sealer, n.receiveGossip, n.log, n.set)
+	// A peer may be heard before NewGossip returns; its message waits until n.gossip can carry the answer.
+	ready := make(chan struct{})
+	receive := func(g *pimpb.Gossip) {
+		<-ready
+		n.receiveGossip(g)
+	}
+	g, cleanup := pimpeer.NewGossip(conn, sealer, receive, n.log, n.set)
 	n.gossip = g
+	close(ready)
 	n.defers(cleanup)
 	return nil
 }
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -50,7 +50,10 @@
 	if err = n.home.Drain(drainCtx); err != nil {
 		n.log.Warn().Err(err).Msg("requests still run at the end of the drain time")
 	}
-	err = n.handOver(drainCtx)
+	// The records have their own time, since a request that outlasts the drain time must not cost the others theirs.
+	handoverCtx, cancelHandover := context.WithTimeout(ctx, handoverTimeout)
+	defer cancelHandover()
+	err = n.handOver(handoverCtx)
 	close(n.stop.handedOver)
 	sleep(ctx, lingerTime)
 	n.awaitRequests(drainCtx)
