fix: find the vm that holds the records of an earlier run

Cause: a vm that started after a stop asked one live peer for the records; during a further handover in the chain the holder was stopping and not live, or was the next run of the home vm, which was excluded. Ruled out: failed relays; a run with debug logs showed none. Change: stopping vms and the next run of the home vm are asked too, and the first one again at the end.

--- a/internal/pimnode/adapters.go
+++ b/internal/pimnode/adapters.go
@@ -1,7 +1,6 @@
 package pimnode
 
 import (
-	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
@@ -81,26 +80,24 @@
 	if v.n.uptime() > pimtoken.PermitLifetime {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
-	live := slices.DeleteFunc(slices.Clone(v.n.members.Live(dataCentre)), func(id pimid.NodeID) bool {
-		return id == v.n.self.Node || id == home.Node
-	})
-	if len(live) == 0 {
-		return pimroute.HomeLost, pimroute.Home{}
-	}
-	peer, ok := v.oldest(live)
+	peer, ok := v.oldest(v.n.reachable(dataCentre), home)
 	if !ok {
 		return pimroute.HomeLost, pimroute.Home{}
 	}
 	return pimroute.HomeLeft, peer
 }
 
-// oldest returns the VM that has run for the longest time, which knows most of the earlier stops. An incarnation starts
-// with the start time.
-func (v memberView) oldest(ids []pimid.NodeID) (oldest pimroute.Home, ok bool) {
+// oldest returns the other VM that has run for the longest time, which knows most of the earlier stops. The next run of
+// the home VM may hold the records. An incarnation starts with the start time.
+func (v memberView) oldest(ids []pimid.NodeID, home pimroute.Home) (oldest pimroute.Home, ok bool) {
 	for _, id := range ids {
 		m, known := v.n.members.Member(id)
-		if known && m.Incarnation != 0 && (!ok || m.Incarnation < oldest.Incarnation) {
-			oldest, ok = pimroute.Home{Node: id, Incarnation: m.Incarnation}, true
+		peer := pimroute.Home{Node: id, Incarnation: m.Incarnation}
+		if !known || m.Incarnation == 0 || id == v.n.self.Node || peer == home {
+			continue
+		}
+		if !ok || peer.Incarnation < oldest.Incarnation {
+			oldest, ok = peer, true
 		}
 	}
 	return oldest, ok
--- a/internal/pimnode/search.go
+++ b/internal/pimnode/search.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"slices"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -18,12 +20,7 @@
 func (n *Node) searchHolder(
 	ctx context.Context, p *pimedge.Packet, a *pimroute.Action, deadline pimclock.Instant, first pimedge.Reply,
 ) pimedge.Reply {
-	asked := map[pimid.NodeID]bool{n.self.Node: true, a.Node: true}
-	for _, id := range n.members.Live(n.cfg.Node.DataCentre) {
-		if asked[id] || id == a.Token.Home || len(asked) > maxSearch {
-			continue
-		}
-		asked[id] = true
+	for _, id := range n.searchOrder(a.Node) {
 		reply, err := n.callRelay(ctx, p, id, a.Contract, deadline.Sub(n.clock.Now())+relayGrace)
 		if err != nil {
 			return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonHomeLost}
@@ -35,9 +32,31 @@
 	return first
 }
 
+// reachable returns the VMs of a data centre that may hold records: also one that is stopping, since it waits for the end
+// of its handover and then passes requests on.
+func (n *Node) reachable(dataCentre pimid.DataCentre) []pimid.NodeID {
+	var ids []pimid.NodeID
+	for _, m := range n.members.All() {
+		if m.DataCentre == dataCentre && (m.State == pimmember.Alive || m.State == pimmember.Leaving) {
+			ids = append(ids, m.ID)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+// searchOrder returns the reachable VMs of the data centre. The one that was asked first comes last, since a handover to it may
+// have ended meanwhile.
+func (n *Node) searchOrder(first pimid.NodeID) []pimid.NodeID {
+	ids := slices.DeleteFunc(n.reachable(n.cfg.Node.DataCentre), func(id pimid.NodeID) bool {
+		return id == n.self.Node || id == first
+	})
+	return append(ids[:min(len(ids), maxSearch)], first)
+}
+
 // mayBeHeldElsewhere reports whether the reply to a relayed POST leaves open which VM holds the records of its token.
 func (n *Node) mayBeHeldElsewhere(p *pimedge.Packet, a *pimroute.Action, reply pimedge.Reply) bool {
-	return p.Hops == 0 && p.Kind == pimedge.KindPost && isHomeLost(reply) && a.Node != a.Token.Home &&
+	return p.Hops == 0 && p.Kind == pimedge.KindPost && isHomeLost(reply) && a.Rule == pimroute.RuleSuccessorRelay &&
 		n.uptime() <= pimtoken.PermitLifetime
 }
 
