fix: bound flow relays, end requests on close and account for refusals by the home

Cause: a close waited up to 60 s for requests that ignore the end of their relay; each relayed flow packet held a goroutine without a limit; refusals and unknown outcomes that the home itself decides were in no account; a request that waited for a handover got its full timeout again at the successor. Ruled out: overload of POST requests with a token, which the edge drops. Change: requests end with the VM, 4,096 flow relays wait at most, the home's own answers are counted, and only the remaining time is passed on. Conclusion: the tests name each of the faults.

--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -24,6 +24,8 @@
 	permitWait = 250 * time.Millisecond
 	// silenceWait is the same while the pool owner does not answer: the lease of 1 s and the time to notice.
 	silenceWait = 1500 * time.Millisecond
+	// maxFlowRelays bounds the flow packets that wait for a VM with a newer view; at 2 KB each they use at most 8 MB.
+	maxFlowRelays = 4096
 	// relayGrace is added to the deadline of a relayed request, so that the answer of the home VM still arrives.
 	relayGrace = 100 * time.Millisecond
 	// ownerAvoid is how long a slot owner that did not answer is avoided.
--- a/internal/pimnode/execute.go
+++ b/internal/pimnode/execute.go
@@ -21,7 +21,7 @@
 func (n *Node) servePost(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
 	deadline := n.deadline(p, a.Contract)
 	if n.stop.draining() {
-		return n.serveAfterHandover(ctx, p, deadline)
+		return n.serveAfterHandover(ctx, p, a.Contract, deadline)
 	}
 	t := &a.Token
 	req := pimonce.Request{
@@ -29,16 +29,49 @@
 		Home: pimonce.Origin{Node: t.Home, Incarnation: t.HomeIncarnation}, Service: p.Service,
 		Contract: a.Contract, IssuedAt: t.IssuedAt, Deadline: deadline,
 	}
-	// The request goes on when the VM that relayed it dies, since the caller repeats it through another one.
-	ctx, cancel := n.withDeadline(context.WithoutCancel(ctx), deadline)
+	ctx, detach := n.detached(ctx)
+	defer detach()
+	ctx, cancel := n.withDeadline(ctx, deadline)
 	defer cancel()
+	isFirst := false
 	reply := n.home.Run(ctx, req, func(ctx context.Context, h pimonce.Handoff) pimedge.Reply {
+		isFirst = true
 		return n.execute(ctx, p, a, deadline, h)
 	})
+	if !isFirst {
+		n.countUnrun(a.Contract, reply)
+	}
 	reply.Token = a.Reply.Token
 	return reply
 }
 
+// detached returns a context that outlives the VM that relayed a request, since the caller repeats it through another
+// one, and that ends when this VM is closed.
+func (n *Node) detached(ctx context.Context) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	stop := context.AfterFunc(n.running, cancel)
+	return ctx, func() {
+		stop()
+		cancel()
+	}
+}
+
+// countUnrun accounts for a request that the home refused by itself. Duplicates of other requests are accounted for by
+// their first run.
+func (n *Node) countUnrun(contract pimid.ContractID, reply pimedge.Reply) {
+	switch reply.Reason {
+	case pimedge.ReasonOverload, pimedge.ReasonDraining, pimedge.ReasonHomeLost, pimedge.ReasonExpired:
+	default:
+		return
+	}
+	account := n.ledger.Account(contract)
+	if reply.Outcome == pimedge.OutcomeNotRun {
+		account.Refuse(pimledger.Reason(reply.Reason))
+		return
+	}
+	account.Admit().Unknown()
+}
+
 // serveGet runs an idempotent request.
 func (n *Node) serveGet(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
 	deadline := n.deadline(p, a.Contract)
--- a/internal/pimnode/handle.go
+++ b/internal/pimnode/handle.go
@@ -20,8 +20,7 @@
 	case a.Kind == pimroute.Forward:
 		err = r.Forward(p, a.Address)
 	case a.Kind == pimroute.Relay && p.Kind == pimedge.KindFlow:
-		f := flowRelay{n: n, packet: p.Clone(), to: a.Node, contract: a.Contract, responder: r.Retain()}
-		n.wg.Go(func() { f.run(ctx) })
+		err = n.startFlowRelay(ctx, p, &a, r)
 	case a.Kind == pimroute.Reply:
 		n.countReply(&a, p)
 		err = r.Reply(a.Reply)
@@ -75,6 +74,23 @@
 	responder pimudp.Responder
 }
 
+// startFlowRelay relays a flow packet without blocking the read loop. Beyond the limit the caller has to try again, since
+// each relay holds its packet until a silent peer times out.
+func (n *Node) startFlowRelay(ctx context.Context, p *pimedge.Packet, a *pimroute.Action, r pimudp.Responder) error {
+	if n.flowRelays.Add(1) > maxFlowRelays {
+		n.flowRelays.Add(-1)
+		return r.Reply(pimedge.Reply{
+			Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonViewBehind, RetryAfter: viewBehindRetry,
+		})
+	}
+	f := flowRelay{n: n, packet: p.Clone(), to: a.Node, contract: a.Contract, responder: r.Retain()}
+	n.wg.Go(func() {
+		defer n.flowRelays.Add(-1)
+		f.run(ctx)
+	})
+	return nil
+}
+
 // run asks the other VM to forward the packet and passes its refusal on, if there is one.
 func (f *flowRelay) run(ctx context.Context) {
 	reply, err := f.n.callRelay(ctx, f.packet, f.to, f.contract, callTimeout)
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -69,8 +69,13 @@
 	heard atomic.Int64
 	// serving is the number of requests that this VM is carrying out.
 	serving atomic.Int64
-	stop    stopState
+	// flowRelays is the number of flow packets that wait for another VM.
+	flowRelays atomic.Int64
+	stop       stopState
 
+	// running ends when the VM is closed.
+	running  context.Context
+	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	cleanups []func()
 }
@@ -80,9 +85,7 @@
 func New(ctx context.Context, cfg pimsettings.Settings, log zerolog.Logger) (n *Node, cleanup func(), err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "start vm %d", cfg.Node.ID) }()
 	n = newNode(cfg, log)
-	runCtx, cancel := context.WithCancel(context.Background())
-	n.defers(cancel)
-	if err = n.start(ctx, runCtx); err != nil {
+	if err = n.start(ctx, n.running); err != nil {
 		n.close()
 		return nil, nil, err
 	}
@@ -94,6 +97,7 @@
 		cfg: cfg, log: log, set: metrics.NewSet(), clock: pimclock.Boot{}, rng: newRandom(),
 		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), ownership: newOwnership(), stop: newStopState(),
 	}
+	n.running, n.cancel = context.WithCancel(context.Background())
 	now := time.Now()
 	n.started = n.clock.Now()
 	n.unix = pimonce.NewUnixClock(n.clock.Now(), now)
@@ -170,7 +174,9 @@
 // defers registers a clean-up step; close runs them in reverse order.
 func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
 
+// close ends the running requests first, since the clean-up of the sockets waits for them.
 func (n *Node) close() {
+	n.cancel()
 	for i := len(n.cleanups) - 1; i >= 0; i-- {
 		n.cleanups[i]()
 	}
--- /dev/null
+++ b/internal/pimnode/node_test.go
@@ -0,0 +1,120 @@
+package pimnode
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+)
+
+// newTestNode returns a VM without sockets that is not started.
+func newTestNode(t *testing.T) *Node {
+	t.Helper()
+	cfg := pimsettings.Default()
+	cfg.Node = pimsettings.Node{ID: 1, DataCentre: "patan", PeerAddress: netip.MustParseAddrPort("127.0.0.1:1")}
+	n := newNode(cfg, zerolog.Nop())
+	n.buildDecisions()
+	t.Cleanup(n.close)
+	return n
+}
+
+// reused is a responder that the read loop reuses for the next packet.
+type reused struct {
+	replies chan pimedge.Reply
+	kept    *reused
+}
+
+func (r *reused) Reply(reply pimedge.Reply) error {
+	r.replies <- reply
+	return nil
+}
+func (r *reused) Forward(*pimedge.Packet, netip.AddrPort) error { return nil }
+func (r *reused) Retain() pimudp.Responder                      { return r.kept }
+
+// Guards against the reply to a relayed flow packet that goes to the caller of a later packet, and against relays without
+// a limit while the VM with the newer view is silent.
+func TestFlowRelay(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	r := &reused{replies: make(chan pimedge.Reply, 1), kept: &reused{replies: make(chan pimedge.Reply, 1)}}
+	p, a := &pimedge.Packet{Kind: pimedge.KindFlow}, &pimroute.Action{Kind: pimroute.Relay, Node: 9}
+	is.NoErr(n.startFlowRelay(context.Background(), p, a, r))
+	is.Equal((<-r.kept.replies).Reason, pimedge.ReasonViewBehind) // vm 9 is not known
+	is.Equal(len(r.replies), 0)
+	n.flowRelays.Store(maxFlowRelays)
+	is.NoErr(n.startFlowRelay(context.Background(), p, a, r))
+	is.Equal((<-r.replies).Reason, pimedge.ReasonViewBehind)
+}
+
+// Guards against requests that wait until their deadline at a VM whose last usable host has another owner or drains.
+func TestWaitEndsWithOwnership(t *testing.T) {
+	for name, next := range map[string][]pimslot.Host{
+		"gone": nil, "draining": {{ID: 1, Service: 1, Slots: 1, Draining: true}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			o := newOwnership()
+			_, _, err := o.bind(context.Background(), 1)
+			is.Equal(err, ErrNotOwner)
+			o.set([]pimslot.Host{{ID: 1, Service: 1, Slots: 1}})
+			ctx, cancel, err := o.bind(context.Background(), 1)
+			is.NoErr(err)
+			defer cancel()
+			o.set([]pimslot.Host{{ID: 1, Service: 1, Slots: 1}})
+			is.NoErr(ctx.Err()) // an unchanged set ends no wait
+			o.set(next)
+			<-ctx.Done()
+			is.Equal(context.Cause(ctx), ErrNotOwner)
+		})
+	}
+}
+
+// Guards against a close that waits for the deadline of requests, which go on without the VM that relayed them.
+func TestCloseEndsDetachedRequests(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	relayed, cancelRelay := context.WithCancel(context.Background())
+	ctx, cancel := n.detached(relayed)
+	defer cancel()
+	cancelRelay()
+	is.NoErr(ctx.Err())
+	n.close()
+	<-ctx.Done()
+}
+
+// Guards against refusals by the home that no account shows.
+func TestHomeRefusalIsAccounted(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	n.home.Stop()
+	a := &pimroute.Action{Contract: 7}
+	a.Token.Home, a.Token.HomeIncarnation = n.self.Node, n.self.Incarnation
+	a.Token.IssuedAt = uint32(n.unixNow())
+	reply := n.servePost(context.Background(), &pimedge.Packet{Kind: pimedge.KindPost, Service: 1, HasTag: true}, a)
+	is.Equal(reply.Outcome, pimedge.OutcomeNotRun)
+	totals := n.ledger.Account(7).Totals()
+	is.True(totals.Balanced())
+	is.Equal(totals.Refusals[pimledger.Reason(pimedge.ReasonDraining)], uint64(1))
+}
+
+// Guards against a chain of handovers that is refused by a VM that does not know the first stop, and against records that
+// are taken from a run that serves.
+func TestMayHandOver(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	sender := pimpeer.Identity{Node: 2, Incarnation: 20}
+	is.True(n.mayHandOver(sender, pimonce.Origin{Node: 2, Incarnation: 20}))
+	is.True(n.mayHandOver(sender, pimonce.Origin{Node: 3, Incarnation: 30}))
+	is.True(!n.mayHandOver(sender, pimonce.Origin(n.self)))
+}
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -99,13 +99,22 @@
 }
 
 // serveAfterHandover waits for the end of the handover and routes the packet again.
-func (n *Node) serveAfterHandover(ctx context.Context, p *pimedge.Packet, deadline pimclock.Instant) pimedge.Reply {
+func (n *Node) serveAfterHandover(
+	ctx context.Context, p *pimedge.Packet, contract pimid.ContractID, deadline pimclock.Instant,
+) pimedge.Reply {
 	ctx, cancel := n.withDeadline(ctx, deadline)
 	defer cancel()
 	select {
 	case <-n.stop.handedOver:
 	case <-ctx.Done():
-		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+		return n.unknownAfterStop(contract)
+	}
+	// The successor must not run the request after the caller's deadline.
+	late := *p
+	late.Timeout = deadline.Sub(n.clock.Now())
+	p = &late
+	if late.Timeout <= 0 {
+		return n.unknownAfterStop(contract)
 	}
 	var a pimroute.Action
 	n.router.Route(n.clock.Now(), n.unixNow(), p, &a)
@@ -116,10 +125,16 @@
 		n.countReply(&a, p)
 		return a.Reply
 	default:
-		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+		return n.unknownAfterStop(contract)
 	}
 }
 
+// unknownAfterStop answers a request whose records have not reached a successor.
+func (n *Node) unknownAfterStop(contract pimid.ContractID) pimedge.Reply {
+	n.ledger.Account(contract).Admit().Unknown()
+	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+}
+
 // maxSuccessors bounds the chain of planned stops that is followed; few stops fit into the lifetime of a permit.
 const maxSuccessors = 8
 
