fix: keep requests that arrive at the moment of a planned stop for the successor

Cause: a request could pass the check for the stop just before the home stopped, and was then refused as draining; two refreshes could run at once; refusals by overload were in no account. Ruled out: a false not_run; such a refusal is recorded and handed over. Change: the check and the record are one step under a lock; refreshes are serialised; overload refusals are counted.

--- a/internal/pimnode/execute.go
+++ b/internal/pimnode/execute.go
@@ -20,31 +20,45 @@
 // routes the packet again, so that the successor runs it.
 func (n *Node) servePost(ctx context.Context, p *pimedge.Packet, a *pimroute.Action) pimedge.Reply {
 	deadline := n.deadline(p, a.Contract)
-	if n.stop.draining() {
-		return n.serveAfterHandover(ctx, p, a.Contract, deadline)
-	}
 	t := &a.Token
 	req := pimonce.Request{
 		Key:  pimonce.Key{Flow: t.Flow, Tag: p.Tag},
 		Home: pimonce.Origin{Node: t.Home, Incarnation: t.HomeIncarnation}, Service: p.Service,
 		Contract: a.Contract, IssuedAt: t.IssuedAt, Deadline: deadline,
 	}
+	replies := make(chan pimedge.Reply, 1)
+	run, ok := n.stop.begin(n.home, req, replies)
+	if !ok {
+		return n.serveAfterHandover(ctx, p, a.Contract, deadline)
+	}
 	ctx, detach := n.detached(ctx)
 	defer detach()
 	ctx, cancel := n.withDeadline(ctx, deadline)
 	defer cancel()
-	isFirst := false
-	reply := n.home.Run(ctx, req, func(ctx context.Context, h pimonce.Handoff) pimedge.Reply {
-		isFirst = true
-		return n.execute(ctx, p, a, deadline, h)
-	})
-	if !isFirst {
-		n.countUnrun(a.Contract, reply)
-	}
+	reply := n.firstOrDuplicate(ctx, run, replies, p, a, deadline)
 	reply.Token = a.Reply.Token
 	return reply
 }
 
+// firstOrDuplicate executes the first copy of a request; a duplicate waits for its reply.
+func (n *Node) firstOrDuplicate(
+	ctx context.Context, run *pimonce.Running, replies <-chan pimedge.Reply, p *pimedge.Packet, a *pimroute.Action,
+	deadline pimclock.Instant,
+) (reply pimedge.Reply) {
+	if run != nil {
+		// The record is finished even if the execution panics.
+		defer func() { reply = run.Finish(reply) }()
+		return n.execute(ctx, p, a, deadline, run)
+	}
+	select {
+	case reply = <-replies:
+		n.countUnrun(a.Contract, reply)
+		return reply
+	case <-ctx.Done():
+		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonNoAnswer}
+	}
+}
+
 // detached returns a context that outlives the VM that relayed a request, since the caller repeats it through another
 // one, and that ends when this VM is closed.
 func (n *Node) detached(ctx context.Context) (context.Context, context.CancelFunc) {
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -63,6 +63,8 @@
 	// changed wakes the refresh loop after a change of the view.
 	changed chan struct{}
 	polls   pollTable
+	// refreshing serialises refreshes.
+	refreshing sync.Mutex
 	// ownership ends waits for slots of hosts that have another owner.
 	ownership ownership
 	// heard is the instant of the last message of a peer.
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -14,6 +14,9 @@
 
 // refresh hands the current view and membership to all decisions.
 func (n *Node) refresh() {
+	// The start and the loop may refresh at once; an older view must not overwrite a newer one.
+	n.refreshing.Lock()
+	defer n.refreshing.Unlock()
 	view := n.store.View()
 	if view.Revision == 0 {
 		return
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -7,8 +7,10 @@
 	"net/netip"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimplatform"
@@ -177,8 +179,13 @@
 }
 
 // refuseOverload counts and answers a request beyond the number that this VM handles at once.
-func (n *Node) refuseOverload(*pimedge.Packet) pimedge.Reply {
+func (n *Node) refuseOverload(p *pimedge.Packet) pimedge.Reply {
 	n.set.GetOrCreateCounter("pimentoyard_overload_refusals_total").Inc()
+	// Without a valid token, the packet would have been challenged, which is not offered work.
+	e := n.router.Explain(n.clock.Now(), n.unixNow(), p)
+	if e.Contract != 0 && e.Action == pimroute.Execute.String() {
+		n.ledger.Account(e.Contract).Refuse(pimledger.Reason(pimedge.ReasonOverload))
+	}
 	return pimedge.Reply{
 		Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonOverload, RetryAfter: time.Second,
 	}
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -19,6 +20,9 @@
 
 // stopState tells how far a planned stop has come.
 type stopState struct {
+	// mu keeps a request from reaching the home between the check for the stop and the stop, since the home would refuse
+	// it although the successor can run it.
+	mu         *sync.RWMutex
 	isLeaving  *atomic.Bool
 	isDraining *atomic.Bool
 	// handedOver is closed when the records are with the successor, or lost.
@@ -26,7 +30,7 @@
 }
 
 func newStopState() stopState {
-	return stopState{isLeaving: &atomic.Bool{}, isDraining: &atomic.Bool{}, handedOver: make(chan struct{})}
+	return stopState{mu: &sync.RWMutex{}, isLeaving: &atomic.Bool{}, isDraining: &atomic.Bool{}, handedOver: make(chan struct{})}
 }
 
 // leaving reports whether this VM gives up its slot ownership.
@@ -35,6 +39,27 @@
 // draining reports whether this VM has stopped accepting POST requests as home VM.
 func (s *stopState) draining() bool { return s.isDraining.Load() }
 
+// drain ends the acceptance of requests.
+func (s *stopState) drain(home *pimonce.Home) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDraining.Store(true)
+	home.Stop()
+}
+
+// begin records a request unless this VM has stopped accepting them; run is nil for a duplicate, whose reply is sent to
+// replies.
+func (s *stopState) begin(
+	home *pimonce.Home, req pimonce.Request, replies chan<- pimedge.Reply,
+) (run *pimonce.Running, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.draining() {
+		return nil, false
+	}
+	return home.Start(req, func(r pimedge.Reply) { replies <- r }), true
+}
+
 // Shutdown stops the VM gracefully: it gives up ownership, finishes the requests in flight, hands its records to the
 // successor and goes on forwarding and relaying until the fabric has stopped using it. The clean-up function of New must
 // be called afterwards.
@@ -43,8 +68,7 @@
 	n.stop.isLeaving.Store(true)
 	n.send(n.members.Leave(n.clock.Now(), 0, 0))
 	n.notifyChange()
-	n.stop.isDraining.Store(true)
-	n.home.Stop()
+	n.stop.drain(n.home)
 	drainCtx, cancel := context.WithTimeout(ctx, time.Duration(n.cfg.Drain.Timeout))
 	defer cancel()
 	if err = n.home.Drain(drainCtx); err != nil {
