fix: add a fresh token to the answer of a lost relay

Ruled out: tokens of flows, which are kept, since the flow would be lost with them. Change: the answer carries a request token of this vm. Conclusion: later requests do not depend on the lost home vm.

--- a/internal/pimnode/node_test.go
+++ b/internal/pimnode/node_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
@@ -14,8 +15,12 @@
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
+	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
 )
 
 // newTestNode returns a VM without sockets that is not started.
@@ -118,3 +123,57 @@
 	is.True(n.mayHandOver(sender, pimonce.Origin{Node: 3, Incarnation: 30}))
 	is.True(!n.mayHandOver(sender, pimonce.Origin(n.self)))
 }
+
+// route gives the VM a view with one service, one contract and one key.
+func route(t *testing.T, n *Node) (p *pimedge.Packet, token []byte) {
+	t.Helper()
+	source := netip.MustParseAddrPort("127.0.0.1:9")
+	is.New(t).NoErr(n.router.Update(n.unixNow(), &pimview.View{
+		Revision: 1, Services: map[pimid.ServiceID]pimview.Service{1: {ID: 1}},
+		Contracts: map[pimid.ContractID]pimcontract.Contract{
+			7: {ID: 7, Service: 1, Sources: []netip.Prefix{netip.MustParsePrefix("127.0.0.0/8")}},
+		},
+		Keys: []pimview.Key{{ID: 1, Secret: []byte("0123456789abcdef"), PublishedAt: time.Now().Add(-time.Hour)}},
+	}))
+	p = &pimedge.Packet{Kind: pimedge.KindGet, Service: 1, Source: source}
+	return p, n.freshToken(p, &pimroute.Action{Contract: 7})
+}
+
+// Guards against refusals by overload that no account shows, and against challenges that count as offered work.
+func TestOverloadIsAccounted(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	p, token := route(t, n)
+	n.refuseOverload(p)
+	is.Equal(n.ledger.Account(7).Totals().Offered, uint64(0))
+	p.Token = token
+	n.refuseOverload(p)
+	totals := n.ledger.Account(7).Totals()
+	is.True(totals.Balanced())
+	is.Equal(totals.Refusals[pimledger.Reason(pimedge.ReasonOverload)], uint64(1))
+}
+
+// Guards against a caller that keeps the token of a home VM out of reach, and against a false not_run after a relay.
+func TestLostRelay(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	p, _ := route(t, n)
+	p.Kind, p.HasTag = pimedge.KindPost, true
+	reply := n.relay(context.Background(), p, &pimroute.Action{Kind: pimroute.Relay, Node: 9, Contract: 7})
+	is.Equal(reply.Outcome, pimedge.OutcomeUnknown)
+	is.Equal(len(reply.Token), pimtoken.Size)
+	totals := n.ledger.Account(7).Totals()
+	is.True(totals.Balanced())
+	is.Equal(totals.Unknown, uint64(1))
+}
+
+// Guards against a request that the home refuses although the successor can run it, and against a lost stop.
+func TestStopRefusesNothing(t *testing.T) {
+	is := is.New(t)
+	n := newTestNode(t)
+	n.stop.drain(n.home)
+	_, ok := n.stop.begin(n.home, pimonce.Request{Home: pimonce.Origin(n.self)}, nil)
+	is.True(!ok)
+	records, _ := n.home.Len()
+	is.Equal(records, 0) // no refusal was recorded
+}
--- a/internal/pimnode/relay.go
+++ b/internal/pimnode/relay.go
@@ -13,6 +13,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+	"github.com/pimentoyard/pimentoyard/pkg/pimtoken"
 )
 
 // relay hands a request to another VM. Without an answer, the request may have run there, so its outcome is unknown;
@@ -36,7 +37,22 @@
 		}
 	}
 	ticket.Unknown()
-	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonHomeLost}
+	return pimedge.Reply{
+		Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonHomeLost, Token: n.freshToken(p, a),
+	}
+}
+
+// freshToken returns a token for later requests, so that they do not depend on a home VM that is out of reach. The token
+// of a flow is kept, since the flow would be lost with it.
+func (n *Node) freshToken(p *pimedge.Packet, a *pimroute.Action) []byte {
+	if a.Token.Flags&pimtoken.FlagFlow != 0 {
+		return nil
+	}
+	var challenge pimroute.Action
+	n.router.Route(n.clock.Now(), n.unixNow(), &pimedge.Packet{
+		Kind: pimedge.KindPost, Service: p.Service, Source: p.Source, Hops: p.Hops, Contract: a.Contract,
+	}, &challenge)
+	return challenge.Reply.Token
 }
 
 func (n *Node) callRelay(
