--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -8,13 +8,10 @@
 
 	"github.com/samber/oops"
 
-	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
-	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
-	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -158,57 +155,3 @@
 	n.ledger.Account(contract).Admit().Unknown()
 	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
 }
-
-// maxSuccessors bounds the chain of planned stops that is followed; few stops fit into the lifetime of a permit.
-const maxSuccessors = 8
-
-// mayHandOver reports whether the sender may hand over the records of an origin: its own, or those that it adopted
-// directly or through other VMs. A VM that started after a stop cannot know the successor, so only a run that is known to
-// serve keeps its records.
-func (n *Node) mayHandOver(sender pimpeer.Identity, origin pimonce.Origin) bool {
-	holder := origin
-	for range maxSuccessors {
-		if holder == pimonce.Origin(sender) {
-			return true
-		}
-		node, inc, ok := n.members.SuccessorOf(holder.Node, holder.Incarnation)
-		if !ok {
-			return !n.isServing(holder)
-		}
-		holder = pimonce.Origin{Node: node, Incarnation: inc}
-	}
-	return false
-}
-
-// isServing reports whether this run of a VM accepts requests, as far as this VM knows.
-func (n *Node) isServing(o pimonce.Origin) bool {
-	if o == pimonce.Origin(n.self) {
-		return !n.stop.draining()
-	}
-	m, ok := n.members.Member(o.Node)
-	return ok && m.Incarnation == o.Incarnation && m.State == pimmember.Alive
-}
-
-func handoverRequest(b pimonce.Batch) *pimpb.HandoverRequest {
-	req := &pimpb.HandoverRequest{
-		Node: uint32(b.Origin.Node), Incarnation: uint64(b.Origin.Incarnation), Last: b.Last,
-	}
-	for _, r := range b.Records {
-		req.Records = append(req.Records, &pimpb.RequestRecord{
-			Flow: uint64(r.Flow), RequestTag: uint64(r.Tag), Outcome: outcomeToProto(r.Reply.Outcome),
-			Reason: string(r.Reply.Reason), Status: uint32(r.Reply.Status), Body: r.Reply.Body, KeepNs: int64(r.Keep),
-		})
-	}
-	return req
-}
-
-func recordFromProto(r *pimpb.RequestRecord) pimonce.Record {
-	return pimonce.Record{
-		Key: pimonce.Key{Flow: pimid.FlowID(r.GetFlow()), Tag: pimid.RequestTag(r.GetRequestTag())},
-		Reply: pimedge.Reply{
-			Outcome: outcomeFromProto(r.GetOutcome()), Reason: pimedge.Reason(r.GetReason()),
-			Status: int(r.GetStatus()), Body: r.GetBody(),
-		},
-		Keep: time.Duration(r.GetKeepNs()),
-	}
-}
