--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -63,12 +63,21 @@
 	// changed wakes the refresh loop after a change of the view.
 	changed chan struct{}
 	polls   pollTable
+	// refreshing serialises refreshes.
+	refreshing sync.Mutex
+	// ownership ends waits for slots of hosts that have another owner.
+	ownership ownership
 	// heard is the instant of the last message of a peer.
 	heard atomic.Int64
 	// serving is the number of requests that this VM is carrying out.
 	serving atomic.Int64
-	stop    stopState
+	// flowRelays is the number of flow packets that wait for another VM.
+	flowRelays atomic.Int64
+	stop       stopState
 
+	// running ends when the VM is closed.
+	running  context.Context
+	cancel   context.CancelFunc
 	wg       sync.WaitGroup
 	cleanups []func()
 }
@@ -78,9 +87,7 @@
 func New(ctx context.Context, cfg pimsettings.Settings, log zerolog.Logger) (n *Node, cleanup func(), err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "start vm %d", cfg.Node.ID) }()
 	n = newNode(cfg, log)
-	runCtx, cancel := context.WithCancel(context.Background())
-	n.defers(cancel)
-	if err = n.start(ctx, runCtx); err != nil {
+	if err = n.start(ctx, n.running); err != nil {
 		n.close()
 		return nil, nil, err
 	}
@@ -90,8 +97,9 @@
 func newNode(cfg pimsettings.Settings, log zerolog.Logger) *Node {
 	n := &Node{
 		cfg: cfg, log: log, set: metrics.NewSet(), clock: pimclock.Boot{}, rng: newRandom(),
-		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), stop: newStopState(),
+		ledger: pimledger.New(), changed: make(chan struct{}, 1), polls: newPollTable(), ownership: newOwnership(), stop: newStopState(),
 	}
+	n.running, n.cancel = context.WithCancel(context.Background())
 	now := time.Now()
 	n.started = n.clock.Now()
 	n.unix = pimonce.NewUnixClock(n.clock.Now(), now)
@@ -168,7 +176,9 @@
 // defers registers a clean-up step; close runs them in reverse order.
 func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
 
+// close ends the running requests first, since the clean-up of the sockets waits for them.
 func (n *Node) close() {
+	n.cancel()
 	for i := len(n.cleanups) - 1; i >= 0; i-- {
 		n.cleanups[i]()
 	}
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -14,6 +14,9 @@
 
 // refresh hands the current view and membership to all decisions.
 func (n *Node) refresh() {
+	// The start and the loop may refresh at once; an older view must not overwrite a newer one.
+	n.refreshing.Lock()
+	defer n.refreshing.Unlock()
 	view := n.store.View()
 	if view.Revision == 0 {
 		return
@@ -73,6 +76,7 @@
 		n.slots.SetPolicy(p)
 	}
 	n.slots.SetHosts(hosts)
+	n.ownership.set(hosts)
 }
 
 // policies returns the terms in force of every service with an owned host.
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -10,14 +11,15 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimonce"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
-	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
-	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // stopState tells how far a planned stop has come.
 type stopState struct {
+	// mu keeps a request from reaching the home between the check for the stop and the stop, since the home would refuse
+	// it although the successor can run it.
+	mu         *sync.RWMutex
 	isLeaving  *atomic.Bool
 	isDraining *atomic.Bool
 	// handedOver is closed when the records are with the successor, or lost.
@@ -25,7 +27,7 @@
 }
 
 func newStopState() stopState {
-	return stopState{isLeaving: &atomic.Bool{}, isDraining: &atomic.Bool{}, handedOver: make(chan struct{})}
+	return stopState{mu: &sync.RWMutex{}, isLeaving: &atomic.Bool{}, isDraining: &atomic.Bool{}, handedOver: make(chan struct{})}
 }
 
 // leaving reports whether this VM gives up its slot ownership.
@@ -34,6 +36,27 @@
 // draining reports whether this VM has stopped accepting POST requests as home VM.
 func (s *stopState) draining() bool { return s.isDraining.Load() }
 
+// drain ends the acceptance of requests.
+func (s *stopState) drain(home *pimonce.Home) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.isDraining.Store(true)
+	home.Stop()
+}
+
+// begin records a request unless this VM has stopped accepting them; run is nil for a duplicate, whose reply is sent to
+// replies.
+func (s *stopState) begin(
+	home *pimonce.Home, req pimonce.Request, replies chan<- pimedge.Reply,
+) (run *pimonce.Running, ok bool) {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	if s.draining() {
+		return nil, false
+	}
+	return home.Start(req, func(r pimedge.Reply) { replies <- r }), true
+}
+
 // Shutdown stops the VM gracefully: it gives up ownership, finishes the requests in flight, hands its records to the
 // successor and goes on forwarding and relaying until the fabric has stopped using it. The clean-up function of New must
 // be called afterwards.
@@ -42,14 +65,16 @@
 	n.stop.isLeaving.Store(true)
 	n.send(n.members.Leave(n.clock.Now(), 0, 0))
 	n.notifyChange()
-	n.stop.isDraining.Store(true)
-	n.home.Stop()
+	n.stop.drain(n.home)
 	drainCtx, cancel := context.WithTimeout(ctx, time.Duration(n.cfg.Drain.Timeout))
 	defer cancel()
 	if err = n.home.Drain(drainCtx); err != nil {
 		n.log.Warn().Err(err).Msg("requests still run at the end of the drain time")
 	}
-	err = n.handOver(drainCtx)
+	// The records have their own time, since a request that outlasts the drain time must not cost the others theirs.
+	handoverCtx, cancelHandover := context.WithTimeout(ctx, handoverTimeout)
+	defer cancelHandover()
+	err = n.handOver(handoverCtx)
 	close(n.stop.handedOver)
 	sleep(ctx, lingerTime)
 	n.awaitRequests(drainCtx)
@@ -95,13 +120,22 @@
 }
 
 // serveAfterHandover waits for the end of the handover and routes the packet again.
-func (n *Node) serveAfterHandover(ctx context.Context, p *pimedge.Packet, deadline pimclock.Instant) pimedge.Reply {
+func (n *Node) serveAfterHandover(
+	ctx context.Context, p *pimedge.Packet, contract pimid.ContractID, deadline pimclock.Instant,
+) pimedge.Reply {
 	ctx, cancel := n.withDeadline(ctx, deadline)
 	defer cancel()
 	select {
 	case <-n.stop.handedOver:
 	case <-ctx.Done():
-		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
+		return n.unknownAfterStop(contract)
+	}
+	// The successor must not run the request after the caller's deadline.
+	late := *p
+	late.Timeout = deadline.Sub(n.clock.Now())
+	p = &late
+	if late.Timeout <= 0 {
+		return n.unknownAfterStop(contract)
 	}
 	var a pimroute.Action
 	n.router.Route(n.clock.Now(), n.unixNow(), p, &a)
@@ -112,39 +146,12 @@
 		n.countReply(&a, p)
 		return a.Reply
 	default:
-		return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
-	}
-}
-
-// mayHandOver reports whether the sender may hand over the records of an origin: its own, or those that it adopted.
-func (n *Node) mayHandOver(sender pimpeer.Identity, origin pimonce.Origin) bool {
-	if pimonce.Origin(sender) == origin {
-		return true
+		return n.unknownAfterStop(contract)
 	}
-	node, inc, ok := n.members.SuccessorOf(origin.Node, origin.Incarnation)
-	return ok && node == sender.Node && inc == sender.Incarnation
 }
 
-func handoverRequest(b pimonce.Batch) *pimpb.HandoverRequest {
-	req := &pimpb.HandoverRequest{
-		Node: uint32(b.Origin.Node), Incarnation: uint64(b.Origin.Incarnation), Last: b.Last,
-	}
-	for _, r := range b.Records {
-		req.Records = append(req.Records, &pimpb.RequestRecord{
-			Flow: uint64(r.Flow), RequestTag: uint64(r.Tag), Outcome: outcomeToProto(r.Reply.Outcome),
-			Reason: string(r.Reply.Reason), Status: uint32(r.Reply.Status), Body: r.Reply.Body, KeepNs: int64(r.Keep),
-		})
-	}
-	return req
-}
-
-func recordFromProto(r *pimpb.RequestRecord) pimonce.Record {
-	return pimonce.Record{
-		Key: pimonce.Key{Flow: pimid.FlowID(r.GetFlow()), Tag: pimid.RequestTag(r.GetRequestTag())},
-		Reply: pimedge.Reply{
-			Outcome: outcomeFromProto(r.GetOutcome()), Reason: pimedge.Reason(r.GetReason()),
-			Status: int(r.GetStatus()), Body: r.GetBody(),
-		},
-		Keep: time.Duration(r.GetKeepNs()),
-	}
+// unknownAfterStop answers a request whose records have not reached a successor.
+func (n *Node) unknownAfterStop(contract pimid.ContractID) pimedge.Reply {
+	n.ledger.Account(contract).Admit().Unknown()
+	return pimedge.Reply{Outcome: pimedge.OutcomeUnknown, Reason: pimedge.ReasonDraining}
 }
