fix: collect as many shares of less than one permit as the demand needs

Cause: with 380 VMs, a limit of 100/s with burst 50 and a load of 50/s, 80 of 209 requests were admitted: a pool collected at most 16 shares, or those that make up two permits, and no VM can use a share of less than one permit itself. Ruled out: the same bound with a larger number, which would only move the fault. Change: only shares of at least one permit are bounded. Conclusion: such limits are usable, but their owner exceeds 5 KB/s while they have demand; longer leases or fewer owners of shares would be needed.

--- a/internal/coordination/pimquota/need.go
+++ b/internal/coordination/pimquota/need.go
@@ -60,12 +60,14 @@
 	return min(want, mostShares(s, nodes))
 }
 
-// mostShares returns the largest number of shares that a pool collects.
+// mostShares returns the largest number of shares that a pool collects. Shares of less than one permit are of no use to
+// the VMs that own them, so the demand alone decides how many are collected; the traffic then exceeds the budget if the
+// demand needs more than about 70 of them.
 func mostShares(s share, nodes int) int {
-	if nodes <= smallFleet {
+	if nodes <= smallFleet || s.depth < 1 {
 		return nodes
 	}
-	return min(max(maxLenders, sharesFor(minDepth, s.depth)), nodes)
+	return min(maxLenders, nodes)
 }
 
 // sharesFor returns how many shares make up an amount.
