fix: keep the simulated fleets together

Cause: two simulations stood among the stand-ins of outside systems, with names that follow no rule. Ruled out: leaving them, since a newcomer looks for simulations in internal/scenario. Conclusion: internal/standin holds outside systems only.

--- a/cmd/pimcapacity/gossip.go
+++ b/cmd/pimcapacity/gossip.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
-	"github.com/pimentoyard/pimentoyard/internal/standin/standfleet"
+	"github.com/pimentoyard/pimentoyard/internal/scenario/pimfleet"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 )
 
@@ -22,7 +22,7 @@
 func (c *gossipCommand) Execute([]string) error {
 	var sizes, idle, busy, messages, drain, config, failure []float64
 	for _, n := range c.Sizes {
-		f := standfleet.New(standfleet.Options{
+		f := pimfleet.New(pimfleet.Options{
 			Seed: c.Seed, DataCentres: 1, PerDataCentre: n, Loss: c.Loss, Delay: 5 * time.Millisecond,
 			LocalDelay: 500 * time.Microsecond,
 		})
@@ -51,7 +51,7 @@
 }
 
 // rates returns the mean bytes and messages per VM and second.
-func (c *gossipCommand) rates(f *standfleet.Fleet) (bytes, messages float64) {
+func (c *gossipCommand) rates(f *pimfleet.Fleet) (bytes, messages float64) {
 	bytes0, messages0 := totals(f)
 	f.Run(time.Duration(c.Seconds) * time.Second)
 	bytes1, messages1 := totals(f)
@@ -59,7 +59,7 @@
 	return float64(bytes1-bytes0) / per, float64(messages1-messages0) / per
 }
 
-func totals(f *standfleet.Fleet) (bytes, messages uint64) {
+func totals(f *pimfleet.Fleet) (bytes, messages uint64) {
 	for _, vm := range f.VMs() {
 		bytes += vm.Bytes
 		messages += vm.Messages
@@ -68,26 +68,26 @@
 }
 
 // events returns the simulated milliseconds until all VMs know a drain, a change and a failure.
-func (c *gossipCommand) events(f *standfleet.Fleet, n int) (ms [3]float64, err error) {
+func (c *gossipCommand) events(f *pimfleet.Fleet, n int) (ms [3]float64, err error) {
 	f.VM(2).Members.ReportBackend(9, pimmember.BackendStatus{Draining: true})
-	if ms[0], err = c.until(f, "drain", func(vm *standfleet.VM) bool {
+	if ms[0], err = c.until(f, "drain", func(vm *pimfleet.VM) bool {
 		s, _ := vm.Members.BackendStatus(9)
 		return s.Draining
 	}); err != nil {
 		return ms, err
 	}
 	revision := f.Put("services/1", pimview.Service{ID: 1, Name: "first"})
-	if ms[1], err = c.until(f, "change", standfleet.AtRevision(revision)); err != nil {
+	if ms[1], err = c.until(f, "change", pimfleet.AtRevision(revision)); err != nil {
 		return ms, err
 	}
 	f.VM(3).Kill()
-	ms[2], err = c.until(f, "failure", func(vm *standfleet.VM) bool {
+	ms[2], err = c.until(f, "failure", func(vm *pimfleet.VM) bool {
 		return len(vm.Members.Live(vm.DataCentre)) == n-1
 	})
 	return ms, err
 }
 
-func (c *gossipCommand) until(f *standfleet.Fleet, what string, cond func(*standfleet.VM) bool) (float64, error) {
+func (c *gossipCommand) until(f *pimfleet.Fleet, what string, cond func(*pimfleet.VM) bool) (float64, error) {
 	took, ok := f.RunUntil(time.Duration(c.Converge)*time.Second, func() bool { return f.All(cond) })
 	if !ok {
 		return 0, fmt.Errorf("%s not known by all vms after %v", what, took)
--- a/internal/standin/standfleet/schedule.go
+++ b/internal/scenario/pimfleet/schedule.go
@@ -1,4 +1,4 @@
-package standfleet
+package pimfleet
 
 import (
 	"container/heap"
--- a/internal/standin/standfleet/doc.go
+++ /dev/null
@@ -1,2 +0,0 @@
-// Package standfleet runs many VMs of the coordination layer in one process on a simulated network and clock.
-package standfleet
