test: start loaded fleets in one place and name datagrams as such

Ruled out: a table of tests, since each one tells its own sequence of events. Change: loadedFleet; datagram. Conclusion: each test shows only its events.

--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -36,13 +36,13 @@
 	published   map[int]Publication
 	publishedAt pimclock.Instant
 	// down holds the VMs that each VM believes to be dead; the highest one that is not dead owns the contract.
-	down   []map[int]bool
-	split  func(a, b int) bool
-	limit  Limit
-	events []event
-	loss   float64
-	delay  time.Duration
-	mail   []letter
+	down    []map[int]bool
+	split   func(a, b int) bool
+	limit   Limit
+	events  []event
+	loss    float64
+	delay   time.Duration
+	network []datagram
 	// admitted holds the times of all admissions.
 	admitted []pimclock.Instant
 	offered  int
@@ -57,7 +57,7 @@
 	weight float64
 }
 
-type letter struct {
+type datagram struct {
 	at      pimclock.Instant
 	from    int
 	to      int
@@ -133,7 +133,7 @@
 		return
 	}
 	d := time.Duration(float64(s.delay) * (0.5 + s.rng.ExpFloat64()/2))
-	s.mail = append(s.mail, letter{at: s.clock.Now().Add(d), from: from, to: to, deliver: deliver})
+	s.network = append(s.network, datagram{at: s.clock.Now().Add(d), from: from, to: to, deliver: deliver})
 }
 
 // publish gives a VM a list of n VMs.
@@ -183,17 +183,17 @@
 }
 
 func (s *sim) deliver(now pimclock.Instant) {
-	if len(s.mail) == 0 {
+	if len(s.network) == 0 {
 		return
 	}
-	due := s.mail
-	s.mail = nil
-	slices.SortStableFunc(due, func(a, b letter) int { return int(a.at.Sub(b.at)) })
+	due := s.network
+	s.network = nil
+	slices.SortStableFunc(due, func(a, b datagram) int { return int(a.at.Sub(b.at)) })
 	for _, m := range due {
 		switch {
 		case !s.vms[m.to].up:
 		case now.Before(m.at) || s.vms[m.to].paused:
-			s.mail = append(s.mail, m)
+			s.network = append(s.network, m)
 		default:
 			m.deliver(now)
 		}
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -16,10 +16,7 @@
 // Guards against requests that are cut, refused or run twice when a VM is stopped as planned and replaced.
 func TestPlannedStopIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.list(1, pimview.NodeLeaving)
 	f.signal(1, syscall.SIGTERM)
 	is.Equal(f.exited(1), 0)
@@ -35,10 +32,7 @@
 // Guards against lost requests when a VM is restarted in place: the successor holds the records of its earlier run.
 func TestRestartInPlaceIsNotNoticed(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.list(1, pimview.NodeLeaving)
 	f.signal(1, syscall.SIGTERM)
 	is.Equal(f.exited(1), 0)
@@ -51,10 +45,7 @@
 
 // Guards against double execution, false refusals and broken flows when a VM dies without notice.
 func TestKilledVM(t *testing.T) {
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.signal(2, syscall.SIGKILL)
 	f.exited(2)
 	f.await(1, isNotAlive(2))
@@ -66,10 +57,7 @@
 
 // Guards against a VM that wakes up late and runs requests whose deadline has passed or that others have answered.
 func TestPausedVM(t *testing.T) {
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.signal(3, syscall.SIGSTOP)
 	f.await(1, isNotAlive(3))
 	l.awaitAnswers(50)
@@ -84,10 +72,7 @@
 // its peers, and a stale replica does not bring an old revision back.
 func TestPlatformDownAndStale(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(20)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.platform.SetMode(standplatform.Mode{Stale: true})
 	f.put("services/2", pimview.Service{ID: 2, Name: "cliphall", Address: f.addr(2, edgePort)})
 	before, err := f.status(1)
@@ -108,10 +93,7 @@
 // Guards against broken flows and refused requests when balancers and backend servers are replaced in the same moment.
 func TestBalancerAndBackendReplacedTogether(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3)
 	leaving := f.backend(1)
 	leaving.State = pimview.BackendLeaving
 	f.put("backends/1", leaving)
@@ -128,10 +110,7 @@
 
 // Guards against double execution when a second VM pauses while the first one has just died.
 func TestKillAndPauseTogether(t *testing.T) {
-	f := newFleet(t)
-	f.start(1, 2, 3, 4)
-	l := f.startLoad()
-	l.awaitAnswers(50)
+	f, l := loadedFleet(t, 1, 2, 3, 4)
 	f.signal(2, syscall.SIGKILL)
 	f.signal(3, syscall.SIGSTOP)
 	f.exited(2)
@@ -187,10 +166,7 @@
 // Guards against new work for a backend server that says it is leaving while the platform cannot say so.
 func TestDrainIsObeyedWithoutThePlatform(t *testing.T) {
 	is := is.New(t)
-	f := newFleet(t)
-	f.start(1, 2, 3)
-	l := f.startLoad()
-	l.awaitAnswers(20)
+	f, l := loadedFleet(t, 1, 2, 3)
 	f.platform.SetMode(standplatform.Mode{Down: true})
 	resp, err := http.Post("http://"+f.backends[0].HTTPAddress().String()+"/drain", "", nil)
 	is.NoErr(err)
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
 	"github.com/pimentoyard/pimentoyard/pkg/pimcaller"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 const (
@@ -32,6 +33,15 @@
 	answered chan struct{}
 }
 
+// loadedFleet starts VMs and a load that has been answered for a while.
+func loadedFleet(t *testing.T, ids ...pimid.NodeID) (f *fleet, l *load) {
+	f = newFleet(t)
+	f.start(ids...)
+	l = f.startLoad()
+	l.awaitAnswers(50)
+	return f, l
+}
+
 func (f *fleet) startLoad() *load {
 	is := is.New(f.t)
 	caller, cleanup, err := pimcaller.Dial(pimcaller.Config{
