fix: admit callers that meet by chance and callers that come back after a restart

Ruled out: larger bursts, which the operator sets; no check at the start, which would open a full limit again. Change: opens and refreshes of the first 30 s are told apart, and a quarter of the share may be opened at once; a request waits for the accrual of three permits, and requests that cannot be served in time are refused at once.

--- a/internal/coordination/pimquota/flows.go
+++ b/internal/coordination/pimquota/flows.go
@@ -15,6 +15,8 @@
 	flowSlots = int(refreshPeriod/flowSlot) + 1
 	// flowDeviations keeps the refusals by chance below 1 in 30,000 opens while the flows are at the limit.
 	flowDeviations = 4
+	// startOpens is the part of its share that a VM may open at its start, before it has seen the older flows.
+	startOpens = 0.25
 	// flowSumAge is the largest age of the owner's sum of the open flows.
 	flowSumAge = time.Second
 )
@@ -26,6 +28,8 @@
 	total   int
 	last    int64
 	started pimclock.Instant
+	// opens counts the flows that were opened in the first refresh period.
+	opens int
 }
 
 func newFlowEstimator(now pimclock.Instant) flowEstimator {
@@ -49,6 +53,14 @@
 	f.total++
 }
 
+// open counts the open of a flow, which is refreshed for the first time one period later.
+func (f *flowEstimator) open(now pimclock.Instant) {
+	f.add(now)
+	if now.Sub(f.started) < refreshPeriod {
+		f.opens++
+	}
+}
+
 // estimate returns the events of exactly one refresh period; of the oldest slot, the part within the period counts.
 func (f *flowEstimator) estimate(now pimclock.Instant) float64 {
 	f.advance(now)
@@ -57,10 +69,17 @@
 }
 
 // room reports whether one more flow stays within the share plus four standard deviations. A VM that has counted for
-// less than a refresh period has seen only that part of its flows, so the share is reduced likewise.
+// less than a refresh period has seen only that part of the refreshes of older flows, but all of its own opens: taking
+// opens for refreshes would refuse the callers that come back after a restart.
 func (f *flowEstimator) room(now pimclock.Instant, share float64) bool {
-	seen := min(now.Sub(f.started).Seconds()/refreshPeriod.Seconds(), 1) * share
-	return f.estimate(now)+1 <= seen+flowDeviations*math.Sqrt(max(seen, min(share, 1)))
+	part := now.Sub(f.started).Seconds() / refreshPeriod.Seconds()
+	if part >= 1 {
+		return f.estimate(now)+1 <= share+flowDeviations*math.Sqrt(share)
+	}
+	opens := float64(f.opens)
+	refreshes := f.estimate(now) - opens
+	return opens+1 <= share*min(startOpens+part, 1) &&
+		refreshes <= part*max(share-opens, 0)+flowDeviations*math.Sqrt(max(part*share, min(share, 1)))
 }
 
 // flowSum is the owner's sum of the open flows, with the opens of this VM since then.
--- a/internal/coordination/pimquota/flows_test.go
+++ b/internal/coordination/pimquota/flows_test.go
@@ -97,3 +97,34 @@
 	is.True(!p.Listed)
 	is.Equal(p.Limits[2], Limit{Rate: 0, Part: 0})
 }
+
+// Guards against refused opens right after the start of a VM: callers that come back at once are no sign of a full limit.
+func TestOpensRightAfterTheStart(t *testing.T) {
+	is := is.New(t)
+	f := newFlowEstimator(0)
+	now := pimclock.Instant(time.Second)
+	for range 25 {
+		is.True(f.room(now, 100))
+		f.open(now)
+	}
+}
+
+// Guards against a VM that starts into a full limit and opens its whole share again.
+func TestStartIntoAFullLimit(t *testing.T) {
+	is := is.New(t)
+	const share = 1000
+	f := newFlowEstimator(0)
+	opened := 0
+	for ms := range 30_000 {
+		now := pimclock.Instant(time.Duration(ms) * time.Millisecond)
+		if ms%(30_000/share) == 0 {
+			f.add(now)
+		}
+		if f.room(now, share) {
+			f.open(now)
+			opened++
+		}
+	}
+	t.Logf("%d opened", opened)
+	is.True(opened <= share/2)
+}
--- a/internal/coordination/pimquota/member.go
+++ b/internal/coordination/pimquota/member.go
@@ -152,7 +152,7 @@
 		ok = a.flows.room(now, limit/float64(max(m.nodes, 1)))
 	}
 	if ok {
-		a.flows.add(now)
+		a.flows.open(now)
 		a.sum.opens++
 	}
 	m.pressFlows(now, a)
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -75,13 +75,14 @@
 	p.mu.Lock()
 	ok, retryAfter := p.member.take(now, contract, float64(n))
 	a := p.member.accounts[contract]
-	if !ok && a != nil {
+	waits := !ok && a != nil && a.enqueue(now, waiter{Patience: wait, n: float64(n), result: result})
+	if waits {
 		p.member.activate(a)
-		a.queue = append(a.queue, waiter{Patience: wait, n: float64(n), result: result})
-		p.mu.Unlock()
-		return
 	}
 	p.mu.Unlock()
+	if waits {
+		return
+	}
 	result(ok, retryAfter)
 }
 
--- a/internal/coordination/pimquota/queue.go
+++ b/internal/coordination/pimquota/queue.go
@@ -31,6 +31,27 @@
 // notice is a result that is delivered after the pool's lock was released.
 type notice func()
 
+// slowPermits is the number of permits whose accrual a request waits for under a slow limit, so that two callers that meet
+// by chance are both admitted.
+const slowPermits = 3
+
+// enqueue lets a request wait; it reports false if so many wait already that the limit cannot serve all of them in time,
+// which bounds the memory of a flood.
+func (a *account) enqueue(now pimclock.Instant, w waiter) bool {
+	rate := float64(a.limit.Rate) * a.limit.Part
+	if rate <= 0 {
+		return false
+	}
+	most := rate*w.Silence.Sub(now).Seconds() + a.limit.Burst*a.limit.Part + 1
+	if float64(len(a.queue)) >= most {
+		return false
+	}
+	accrual := time.Duration(slowPermits / rate * float64(time.Second))
+	w.Deadline = max(w.Deadline, min(now.Add(accrual), w.Silence))
+	a.queue = append(a.queue, w)
+	return true
+}
+
 // ends reports whether the wait is over; isSilent reports whether the owner of the share does not answer.
 func (w *waiter) ends(now pimclock.Instant, isSilent bool) bool {
 	if isSilent {
