fix: pull configuration by the tested policy and charge gossip to the budget

Cause: the node had a pull loop of its own beside the one that the simulated fleets test, and its gossip did not count against the byte budget of pulls. Ruled out: testing both loops. Change: the node uses pimconfig.Syncer; sent gossip is charged. Conclusion: one pull policy, which is proved in simulated fleets.

--- a/internal/pimnode/loops.go
+++ b/internal/pimnode/loops.go
@@ -4,8 +4,11 @@
 	"context"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 )
 
 // startLoops starts the periodic work of the VM.
@@ -70,5 +73,6 @@
 		if err := n.gossip.Send(m.Address, m.Gossip); err != nil {
 			n.log.Debug().Stringer("vm", m.To).Err(err).Msg("gossip not sent")
 		}
+		n.budget.Charge(n.clock.Now(), proto.Size(m.Gossip)+pimpeer.Overhead)
 	}
 }
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -40,7 +40,8 @@
 	self    pimroute.Home
 
 	store    *pimconfig.Store
-	puller   *pimconfig.Puller
+	syncer   *pimconfig.Syncer
+	budget   *pimconfig.Budget
 	pulls    *pimconfig.Server
 	members  *pimmember.Members
 	router   *pimroute.Router
@@ -137,10 +138,10 @@
 func (n *Node) buildDecisions() {
 	now := n.clock.Now()
 	n.store = pimconfig.NewStore(pimconfig.Settings{OnBadValue: n.reportBadValue})
-	n.puller = pimconfig.NewPuller(n.store)
+	n.syncer = pimconfig.NewSyncer(n.store, n.rng)
 	limits := n.cfg.Limits
-	n.pulls = pimconfig.NewServer(n.store,
-		pimconfig.NewBudget(now, float64(limits.ControlBytesPerSecond), float64(limits.ControlBurstBytes)))
+	n.budget = pimconfig.NewBudget(now, float64(limits.ControlBytesPerSecond), float64(limits.ControlBurstBytes))
+	n.pulls = pimconfig.NewServer(n.store, n.budget)
 	n.members = pimmember.New(pimmember.Settings{
 		Self: n.self.Node, Incarnation: n.self.Incarnation, DataCentre: n.cfg.Node.DataCentre,
 		Address: n.cfg.Node.PeerAddress, Seeds: n.seeds(),
--- a/internal/pimnode/pull.go
+++ b/internal/pimnode/pull.go
@@ -4,43 +4,36 @@
 	"context"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// pull fetches newer configuration from a peer that has announced it.
+// pull fetches newer configuration from peers that have announced it, until none of them has more to give now.
 func (n *Node) pull(ctx context.Context) {
-	ids := n.members.Ahead(n.store.Revision())
-	if len(ids) == 0 {
-		return
-	}
-	id := ids[n.rng.IntN(len(ids))]
-	before := n.store.Revision()
-	if err := n.pullFrom(ctx, id); err != nil {
-		n.log.Debug().Stringer("vm", id).Err(err).Msg("configuration not pulled")
-	}
-	if n.store.Revision() > before {
-		n.notifyChange()
+	for ctx.Err() == nil {
+		id, req, ok := n.syncer.Next(n.clock.Now(), n.members.Ahead(n.store.Revision()))
+		if !ok {
+			return
+		}
+		reply, failure := n.callPull(ctx, id, req)
+		changed, err := n.syncer.Done(n.clock.Now(), id, req, reply, failure)
+		if changed {
+			n.notifyChange()
+		}
+		if failure != nil || err != nil {
+			n.log.Debug().Stringer("vm", id).AnErr("call", failure).Err(err).Msg("configuration not pulled")
+		}
 	}
 }
 
-func (n *Node) pullFrom(ctx context.Context, id pimid.NodeID) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+func (n *Node) callPull(
+	ctx context.Context, id pimid.NodeID, req *pimpb.PullConfigRequest,
+) (*pimpb.PullConfigReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, pimconfig.PullTimeout)
 	defer cancel()
 	peer, err := n.peer(ctx, id)
 	if err != nil {
-		return err
-	}
-	for more := true; more; {
-		req := n.puller.Request(pimconfig.DefaultPullBytes)
-		reply, err := peer.PullConfig(ctx, req)
-		if err != nil {
-			return err
-		}
-		if more, err = n.puller.Accept(req, reply); err != nil {
-			return err
-		}
-		// A reply without content means that the sender has spent its byte budget; the next round asks another VM.
-		more = more && len(reply.GetChunkHashes())+len(reply.GetChunks())+len(reply.GetEvents()) > 0
+		return nil, err
 	}
-	return nil
+	return peer.PullConfig(ctx, req)
 }
