--- a/internal/coordination/pimroute/flow.go
+++ b/internal/coordination/pimroute/flow.go
@@ -1,7 +1,6 @@
 package pimroute
 
 import (
-	"net/http"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
@@ -69,7 +68,7 @@
 		return
 	}
 	d.a.Kind, d.a.Rule = Reply, RuleFlowReissue
-	d.a.Reply.Outcome, d.a.Reply.Status = pimedge.OutcomeAnswered, http.StatusNotModified
+	d.a.Reply.Outcome, d.a.Reply.Status = pimedge.OutcomeAnswered, pimedge.StatusNotModified
 }
 
 // openFlow admits and places a flow and answers with its token; the caller repeats the packet with it. A first token
--- a/internal/protocol/pimedge/reply.go
+++ b/internal/protocol/pimedge/reply.go
@@ -1,6 +1,9 @@
 package pimedge
 
-import "time"
+import (
+	"net/http"
+	"time"
+)
 
 // Outcome is what a caller is told about its request.
 type Outcome string
@@ -41,6 +44,9 @@
 	ReasonBadInput    Reason = "bad_input"
 )
 
+// StatusNotModified is the status of an answer that only carries a fresh token; it is sent as 2.03.
+const StatusNotModified = http.StatusNotModified
+
 // Reply is what a VM tells a caller.
 type Reply struct {
 	Outcome Outcome
