fix: name the limits of a wait as such

Cause: Patience and Silence are figurative names for two deadlines; a test was called honest. Ruled out: one deadline, since a silent owner needs a longer one. Change: WaitLimit with Deadline and SilentDeadline; waitTimeout and TestRefusalCarriesTheEstimatedWait. Conclusion: names say what the values are.

--- a/internal/coordination/pimquota/await.go
+++ b/internal/coordination/pimquota/await.go
@@ -11,7 +11,7 @@
 // Await is Request for a caller that can block: it returns when the permits are there, the wait has ended on the pool's
 // clock, or ctx is done. It relies on Tick being called by another goroutine.
 func (p *Pool) Await(
-	ctx context.Context, now pimclock.Instant, wait Patience, contract pimid.ContractID, n int,
+	ctx context.Context, now pimclock.Instant, wait WaitLimit, contract pimid.ContractID, n int,
 ) (ok bool, retryAfter time.Duration) {
 	type answer struct {
 		ok         bool
--- a/internal/coordination/pimquota/pool.go
+++ b/internal/coordination/pimquota/pool.go
@@ -71,11 +71,11 @@
 
 // Request is Take for a request that can wait for permits of the owner; result is called once, after Request returned or
 // before.
-func (p *Pool) Request(now pimclock.Instant, wait Patience, contract pimid.ContractID, n int, result Result) {
+func (p *Pool) Request(now pimclock.Instant, wait WaitLimit, contract pimid.ContractID, n int, result Result) {
 	p.mu.Lock()
 	ok, retryAfter := p.member.take(now, contract, float64(n))
 	a := p.member.accounts[contract]
-	waits := !ok && a != nil && a.enqueue(now, waiter{Patience: wait, n: float64(n), result: result})
+	waits := !ok && a != nil && a.enqueue(now, waiter{WaitLimit: wait, n: float64(n), result: result})
 	if waits {
 		p.member.activate(a)
 	}
--- a/internal/coordination/pimquota/pressure.go
+++ b/internal/coordination/pimquota/pressure.go
@@ -17,7 +17,7 @@
 	// shareUse is the fraction of its share that the demand of a VM must not exceed before it stops borrowing.
 	shareUse = 0.75
 	// ownWait is how long a request waits for a permit of the own share before the owner is asked; it is short against
-	// the patience of callers.
+	// the wait limits of callers.
 	ownWait = 25 * time.Millisecond
 	// collectingFor is how long the owner's word that it still solicits shares counts.
 	collectingFor = 100 * time.Millisecond
@@ -45,7 +45,7 @@
 	return a.wanted > 0 || len(a.queue) > 0 && !a.covers(now)
 }
 
-// covers reports whether the own share will serve the waiting requests within ownWait and their patience. Short waits
+// covers reports whether the own share will serve the waiting requests within ownWait and their wait limits. Short waits
 // for chance maxima then cost no messages.
 func (a *account) covers(now pimclock.Instant) bool {
 	if a.lent(now) || a.own.rate <= 0 || a.queued() > a.own.depth {
--- a/internal/coordination/pimquota/sim_test.go
+++ b/internal/coordination/pimquota/sim_test.go
@@ -15,10 +15,10 @@
 	simStep     = 2 * time.Millisecond
 	simContract = pimid.ContractID(1)
 	simMaxVMs   = 16
-	// simPatience is how long a request waits for permits.
-	simPatience = 20 * time.Millisecond
-	// simSilence is how long it waits while the owner does not answer.
-	simSilence = 1500 * time.Millisecond
+	// simWait is how long a request waits for permits.
+	simWait = 20 * time.Millisecond
+	// simSilentWait is how long it waits while the owner does not answer.
+	simSilentWait = 1500 * time.Millisecond
 )
 
 // limiter is what the simulation compares: pooled shares and the baselines.
--- a/internal/coordination/pimquota/void_test.go
+++ b/internal/coordination/pimquota/void_test.go
@@ -61,12 +61,12 @@
 	is.Equal(len(o.pools[simContract].order[0].given), 1)
 }
 
-// Guards against a blocked caller that is not woken when its permit arrives, when its patience ends or when it gives up.
+// Guards against a blocked caller that is not woken when its permit arrives, when its wait limit ends or when it gives up.
 func TestAwait(t *testing.T) {
 	is := is.New(t)
 	p := benchmarkPool(1)
 	now := pimclock.Instant(2 * time.Second)
-	wait := Patience{Deadline: now.Add(time.Second), Silence: now.Add(time.Second)}
+	wait := WaitLimit{Deadline: now.Add(time.Second), SilentDeadline: now.Add(time.Second)}
 	ok, _ := p.Await(t.Context(), now, wait, 0, 1)
 	is.True(ok)
 	gone, cancel := context.WithCancel(t.Context())
--- a/internal/coordination/pimslot/core_test.go
+++ b/internal/coordination/pimslot/core_test.go
@@ -189,8 +189,8 @@
 	is.True(r.used[1] <= 4*testDuration) // a lower priority gets the slots before the first request of a higher one only
 }
 
-// TestHonestWait guards against requests that are queued although they cannot start before their deadline.
-func TestHonestWait(t *testing.T) {
+// TestRefusalCarriesTheEstimatedWait guards against requests that are queued although they cannot start before their deadline.
+func TestRefusalCarriesTheEstimatedWait(t *testing.T) {
 	is := is.New(t)
 	r := newRig(2, 2, terms(1, 2, 2, 0, 1, 1))
 	for range 20 {
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -34,8 +34,8 @@
 	serviceName = "matchroom"
 	// fleetBackends is the number of backend servers, each with 4 slots.
 	fleetBackends = 4
-	// patience bounds waits for a state; no verdict depends on how long a wait takes within it.
-	patience = 60 * time.Second
+	// waitTimeout bounds waits for a state; no verdict depends on how long a wait takes within it.
+	waitTimeout = 60 * time.Second
 )
 
 // binary is the product, built once by TestMain.
@@ -268,12 +268,12 @@
 	f.t.Helper()
 	tick := time.NewTicker(20 * time.Millisecond)
 	defer tick.Stop()
-	limit := time.After(patience)
+	limit := time.After(waitTimeout)
 	for {
 		select {
 		case <-tick.C:
 		case <-limit:
-			f.t.Fatalf("vm %d did not reach the state within %s", id, patience)
+			f.t.Fatalf("vm %d did not reach the state within %s", id, waitTimeout)
 		}
 		if s, err := f.status(id); err == nil && condition(s) {
 			return
--- a/internal/e2e/load_test.go
+++ b/internal/e2e/load_test.go
@@ -47,7 +47,7 @@
 	caller, cleanup, err := pimcaller.Dial(pimcaller.Config{
 		Service: f.service, Timeout: 20 * time.Second, AckTimeout: 200 * time.Millisecond,
 		MaxAckTimeout: 400 * time.Millisecond,
-		Refresh:       200 * time.Millisecond, Silence: patience,
+		Refresh:       200 * time.Millisecond, Silence: waitTimeout,
 	})
 	is.NoErr(err)
 	f.t.Cleanup(cleanup)
@@ -90,12 +90,12 @@
 // awaitAnswers waits for n more answers, so that an event lies between answered requests.
 func (l *load) awaitAnswers(n int) {
 	l.f.t.Helper()
-	limit := time.After(patience)
+	limit := time.After(waitTimeout)
 	for range n {
 		select {
 		case <-l.answered:
 		case <-limit:
-			l.f.t.Fatalf("no %d answers within %s", n, patience)
+			l.f.t.Fatalf("no %d answers within %s", n, waitTimeout)
 		}
 	}
 }
--- a/internal/pimnode/quota.go
+++ b/internal/pimnode/quota.go
@@ -30,8 +30,8 @@
 func (n *Node) admit(ctx context.Context, w pimonce.Work) (err error) {
 	defer func() { err = oops.In("pimnode").Wrapf(err, "admit request of contract %d", w.Contract) }()
 	now := n.clock.Now()
-	wait := pimquota.Patience{
-		Deadline: min(w.Deadline, now.Add(permitWait)), Silence: min(w.Deadline, now.Add(silenceWait)),
+	wait := pimquota.WaitLimit{
+		Deadline: min(w.Deadline, now.Add(permitWait)), SilentDeadline: min(w.Deadline, now.Add(silenceWait)),
 	}
 	if ok, retryAfter := n.quota.Await(ctx, now, wait, w.Contract, 1); !ok {
 		return &RateLimitError{RetryAfter: retryAfter}
