fix: let the test cache of the process tests depend on the program

Cause: the tests build the program themselves, so go test took a cached pass although its packages had changed. Change: the tests import the package that wires a VM together. Conclusion: a pass belongs to the code as it stands.

--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -18,6 +18,8 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	// The program is built by the tests, so the test cache must depend on its packages.
+	_ "github.com/pimentoyard/pimentoyard/internal/pimnode"
 	"github.com/pimentoyard/pimentoyard/internal/standin/standbackend"
 	"github.com/pimentoyard/pimentoyard/internal/standin/standfabric"
 	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
