--- a/cmd/pimbench/balance.go
+++ b/cmd/pimbench/balance.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -39,15 +38,11 @@
 			}
 		}
 	}
-	if err := c.writeJSON("balance.json", reports); err != nil {
-		return err
-	}
 	var text strings.Builder
 	writeBalanceTable(&text, reports)
-	if err := c.writeFile("balance.txt", []byte(text.String())); err != nil {
+	if err := c.writeReport("balance", reports, text.String()); err != nil {
 		return err
 	}
-	_, _ = io.WriteString(os.Stdout, text.String())
 	return plotBalance(c.path("balance.png"), reports)
 }
 
--- a/cmd/pimbench/command.go
+++ b/cmd/pimbench/command.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"io"
 	"os"
 	"path/filepath"
 
@@ -41,3 +42,15 @@
 }
 
 func (c *common) path(file string) string { return filepath.Join(c.Directory, file) }
+
+// writeReport writes NAME.json and NAME.txt and prints the text.
+func (c *common) writeReport(name string, reports any, text string) error {
+	if err := c.writeJSON(name+".json", reports); err != nil {
+		return err
+	}
+	if err := c.writeFile(name+".txt", []byte(text)); err != nil {
+		return err
+	}
+	_, err := io.WriteString(os.Stdout, text)
+	return err
+}
--- a/cmd/pimbench/flood.go
+++ b/cmd/pimbench/flood.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"strings"
 	"text/tabwriter"
 	"time"
@@ -37,15 +36,11 @@
 			reports = append(reports, c.run(seed, policy))
 		}
 	}
-	if err := c.writeJSON("flood.json", reports); err != nil {
-		return err
-	}
 	var text strings.Builder
 	writeFloodTable(&text, reports)
-	if err := c.writeFile("flood.txt", []byte(text.String())); err != nil {
+	if err := c.writeReport("flood", reports, text.String()); err != nil {
 		return err
 	}
-	_, _ = io.WriteString(os.Stdout, text.String())
 	return plotFlood(c.path("flood.png"), reports)
 }
 
--- a/internal/e2e/failure_test.go
+++ b/internal/e2e/failure_test.go
@@ -17,8 +17,7 @@
 func TestPlannedStopIsNotNoticed(t *testing.T) {
 	is := is.New(t)
 	f, l := loadedFleet(t, 1, 2, 3)
-	f.list(1, pimview.NodeLeaving)
-	f.signal(1, syscall.SIGTERM)
+	f.stop(1)
 	is.Equal(f.exited(1), 0)
 	f.start(4)
 	l.awaitAnswers(50)
@@ -33,8 +32,7 @@
 func TestRestartInPlaceIsNotNoticed(t *testing.T) {
 	is := is.New(t)
 	f, l := loadedFleet(t, 1, 2, 3)
-	f.list(1, pimview.NodeLeaving)
-	f.signal(1, syscall.SIGTERM)
+	f.stop(1)
 	is.Equal(f.exited(1), 0)
 	f.start(1)
 	l.awaitAnswers(200)
@@ -98,8 +96,7 @@
 	leaving.State = pimview.BackendLeaving
 	f.put("backends/1", leaving)
 	f.addBackend(fleetBackends + 1)
-	f.list(1, pimview.NodeLeaving)
-	f.signal(1, syscall.SIGTERM)
+	f.stop(1)
 	f.start(4)
 	is.Equal(f.exited(1), 0)
 	l.awaitNoNewWork(f.backends[0])
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -233,6 +233,12 @@
 	is.New(f.t).NoErr(f.vms[id].cmd.Process.Signal(s))
 }
 
+// stop takes a VM off the fabric and asks it to stop as planned.
+func (f *fleet) stop(id pimid.NodeID) {
+	f.list(id, pimview.NodeLeaving)
+	f.signal(id, syscall.SIGTERM)
+}
+
 // exited waits for the end of a VM and returns its exit code.
 func (f *fleet) exited(id pimid.NodeID) int {
 	state, err := f.vms[id].cmd.Process.Wait()
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -92,7 +92,6 @@
 	asked := n.clock.Now()
 	req := &pimpb.AcquireSlotRequest{
 		Service: uint32(w.Service), Contract: uint32(w.Contract), TimeoutNs: int64(w.Deadline.Sub(asked)),
-		Holder: uint32(n.self.Node), HolderIncarnation: uint64(n.self.Incarnation),
 		Traceparent: pimtrace.Traceparent(ctx),
 	}
 	for _, id := range exclude {
--- a/internal/pimnode/search.go
+++ b/internal/pimnode/search.go
@@ -45,8 +45,8 @@
 	return ids
 }
 
-// searchOrder returns the reachable VMs of the data centre. The one that was asked first comes last, since a handover to it may
-// have ended meanwhile.
+// searchOrder returns the reachable VMs of the data centre. The one that was asked first comes last, since a handover to
+// it may have ended meanwhile.
 func (n *Node) searchOrder(first pimid.NodeID) []pimid.NodeID {
 	ids := slices.DeleteFunc(n.reachable(n.cfg.Node.DataCentre), func(id pimid.NodeID) bool {
 		return id == n.self.Node || id == first
