feat: serve opaque flows on the users' platform

The product had no way to steer flows whose content it cannot read, and the platform offers neither callers' sources nor a place for home VMs.

- platform/ translates packets, store entries, configuration and the readiness check, and decides nothing.
- pimregistry decides what a VM believes, pimsteer what happens to a packet, pimplace which backend server takes a flow; pimentry wires one VM.
- pimfollow is the follower of pimplatform made generic, so that there is one; the query of the CoAP edge moves from pimops to pimexplain, so that pimops links no CoAP.

--- /dev/null
+++ b/cmd/pimentry/check.go
@@ -0,0 +1,23 @@
+package main
+
+import (
+	"fmt"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+)
+
+// checkCommand checks a settings file without starting anything.
+type checkCommand struct {
+	Settings string `long:"settings" short:"s" required:"yes" description:"settings file in TOML"`
+
+	out output
+}
+
+// Execute runs the command.
+func (c *checkCommand) Execute([]string) error {
+	if _, err := pimsettings.ReadEntry(c.Settings); err != nil {
+		return err
+	}
+	_, err := fmt.Fprintln(c.out.stdout, "ok")
+	return err
+}
--- /dev/null
+++ b/cmd/pimentry/run.go
@@ -0,0 +1,74 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimentry"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/platform"
+)
+
+// runCommand runs one VM until it receives SIGTERM or SIGINT.
+type runCommand struct {
+	Settings string `long:"settings" short:"s" required:"yes" description:"settings file in TOML"`
+
+	out output
+}
+
+// Execute runs the command.
+func (c *runCommand) Execute([]string) error {
+	// A signal to reload must not end a process that is still starting.
+	signal.Ignore(syscall.SIGHUP)
+	cfg, err := pimsettings.ReadEntry(c.Settings)
+	if err != nil {
+		return err
+	}
+	log, err := newLogger(c.out, cfg)
+	if err != nil {
+		return err
+	}
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	clock := pimclock.Boot{}
+	store, closeStore := platform.NewStore(platform.StoreSettings{
+		Address: cfg.Platform.Address.String(), Timeout: time.Duration(cfg.Platform.Timeout),
+		WatchFor: time.Duration(cfg.Platform.WatchFor), WatchTimeout: time.Duration(cfg.Platform.WatchTimeout),
+	}, clock)
+	defer closeStore()
+	node, cleanup, err := pimentry.New(context.Background(), cfg, pimentry.Platform{
+		Codec: platform.Codec{}, Source: store, Readiness: platform.ReadinessHandler,
+	}, clock, log)
+	if err != nil {
+		return err
+	}
+	defer cleanup()
+	log.Info().Msg("started")
+	<-ctx.Done()
+	return shutdown(node, log)
+}
+
+// shutdown stops the VM gracefully; a second signal cuts it short.
+func shutdown(node *pimentry.Node, log zerolog.Logger) error {
+	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer cancel()
+	log.Info().Msg("stopping")
+	node.Shutdown(ctx)
+	log.Info().Msg("stopped")
+	return nil
+}
+
+func newLogger(out output, cfg pimsettings.Entry) (zerolog.Logger, error) {
+	level, err := zerolog.ParseLevel(cfg.Log.Level)
+	if err != nil {
+		return zerolog.Nop(), err
+	}
+	return zerolog.New(out.stdout).Level(level).With().Timestamp().
+		Str("vm", cfg.Node.Name).Str("data_centre", string(cfg.Node.DataCentre)).Logger(), nil
+}
--- a/internal/coordination/pimconfig/model.go
+++ b/internal/coordination/pimconfig/model.go
@@ -39,3 +39,6 @@
 	BadValues   uint64
 	Divergences uint64
 }
+
+// End is the revision up to which the batch tells all changes.
+func (b Batch) End() pimid.Revision { return b.To }
--- /dev/null
+++ b/internal/coordination/pimregistry/contact.go
@@ -0,0 +1,65 @@
+package pimregistry
+
+import (
+	"math"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+const (
+	// never is before any instant and always after any.
+	never  pimclock.Instant = math.MinInt64 / 2
+	always pimclock.Instant = math.MaxInt64 / 2
+)
+
+// contact remembers the last outage of the platform as this VM saw it. A VM that has just started knows of none, so it
+// counts the time before its start as one.
+type contact struct {
+	reached bool
+	// returned is when the platform could be read again.
+	returned pimclock.Instant
+}
+
+// returnsBy is the instant by which entries that lapsed in the last outage must have returned.
+func (c *contact) returnsBy(within time.Duration) pimclock.Instant {
+	if !c.reached {
+		return always
+	}
+	return c.returned.Add(within)
+}
+
+// Lost records that a read of the platform failed.
+func (r *Registry) Lost() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.contact.reached = false
+}
+
+// Reached records that a read of the platform succeeded. Call it before the result is applied.
+func (r *Registry) Reached() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	r.lastOK.Store(int64(now))
+	if !r.contact.reached {
+		r.contact = contact{reached: true, returned: now}
+	}
+}
+
+// Settled reports whether the view is current and entries that lapsed in the last outage have had time to return, so
+// that a backend server without an entry has ended.
+func (r *Registry) Settled(now pimclock.Instant) bool {
+	r.mu.Lock()
+	by := r.contact.returnsBy(r.cfg.ReturnWithin)
+	r.mu.Unlock()
+	return r.Fresh(now) && !now.Before(by)
+}
+
+// Fresh reports whether the view is current at the given instant.
+func (r *Registry) Fresh(now pimclock.Instant) bool { return r.Age(now) <= r.cfg.FreshFor }
+
+// Age is the time since the platform was last read.
+func (r *Registry) Age(now pimclock.Instant) time.Duration {
+	return now.Sub(pimclock.Instant(r.lastOK.Load()))
+}
--- /dev/null
+++ b/internal/pimentry/edge.go
@@ -0,0 +1,114 @@
+package pimentry
+
+import (
+	"errors"
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+)
+
+// hostPrefixBytes is the room in front of a packet for the number of its backend server.
+const hostPrefixBytes = 8
+
+// receiveBuffer holds the packets that arrive until the VM has read the configuration after its start, in bytes.
+const receiveBuffer = 1 << 20
+
+// maxPacket is larger than any packet of the platform, in bytes.
+const maxPacket = 2048
+
+// edge forwards the packets of callers; its loop is the only user of the decisions.
+type edge struct {
+	node     *Node
+	conn     *net.UDPConn
+	placer   pimsteer.Placer
+	counters edgeCounters
+	once     sync.Once
+	wg       sync.WaitGroup
+	buf      [hostPrefixBytes + maxPacket]byte
+	reset    []byte
+}
+
+func newEdge(n *Node, conn *net.UDPConn, placer pimsteer.Placer) *edge {
+	e := &edge{node: n, conn: conn, placer: placer, counters: newEdgeCounters(n.set)}
+	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
+		n.log.Warn().Err(err).Msg("receive buffer not set")
+	}
+	return e
+}
+
+// start begins to read packets; the first complete view calls it.
+func (e *edge) start() {
+	e.once.Do(func() { e.wg.Go(e.loop) })
+}
+
+func (e *edge) close() {
+	// The loop that has not started yet must not start afterwards.
+	e.once.Do(func() {})
+	if err := e.conn.Close(); err != nil {
+		e.node.log.Debug().Err(err).Msg("close packet socket")
+	}
+	e.wg.Wait()
+}
+
+func (e *edge) loop() {
+	for {
+		n, _, err := e.conn.ReadFromUDPAddrPort(e.buf[hostPrefixBytes:])
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			e.counters.readErrors.Inc()
+			continue
+		}
+		e.handle(e.buf[:hostPrefixBytes+n])
+	}
+}
+
+// handle decides about one packet, which follows the room for the prefix.
+func (e *edge) handle(framed []byte) {
+	datagram := framed[hostPrefixBytes:]
+	codec := e.node.platform.Codec
+	p, err := codec.Decode(datagram)
+	if err != nil {
+		e.counters.malformed.Inc()
+		return
+	}
+	now := e.node.clock.Now()
+	view := pimsteer.View{
+		Catalog: e.node.registry.Catalog(), Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
+	}
+	verdict := pimsteer.Steer(now, view, e.placer, &p)
+	e.counters.verdicts[verdict.Reason].Inc()
+	switch verdict.Action {
+	case pimsteer.Forward:
+		if p.IsOpen() {
+			codec.SetTag(datagram, verdict.Host.Tag())
+		}
+		e.forward(framed, verdict.Host)
+	case pimsteer.Reset:
+		e.sendReset(&p)
+	case pimsteer.Drop:
+	}
+}
+
+func (e *edge) forward(framed []byte, h *pimcatalog.Host) {
+	e.node.platform.Codec.AppendHost(framed[:0], h.ID)
+	e.send(framed, h.Address)
+}
+
+func (e *edge) sendReset(p *pimpacket.Packet) {
+	e.reset = e.node.platform.Codec.AppendReset(e.reset[:0], p)
+	port := e.node.cfg.Edge.PacketAddress.Port()
+	e.send(e.reset, netip.AddrPortFrom(p.Flow.Caller.Addr(), port))
+}
+
+func (e *edge) send(datagram []byte, to netip.AddrPort) {
+	if _, err := e.conn.WriteToUDPAddrPort(datagram, to); err != nil {
+		e.counters.sendErrors.Inc()
+		e.node.log.Debug().Err(err).Stringer("to", to).Msg("packet not sent")
+	}
+}
--- /dev/null
+++ b/internal/pimentry/metrics.go
@@ -0,0 +1,41 @@
+package pimentry
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+)
+
+// edgeCounters count packets.
+type edgeCounters struct {
+	malformed, readErrors, sendErrors *metrics.Counter
+	// verdicts is indexed by the reason of the decision.
+	verdicts []*metrics.Counter
+}
+
+func newEdgeCounters(set *metrics.Set) edgeCounters {
+	c := edgeCounters{
+		malformed:  set.NewCounter("pimentoyard_packets_malformed_total"),
+		readErrors: set.NewCounter("pimentoyard_packet_read_errors_total"),
+		sendErrors: set.NewCounter("pimentoyard_packet_send_errors_total"),
+	}
+	for _, r := range pimsteer.Reasons() {
+		c.verdicts = append(c.verdicts, set.NewCounter(fmt.Sprintf("pimentoyard_packets_total{reason=%q}", r)))
+	}
+	return c
+}
+
+func (n *Node) registerMetrics() {
+	gauge := func(name string, value func() float64) { n.set.NewGauge(name, value) }
+	gauge("pimentoyard_view_revision", func() float64 { return float64(n.registry.Catalog().Revision) })
+	gauge("pimentoyard_view_age_seconds", func() float64 { return n.registry.Age(n.clock.Now()).Seconds() })
+	gauge("pimentoyard_view_hosts", func() float64 { return float64(len(n.registry.Catalog().Hosts())) })
+}
+
+func (n *Node) writeMetrics(w io.Writer) {
+	n.set.WritePrometheus(w)
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/pimentry/node.go
@@ -0,0 +1,174 @@
+package pimentry
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/rs/zerolog"
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimops"
+)
+
+// Platform is what a VM needs to know of the platform it runs on.
+type Platform struct {
+	Codec  pimpacket.Codec
+	Source pimfollow.Source[pimregistry.Batch, pimregistry.Snapshot]
+	// Readiness answers the check of the fabric.
+	Readiness func(ready func() bool) http.Handler
+}
+
+// The waits after a failed read of the platform: the longest one keeps a VM current within the 3 s in which a change
+// has to be in force.
+const (
+	readBackoffMin = 100 * time.Millisecond
+	readBackoffMax = 800 * time.Millisecond
+)
+
+// headerTimeout bounds the wait for the header of a readiness check.
+const headerTimeout = 2 * time.Second
+
+// Node is one running VM.
+type Node struct {
+	cfg      pimsettings.Entry
+	platform Platform
+	log      zerolog.Logger
+	clock    pimclock.Clock
+	started  pimclock.Instant
+	set      *metrics.Set
+	registry *pimregistry.Registry
+	edge     *edge
+	stopping atomic.Bool
+	wg       sync.WaitGroup
+	cleanups []func()
+}
+
+// New starts a VM; cleanup ends it at once.
+func New(
+	ctx context.Context, cfg pimsettings.Entry, p Platform, clock pimclock.Clock, log zerolog.Logger,
+) (n *Node, cleanup func(), err error) {
+	defer func() { err = oops.In("pimentry").Wrapf(err, "start vm") }()
+	n = &Node{cfg: cfg, platform: p, log: log, clock: clock, started: clock.Now(), set: metrics.NewSet()}
+	n.registry = pimregistry.New(pimregistry.DefaultSettings(), clock, n.logDecision)
+	if err = n.start(ctx); err != nil {
+		n.close()
+		return nil, nil, err
+	}
+	return n, n.close, nil
+}
+
+func (n *Node) start(ctx context.Context) error {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	// The socket is open before the first read of the platform, so that packets wait instead of being lost.
+	if err := n.listen(rng); err != nil {
+		return err
+	}
+	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
+		Source: n.platform.Source, Sink: n.registry, Changed: n.edge.start, Observe: n.observe,
+		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, rng), Log: n.log,
+	})
+	n.defers(stop)
+	if err := n.serveReadiness(ctx); err != nil {
+		return err
+	}
+	return n.serveOperators(ctx)
+}
+
+func (n *Node) listen(rng *rand.Rand) error {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.cfg.Edge.PacketAddress))
+	if err != nil {
+		return err
+	}
+	placer := pimplace.New(n.cfg.Node.DataCentre, &pimpick.RoundRobin{}, rng)
+	n.edge = newEdge(n, conn, placer)
+	n.defers(n.edge.close)
+	return nil
+}
+
+func (n *Node) serveReadiness(ctx context.Context) error {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.cfg.Edge.ReadinessAddress.String())
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: n.platform.Readiness(n.isReady), ReadHeaderTimeout: headerTimeout}
+	n.wg.Go(func() { n.runReadiness(server, listener) })
+	n.defers(func() {
+		if err := server.Close(); err != nil {
+			n.log.Debug().Err(err).Msg("close readiness server")
+		}
+		n.wg.Wait()
+	})
+	return nil
+}
+
+func (n *Node) runReadiness(server *http.Server, listener net.Listener) {
+	if err := server.Serve(listener); !errors.Is(err, http.ErrServerClosed) {
+		n.log.Error().Err(err).Msg("readiness server stopped")
+	}
+}
+
+func (n *Node) serveOperators(ctx context.Context) error {
+	n.registerMetrics()
+	_, stop, err := pimops.New(ctx, pimops.Config{
+		Address: n.cfg.Operator.Address.String(), WriteMetrics: n.writeMetrics,
+		Status: func(context.Context) (any, error) { return n.Status(), nil }, Log: n.log,
+	})
+	if err != nil {
+		return err
+	}
+	n.defers(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), headerTimeout)
+		defer cancel()
+		if err := stop(ctx); err != nil {
+			n.log.Debug().Err(err).Msg("close operator server")
+		}
+	})
+	return nil
+}
+
+// isReady reports whether the fabric may send new flows here.
+func (n *Node) isReady() bool { return !n.stopping.Load() && n.registry.Catalog().Ready() }
+
+// Shutdown tells the fabric that the VM leaves and goes on to forward packets until the fabric has noticed or the
+// context ends.
+func (n *Node) Shutdown(ctx context.Context) {
+	n.stopping.Store(true)
+	timer := time.NewTimer(time.Duration(n.cfg.Drain.Linger))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// observe tells the registry whether the platform can be read and logs the changes.
+func (n *Node) observe(err error) {
+	if err != nil {
+		n.registry.Lost()
+		return
+	}
+	n.registry.Reached()
+}
+
+func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
+
+func (n *Node) close() {
+	for i := len(n.cleanups) - 1; i >= 0; i-- {
+		n.cleanups[i]()
+	}
+	n.cleanups = nil
+}
--- a/internal/pimnode/ops.go
+++ b/internal/pimnode/ops.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
+	"net/url"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimexplain"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimops"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 )
@@ -48,7 +51,7 @@
 
 func (n *Node) registerMetrics() {
 	n.ledger.Register(n.set)
-	pimops.RegisterRules(n.set, n.router.Count)
+	pimexplain.RegisterRules(n.set, n.router.Count)
 	n.gauge("pimentoyard_config_revision", func() float64 { return float64(n.store.Revision()) })
 	n.gauge("pimentoyard_config_bad_values", func() float64 { return float64(len(n.store.BadValues())) })
 	n.gauge("pimentoyard_config_stale_total", func() float64 { return float64(n.store.Counters().Stale) })
@@ -91,7 +94,11 @@
 }
 
 // explain answers what this VM would do with a packet now, and why.
-func (n *Node) explain(_ context.Context, q pimops.Query) (any, error) {
+func (n *Node) explain(_ context.Context, parameters url.Values) (any, error) {
+	q, err := pimexplain.Parse(parameters)
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", pimops.ErrQuery, err)
+	}
 	return n.router.Explain(n.clock.Now(), n.unixNow(), q.Packet()), nil
 }
 
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -7,11 +7,13 @@
 	"net/netip"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimplatform"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimudp"
@@ -86,8 +88,10 @@
 			return err
 		}
 		n.defers(cleanup)
-		backoff := pimplatform.NewBackoff(100*time.Millisecond, 5*time.Second, n.rng)
-		_, stop := pimplatform.NewFollower(ctx, client, n.store, n.isReader, n.notifyChange, backoff, n.log)
+		backoff := pimfollow.NewBackoff(100*time.Millisecond, 5*time.Second, n.rng)
+		_, stop := pimfollow.New(ctx, pimfollow.Config[pimconfig.Batch, pimconfig.Snapshot]{
+			Source: client, Sink: n.store, Enabled: n.isReader, Changed: n.notifyChange, Backoff: backoff, Log: n.log,
+		})
 		n.defers(stop)
 	}
 	return nil
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -37,6 +37,20 @@
 	v.keys(s.Keys)
 }
 
+func (v *validator) entry(s *Entry) {
+	v.check(s.Node.Name != "", "node.name", "is required")
+	v.check(s.Node.DataCentre != "", "node.data_centre", "is required")
+	v.address(s.Edge.PacketAddress, "edge.packet_address")
+	v.address(s.Edge.ReadinessAddress, "edge.readiness_address")
+	v.address(s.Platform.Address, "platform.address")
+	v.positive(s.Platform.Timeout, "platform.timeout")
+	v.positive(s.Platform.WatchFor, "platform.watch_for")
+	v.check(s.Platform.WatchTimeout > s.Platform.WatchFor, "platform.watch_timeout", "must be above watch_for")
+	v.address(s.Operator.Address, "operator.address")
+	v.oneOf(s.Log.Level, "log.level", "trace", "debug", "info", "warn", "error")
+	v.positive(s.Drain.Linger, "drain.linger")
+}
+
 func (v *validator) node(n Node) {
 	v.check(n.ID != 0, "node.id", "is required and must be above 0")
 	v.check(n.DataCentre != "", "node.data_centre", "is required")
--- /dev/null
+++ b/internal/state/pimcatalog/catalog.go
@@ -0,0 +1,96 @@
+package pimcatalog
+
+import (
+	"net/netip"
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// RouteTable finds the route of an address; it is built once for each configuration.
+type RouteTable struct {
+	Version Version
+	byAddr  map[netip.AddrPort]*Route
+	// services are the published names.
+	services map[Service]bool
+}
+
+// NewRouteTable indexes a configuration.
+func NewRouteTable(cfg *Config) *RouteTable {
+	t := &RouteTable{
+		Version: cfg.Version,
+		byAddr:  make(map[netip.AddrPort]*Route, len(cfg.Routes)), services: make(map[Service]bool, len(cfg.Services)),
+	}
+	for i := range cfg.Routes {
+		t.byAddr[cfg.Routes[i].Address] = &cfg.Routes[i]
+	}
+	for _, s := range cfg.Services {
+		t.services[s] = true
+	}
+	return t
+}
+
+// Route returns the route of an address, or nil.
+func (t *RouteTable) Route(address netip.AddrPort) *Route { return t.byAddr[address] }
+
+// Len returns the number of routes.
+func (t *RouteTable) Len() int { return len(t.byAddr) }
+
+// Catalog is the state at one revision; it is never changed after it was built.
+type Catalog struct {
+	Revision pimid.Revision
+	// Routes is nil until a configuration was read.
+	Routes    *RouteTable
+	hosts     []*Host
+	byTag     map[Tag]*Host
+	byService map[Service][]*Host
+}
+
+// NewCatalog indexes the backend servers. If two have the same tag, the older entry keeps it and the other one gets no
+// new flows, so that a tag never changes its meaning while flows use it.
+func NewCatalog(revision pimid.Revision, routes *RouteTable, hosts []*Host) *Catalog {
+	hosts = slices.Clone(hosts)
+	slices.SortFunc(hosts, older)
+	c := &Catalog{
+		Revision: revision, Routes: routes, hosts: hosts,
+		byTag: make(map[Tag]*Host, len(hosts)), byService: map[Service][]*Host{},
+	}
+	for _, h := range hosts {
+		if c.byTag[h.Tag()] != nil {
+			continue
+		}
+		c.byTag[h.Tag()] = h
+		if routes == nil || routes.services[h.Service] {
+			c.byService[h.Service] = append(c.byService[h.Service], h)
+		}
+	}
+	return c
+}
+
+// older orders by first appearance, then by id.
+func older(a, b *Host) int {
+	switch {
+	case a.Created != b.Created && a.Created < b.Created:
+		return -1
+	case a.Created != b.Created:
+		return 1
+	case a.ID < b.ID:
+		return -1
+	case a.ID > b.ID:
+		return 1
+	default:
+		return 0
+	}
+}
+
+// Host returns the backend server of a tag, or nil.
+func (c *Catalog) Host(t Tag) *Host { return c.byTag[t] }
+
+// Hosts returns all backend servers, which the caller must not change.
+func (c *Catalog) Hosts() []*Host { return c.hosts }
+
+// Service returns the backend servers of a service, which the caller must not change.
+func (c *Catalog) Service(s Service) []*Host { return c.byService[s] }
+
+// Ready reports whether a configuration was read.
+func (c *Catalog) Ready() bool { return c != nil && c.Routes != nil }
--- /dev/null
+++ b/internal/state/pimcatalog/config.go
@@ -0,0 +1,51 @@
+package pimcatalog
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Kind says whether a request may run more than once.
+type Kind uint8
+
+// The kinds of requests that a route carries.
+const (
+	KindIdempotent Kind = iota
+	KindNonIdempotent
+	// KindDownload is idempotent with a large answer.
+	KindDownload
+)
+
+// Priority orders requests; zero is the most urgent.
+type Priority int
+
+// Share is the part of the new flows of a route that goes to a service.
+type Share struct {
+	Service Service
+	Weight  int
+}
+
+// Route says where the flows of one published address go.
+type Route struct {
+	Name    string
+	Address netip.AddrPort
+	// Shares has at least one entry.
+	Shares   []Share
+	Kind     Kind
+	Priority Priority
+	// Timeout bounds one request and Target is the latency that callers expect.
+	Timeout, Target time.Duration
+}
+
+// Version orders configurations.
+type Version uint64
+
+// Config is one version of the published configuration.
+type Config struct {
+	Version Version
+	Routes  []Route
+	// Services are the names of all published services.
+	Services []Service
+	// IdleTimeout is how long a flow may be silent.
+	IdleTimeout time.Duration
+}
--- /dev/null
+++ b/internal/state/pimcatalog/host.go
@@ -0,0 +1,69 @@
+package pimcatalog
+
+import (
+	"encoding/binary"
+	"net/netip"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// HostID is the number by which a backend server recognises the datagrams that are meant for it.
+type HostID uint64
+
+// Tag is the value that both ends of a flow repeat in each packet; it names the backend server of the flow.
+type Tag uint32
+
+// NoTag marks a packet whose sender has not heard from a backend server yet.
+const NoTag Tag = 0
+
+// Tag returns the tag of the backend server; it is never NoTag.
+func (id HostID) Tag() Tag {
+	var b [8]byte
+	binary.BigEndian.PutUint64(b[:], uint64(id))
+	if t := Tag(xxhash.Sum64(b[:])); t != NoTag {
+		return t
+	}
+	return NoTag + 1
+}
+
+// Service is the name of a published service.
+type Service string
+
+// Host is one published backend server. A published host never changes; a new state is a new value.
+type Host struct {
+	ID   HostID
+	Name string
+	// Service is the service whose requests the backend server runs.
+	Service    Service
+	Address    netip.AddrPort
+	DataCentre pimid.DataCentre
+	// Slots is the number of requests that the backend server runs at once.
+	Slots int
+	// Leaving excludes the backend server from new flows; its open flows go on.
+	Leaving bool
+	// ColdUntil is when the slow phase after a start ends.
+	ColdUntil pimclock.Instant
+	// StartedAt identifies the run of the backend server in unix milliseconds; zero means that it is not published.
+	StartedAt int64
+	// Revision is the last change of the entry and Created that of its first appearance.
+	Revision, Created pimid.Revision
+	// Unlisted is set when the entry has disappeared, and GoneAt is when the backend server counts as ended.
+	Unlisted bool
+	GoneAt   pimclock.Instant
+}
+
+// Tag returns the tag of the backend server.
+func (h *Host) Tag() Tag { return h.ID.Tag() }
+
+// Gone reports whether the backend server counts as ended.
+func (h *Host) Gone(now pimclock.Instant) bool { return h.Unlisted && !now.Before(h.GoneAt) }
+
+// Open reports whether the backend server may receive new flows.
+func (h *Host) Open(now pimclock.Instant) bool { return !h.Leaving && !h.Gone(now) }
+
+// Cold returns the rest of the slow phase after a start.
+func (h *Host) Cold(now pimclock.Instant) time.Duration { return max(0, h.ColdUntil.Sub(now)) }
--- a/internal/transport/pimops/query.go
+++ b/internal/transport/pimexplain/query.go
@@ -1,4 +1,4 @@
-package pimops
+package pimexplain
 
 import (
 	"encoding/base64"
@@ -43,7 +43,8 @@
 	"": pimedge.KindFlow, "flow": pimedge.KindFlow, "post": pimedge.KindPost, "get": pimedge.KindGet,
 }
 
-func parseQuery(values url.Values) (q Query, err error) {
+// Parse reads a query; the error is ErrUnknownParameter or ErrBadParameter.
+func Parse(values url.Values) (q Query, err error) {
 	parsers := map[string]func(string) error{
 		"service": q.parseService, "source": q.parseSource, "kind": q.parseKind, "token": q.parseToken, "tag": q.parseTag,
 	}
--- a/internal/transport/pimops/rules.go
+++ b/internal/transport/pimexplain/rules.go
@@ -1,4 +1,4 @@
-package pimops
+package pimexplain
 
 import (
 	"fmt"
--- a/internal/transport/pimplatform/backoff.go
+++ b/internal/transport/pimfollow/backoff.go
@@ -1,4 +1,4 @@
-package pimplatform
+package pimfollow
 
 import (
 	"math/rand/v2"
--- a/internal/transport/pimops/handler.go
+++ b/internal/transport/pimops/handler.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net/http"
 )
 
@@ -28,21 +29,20 @@
 }
 
 func (s *Server) serveExplain(w http.ResponseWriter, r *http.Request) {
-	q, err := parseQuery(r.URL.Query())
-	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
-	s.serveJSON(w, r, func(ctx context.Context) (any, error) { return s.cfg.Explain(ctx, q) })
+	s.serveJSON(w, r, func(ctx context.Context) (any, error) { return s.cfg.Explain(ctx, r.URL.Query()) })
 }
 
-// serveJSON writes the value of get, or its error with status 500.
+// serveJSON writes the value of get, or its error: status 400 for ErrQuery, otherwise 500.
 func (s *Server) serveJSON(w http.ResponseWriter, r *http.Request, get func(context.Context) (any, error)) {
 	value, err := get(r.Context())
 	var text []byte
 	if err == nil {
 		text, err = json.MarshalIndent(value, "", "  ")
 	}
+	if errors.Is(err, ErrQuery) {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
 	if err != nil {
 		s.cfg.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("operator request failed")
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/transport/pimops/server.go
+++ b/internal/transport/pimops/server.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -26,6 +27,9 @@
 	idleTimeout   = 30 * time.Second
 )
 
+// ErrQuery means that the parameters of a question are wrong.
+var ErrQuery = errors.New("wrong parameters")
+
 // Config holds what the server shows.
 type Config struct {
 	// Address is host and port; without a host, the server listens on the loopback interface. Empty means
@@ -36,7 +40,8 @@
 	// Status returns the value of /status, which is written as JSON; nil means that there is none.
 	Status func(ctx context.Context) (any, error)
 	// Explain returns the value of /explain, which is written as JSON; nil means that there is none.
-	Explain func(ctx context.Context, q Query) (any, error)
+	// Its error is ErrQuery if the parameters are wrong.
+	Explain func(ctx context.Context, parameters url.Values) (any, error)
 	Log     zerolog.Logger
 }
 
--- a/internal/transport/pimops/server_test.go
+++ b/internal/transport/pimops/server_test.go
@@ -4,10 +4,12 @@
 	"context"
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"os"
 	"strings"
 	"testing"
@@ -16,6 +18,7 @@
 	"github.com/matryer/is"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimexplain"
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 	"github.com/rs/zerolog"
@@ -70,11 +73,15 @@
 func TestEndpoints(t *testing.T) {
 	is := is.New(t)
 	router, set := testRouter(t), metrics.NewSet()
-	RegisterRules(set, router.Count)
+	pimexplain.RegisterRules(set, router.Count)
 	s, cleanup, err := New(t.Context(), Config{
 		Address: ":0", Log: zerolog.Nop(), WriteMetrics: set.WritePrometheus,
 		Status: func(context.Context) (any, error) { return map[string]int{"revision": 9}, nil },
-		Explain: func(_ context.Context, q Query) (any, error) {
+		Explain: func(_ context.Context, parameters url.Values) (any, error) {
+			q, err := pimexplain.Parse(parameters)
+			if err != nil {
+				return nil, fmt.Errorf("%w: %w", ErrQuery, err)
+			}
 			return router.Explain(0, 1_700_000_000, q.Packet()), nil
 		},
 	})
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -131,7 +132,7 @@
 	case http.StatusOK:
 		return nil
 	case http.StatusGone:
-		return ErrCompacted
+		return pimfollow.ErrCompacted
 	default:
 		return &StatusError{Status: status}
 	}
--- a/internal/transport/pimplatform/client_test.go
+++ b/internal/transport/pimplatform/client_test.go
@@ -16,6 +16,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
 	"github.com/pimentoyard/pimentoyard/internal/standin/standplatform"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -78,7 +79,7 @@
 		"unknown field": {text(`{"revision":1,"colour":2}`), ErrMalformed},
 		"trailing":      {text(`{"revision":1} 5`), ErrMalformed},
 		"large":         {text(`{"revision":1,"keys":[` + strings.Repeat(" ", 2000) + `]}`), ErrTooLarge},
-		"gone":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGone) }, ErrCompacted},
+		"gone":          {func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusGone) }, pimfollow.ErrCompacted},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
@@ -128,8 +129,10 @@
 	state.Put("services/1", []byte(`{"id":1}`))
 	s := &sink{Store: pimconfig.NewStore(pimconfig.Settings{}), results: make(chan error)}
 	follow := func(c *Client) func() {
-		backoff := NewBackoff(time.Millisecond, 2*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
-		_, cleanup := NewFollower(t.Context(), c, s, func() bool { return true }, func() {}, backoff, zerolog.Nop())
+		backoff := pimfollow.NewBackoff(time.Millisecond, 2*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+		_, cleanup := pimfollow.New(t.Context(), pimfollow.Config[pimconfig.Batch, pimconfig.Snapshot]{
+			Source: c, Sink: s, Backoff: backoff, Log: zerolog.Nop(),
+		})
 		return cleanup
 	}
 	cleanup := follow(c)
@@ -164,7 +167,7 @@
 // Guards against waits outside the bounds, without growth or without jitter.
 func TestBackoffGrowsWithJitterWithinBounds(t *testing.T) {
 	is := is.New(t)
-	b := NewBackoff(100*time.Millisecond, 10*time.Second, rand.New(rand.NewPCG(1, 1)))
+	b := pimfollow.NewBackoff(100*time.Millisecond, 10*time.Second, rand.New(rand.NewPCG(1, 1)))
 	var waits []time.Duration
 	for range 200 {
 		waits = append(waits, b.Next())
--- a/internal/transport/pimplatform/errors.go
+++ b/internal/transport/pimplatform/errors.go
@@ -9,8 +9,6 @@
 var (
 	// ErrTooLarge means that a response exceeds the size limit.
 	ErrTooLarge = errors.New("response exceeds the size limit")
-	// ErrCompacted means that the platform no longer has the events after the requested revision.
-	ErrCompacted = errors.New("events after the revision are no longer available")
 	// ErrMalformed means that a response is not the expected JSON.
 	ErrMalformed = errors.New("response is not valid")
 	// ErrUnreachable means that no response arrived.
