--- /dev/null
+++ b/internal/coordination/pimflow/host.go
@@ -0,0 +1,85 @@
+package pimflow
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// host is what was observed of one backend server.
+type host struct {
+	// busy counts running requests and open the flows.
+	busy, open int
+	alive      pimclock.Instant
+	// misses counts packets without an answer since the last sign of life.
+	misses       int
+	suspectUntil pimclock.Instant
+	// work is the smoothed time of a request without the wait for others.
+	work time.Duration
+}
+
+// Load is what a VM has observed of a backend server.
+type Load struct {
+	// Busy counts running requests and Open the flows.
+	Busy, Open int
+	// Work is the smoothed time of a request; zero means that none was seen.
+	Work time.Duration
+	// Suspect is set while the backend server does not answer.
+	Suspect bool
+}
+
+func (t *Table) host(id pimcatalog.HostID) *host {
+	h := t.hosts[id]
+	if h == nil {
+		h = &host{}
+		t.hosts[id] = h
+	}
+	return h
+}
+
+// Load returns what was observed of a backend server.
+func (t *Table) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
+	h := t.hosts[id]
+	if h == nil {
+		return Load{}
+	}
+	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil)}
+}
+
+// Keep forgets the backend servers that are not in the catalog any more.
+func (t *Table) Keep(c *pimcatalog.Catalog) {
+	for id, h := range t.hosts {
+		if h.open == 0 && h.busy == 0 && c.Host(id.Tag()) == nil {
+			delete(t.hosts, id)
+		}
+	}
+}
+
+// answered records a sign of life.
+func (h *host) answered(now pimclock.Instant) { h.alive, h.misses, h.suspectUntil = now, 0, 0 }
+
+// missed records that a packet of the given time has had no answer. A sign of life after that time outweighs it: then
+// only this packet was lost.
+func (h *host) missed(now, sent pimclock.Instant, cfg *Settings) {
+	if sent.Before(h.alive) {
+		return
+	}
+	const maxDoublings = 8
+	h.suspectUntil = now.Add(min(cfg.SuspectMin<<min(h.misses, maxDoublings), cfg.SuspectMax))
+	h.misses++
+}
+
+// smoothing is the weight of an older value against a new one: about the last eight requests count.
+const smoothing = 8
+
+// took records the time of a request that found others running; with the usual two slots, each two of them double it.
+func (h *host) took(d time.Duration, ahead int) {
+	const slots = 2
+	own := d * slots / time.Duration(slots+max(0, ahead-slots+1))
+	if h.work == 0 {
+		h.work = own
+		return
+	}
+	h.work += (own - h.work) / smoothing
+}
--- /dev/null
+++ b/internal/coordination/pimflow/table.go
@@ -0,0 +1,216 @@
+package pimflow
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// Settings hold the times of the observation.
+type Settings struct {
+	// AnswerWithin is how long a caller needs to go on after an opening packet if the backend server has answered: two
+	// round trips between data centres and to the caller.
+	AnswerWithin time.Duration
+	// AnsweredFor is how long a request counts as running without a sign of its end; the end of an answer that fits
+	// one packet is not seen.
+	AnsweredFor time.Duration
+	// IdleFor is how long a silent flow is remembered.
+	IdleFor time.Duration
+	// SuspectMin and SuspectMax bound the time for which a backend server that does not answer is avoided.
+	SuspectMin, SuspectMax time.Duration
+	// MaxFlows bounds the table; flows beyond it are steered by their tags all the same.
+	MaxFlows int
+}
+
+// DefaultSettings returns the times for data centres that are at most 10 ms apart.
+func DefaultSettings() Settings {
+	return Settings{
+		AnswerWithin: 60 * time.Millisecond,
+		AnsweredFor:  500 * time.Millisecond,
+		IdleFor:      20 * time.Second,
+		SuspectMin:   500 * time.Millisecond,
+		SuspectMax:   4 * time.Second,
+		MaxFlows:     100_000,
+	}
+}
+
+// record is what is remembered of one flow.
+type record struct {
+	host pimcatalog.HostID
+	// earlier is the backend server that did not answer an earlier copy of the opening packet.
+	earlier pimcatalog.HostID
+	opening bool
+	placed  pimclock.Instant
+	seen    pimclock.Instant
+	// sent is the end of the data of the caller, acked that of the data it has received.
+	sent, acked pimpacket.Sequence
+	// running is set from the request to the first sign of its answer.
+	running      bool
+	runningSince pimclock.Instant
+	// ahead is the number of running requests that the backend server had before this one.
+	ahead int
+}
+
+// Table learns from the packets of callers; it is owned by one goroutine.
+type Table struct {
+	cfg   Settings
+	flows map[pimpacket.Flow]*record
+	hosts map[pimcatalog.HostID]*host
+	// unanswered holds opening flows and unfinished the running requests, both in the order of their times.
+	unanswered, unfinished queue
+	swept                  pimclock.Instant
+}
+
+// New returns an empty table.
+func New(cfg Settings) *Table {
+	return &Table{cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{}}
+}
+
+// Len returns the number of flows that are remembered.
+func (t *Table) Len() int { return len(t.flows) }
+
+// Tried returns the backend servers that have not answered earlier copies of an opening packet; zero means none.
+func (t *Table) Tried(f pimpacket.Flow) (last, before pimcatalog.HostID) {
+	if r := t.flows[f]; r != nil && r.opening {
+		return r.host, r.earlier
+	}
+	return 0, 0
+}
+
+// Placed records that an opening packet was sent to a backend server.
+func (t *Table) Placed(now pimclock.Instant, p *pimpacket.Packet, id pimcatalog.HostID) {
+	r := t.flows[p.Flow]
+	if r == nil {
+		if len(t.flows) >= t.cfg.MaxFlows {
+			return
+		}
+		r = &record{}
+		t.flows[p.Flow] = r
+	} else {
+		t.leave(r)
+		r.earlier = r.host
+	}
+	*r = record{
+		host: id, earlier: r.earlier, opening: true, placed: now, seen: now, sent: p.Seq + 1,
+	}
+	t.host(id).open++
+	t.unanswered.push(p.Flow, now)
+}
+
+// Passed records a packet of an open flow that was sent to a backend server.
+func (t *Table) Passed(now pimclock.Instant, p *pimpacket.Packet, id pimcatalog.HostID) {
+	r := t.flows[p.Flow]
+	if r == nil || r.host != id {
+		if r = t.adopt(now, p, id); r == nil {
+			return
+		}
+	}
+	h := t.host(id)
+	r.seen = now
+	if r.opening {
+		r.opening, r.acked = false, p.Acked
+		h.answered(now)
+	}
+	if p.Acked.After(r.acked) > 0 {
+		r.acked = p.Acked
+		h.answered(now)
+		t.finish(now, r, h)
+	}
+	if p.Data > 0 {
+		t.data(now, p, r, h)
+	}
+	if p.Flags.Has(pimpacket.Close) || p.Flags.Has(pimpacket.Reset) {
+		t.leave(r)
+		delete(t.flows, p.Flow)
+	}
+}
+
+// adopt remembers a flow that another VM has opened, or whose record named another backend server.
+func (t *Table) adopt(now pimclock.Instant, p *pimpacket.Packet, id pimcatalog.HostID) *record {
+	if old := t.flows[p.Flow]; old != nil {
+		t.leave(old)
+		delete(t.flows, p.Flow)
+	}
+	if len(t.flows) >= t.cfg.MaxFlows || p.Flags.Has(pimpacket.Reset) || p.Flags.Has(pimpacket.Close) {
+		return nil
+	}
+	r := &record{host: id, placed: now, seen: now, acked: p.Acked, sent: p.Seq}
+	t.flows[p.Flow] = r
+	t.host(id).open++
+	return r
+}
+
+// data records a request or its repetition.
+func (t *Table) data(now pimclock.Instant, p *pimpacket.Packet, r *record, h *host) {
+	end := p.Seq + pimpacket.Sequence(p.Data)
+	if end.After(r.sent) <= 0 {
+		// The backend server has not confirmed the data within the caller's retransmission time.
+		h.missed(now, r.placed, &t.cfg)
+		return
+	}
+	r.sent = end
+	if r.running {
+		return
+	}
+	r.running, r.runningSince, r.ahead = true, now, h.busy
+	h.busy++
+	t.unfinished.push(p.Flow, now)
+}
+
+// finish records the first sign of an answer.
+func (t *Table) finish(now pimclock.Instant, r *record, h *host) {
+	if !r.running {
+		return
+	}
+	r.running = false
+	h.busy--
+	h.took(now.Sub(r.runningSince), r.ahead)
+}
+
+// leave takes a flow out of the counts of its backend server.
+func (t *Table) leave(r *record) {
+	h := t.host(r.host)
+	h.open--
+	if r.running {
+		r.running = false
+		h.busy--
+	}
+}
+
+// Expire draws the conclusions that need no packet: opening packets without an answer and requests without an end.
+func (t *Table) Expire(now pimclock.Instant) {
+	for f, at, ok := t.unanswered.before(now.Add(-t.cfg.AnswerWithin)); ok; f, at, ok = t.unanswered.before(now.Add(-t.cfg.AnswerWithin)) {
+		if r := t.flows[f]; r != nil && r.opening && r.placed == at {
+			t.host(r.host).missed(now, at, &t.cfg)
+		}
+	}
+	for f, at, ok := t.unfinished.before(now.Add(-t.cfg.AnsweredFor)); ok; f, at, ok = t.unfinished.before(now.Add(-t.cfg.AnsweredFor)) {
+		if r := t.flows[f]; r != nil && r.running && r.runningSince == at {
+			r.running = false
+			t.host(r.host).busy--
+		}
+	}
+	t.sweep(now)
+}
+
+// sweepEvery is how often silent flows are looked for.
+const sweepEvery = time.Second
+
+// sweep forgets silent flows.
+func (t *Table) sweep(now pimclock.Instant) {
+	if now.Sub(t.swept) < sweepEvery {
+		return
+	}
+	t.swept = now
+	for f, r := range t.flows {
+		if now.Sub(r.seen) > t.cfg.IdleFor || r.opening && now.Sub(r.seen) > openingFor {
+			t.leave(r)
+			delete(t.flows, f)
+		}
+	}
+}
+
+// openingFor is how long callers repeat an opening packet, with the time for the last answer.
+const openingFor = 2 * time.Second
--- /dev/null
+++ b/internal/coordination/pimplace/cost.go
@@ -0,0 +1,36 @@
+package pimplace
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// The costs of a choice, in requests that wait for one slot.
+const (
+	// openCost is that of an open flow: a caller that keeps a flow sends about one request of 30 ms a second.
+	openCost = 0.05
+	// coldCost multiplies the load of a backend server that has just started.
+	coldCost = 1.6
+	// remoteCost is that of another data centre: it is worth a wait, since bytes between data centres are dear.
+	remoteCost = 4
+	// suspectCost is that of a backend server that does not answer.
+	suspectCost = 20
+	// triedCost is that of a backend server that has not answered this flow.
+	triedCost = 100
+)
+
+// cost is the wait that a new flow expects at a backend server, with surcharges.
+func (p *Placer) cost(now pimclock.Instant, h *pimcatalog.Host) float64 {
+	load := p.observer.Load(now, h.ID)
+	cost := (float64(load.Busy) + openCost*float64(load.Open)) / float64(max(1, h.Slots))
+	if h.Cold(now) > 0 {
+		cost = (cost + 1) * coldCost
+	}
+	if h.DataCentre != p.home {
+		cost += remoteCost
+	}
+	if load.Suspect {
+		cost += suspectCost
+	}
+	return cost
+}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"sync"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
@@ -24,6 +25,7 @@
 type edge struct {
 	node     *Node
 	conn     *net.UDPConn
+	table    *pimflow.Table
 	placer   pimsteer.Placer
 	counters edgeCounters
 	once     sync.Once
@@ -32,8 +34,8 @@
 	reset    []byte
 }
 
-func newEdge(n *Node, conn *net.UDPConn, placer pimsteer.Placer) *edge {
-	e := &edge{node: n, conn: conn, placer: placer, counters: newEdgeCounters(n.set)}
+func newEdge(n *Node, conn *net.UDPConn, table *pimflow.Table, placer pimsteer.Placer) *edge {
+	e := &edge{node: n, conn: conn, table: table, placer: placer, counters: newEdgeCounters(n.set)}
 	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
 		n.log.Warn().Err(err).Msg("receive buffer not set")
 	}
@@ -81,12 +83,16 @@
 	view := pimsteer.View{
 		Catalog: e.node.registry.Catalog(), Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
 	}
+	e.table.Expire(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
 	switch verdict.Action {
 	case pimsteer.Forward:
 		if p.IsOpen() {
 			codec.SetTag(datagram, verdict.Host.Tag())
+			e.table.Placed(now, &p, verdict.Host.ID)
+		} else {
+			e.table.Passed(now, &p, verdict.Host.ID)
 		}
 		e.forward(framed, verdict.Host)
 	case pimsteer.Reset:
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
@@ -93,8 +94,9 @@
 	if err != nil {
 		return err
 	}
-	placer := pimplace.New(n.cfg.Node.DataCentre, &pimpick.RoundRobin{}, rng)
-	n.edge = newEdge(n, conn, placer)
+	table := pimflow.New(pimflow.DefaultSettings())
+	placer := pimplace.New(n.cfg.Node.DataCentre, table, pimpick.LeastLoaded{}, rng)
+	n.edge = newEdge(n, conn, table, placer)
 	n.defers(n.edge.close)
 	return nil
 }
