--- a/cmd/pimentry/run.go
+++ b/cmd/pimentry/run.go
@@ -40,7 +40,7 @@
 	store, closeStore := platform.NewStore(platform.StoreSettings{
 		Address: cfg.Platform.Address.String(), Timeout: time.Duration(cfg.Platform.Timeout),
 		WatchFor: time.Duration(cfg.Platform.WatchFor), WatchTimeout: time.Duration(cfg.Platform.WatchTimeout),
-	}, clock)
+	})
 	defer closeStore()
 	node, cleanup, err := pimentry.New(context.Background(), cfg, pimentry.Platform{
 		Codec: platform.Codec{}, Source: store, Readiness: platform.ReadinessHandler,
--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -15,6 +15,9 @@
 	// misses counts packets without an answer since the last sign of life.
 	misses       int
 	suspectUntil pimclock.Instant
+	// busyArea is the integral of busy since busyFrom, up to busyAt.
+	busyArea         time.Duration
+	busyFrom, busyAt pimclock.Instant
 	// work is the smoothed time of a request without the wait for others.
 	work time.Duration
 }
@@ -29,10 +32,10 @@
 	Suspect bool
 }
 
-func (t *Table) host(id pimcatalog.HostID) *host {
+func (t *Table) host(now pimclock.Instant, id pimcatalog.HostID) *host {
 	h := t.hosts[id]
 	if h == nil {
-		h = &host{}
+		h = &host{busyFrom: now, busyAt: now}
 		t.hosts[id] = h
 	}
 	return h
@@ -70,6 +73,45 @@
 	h.misses++
 }
 
+// setBusy changes the number of running requests.
+func (h *host) setBusy(now pimclock.Instant, busy int) {
+	h.busyArea += time.Duration(h.busy) * now.Sub(h.busyAt)
+	h.busyAt = now
+	h.busy = busy
+}
+
+// meanBusy returns the mean number of running requests since the last call.
+func (h *host) meanBusy(now pimclock.Instant) float64 {
+	h.setBusy(now, h.busy)
+	elapsed := now.Sub(h.busyFrom)
+	if elapsed <= 0 {
+		return float64(h.busy)
+	}
+	mean := float64(h.busyArea) / float64(elapsed)
+	h.busyArea, h.busyFrom = 0, now
+	return mean
+}
+
+// Report is what a VM tells the others of a backend server.
+type Report struct {
+	ID pimcatalog.HostID
+	// Busy is the mean number of running requests since the last report.
+	Busy    float64
+	Open    int
+	Suspect bool
+}
+
+// Report returns what the others may want to know, and starts the next mean.
+func (t *Table) Report(now pimclock.Instant) (reports []Report) {
+	for id, h := range t.hosts {
+		r := Report{ID: id, Busy: h.meanBusy(now), Open: h.open, Suspect: now.Before(h.suspectUntil)}
+		if r.Busy > 0 || r.Open > 0 || r.Suspect {
+			reports = append(reports, r)
+		}
+	}
+	return reports
+}
+
 // smoothing is the weight of an older value against a new one: about the last eight requests count.
 const smoothing = 8
 
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -89,13 +89,13 @@
 		r = &record{}
 		t.flows[p.Flow] = r
 	} else {
-		t.leave(r)
+		t.leave(now, r)
 		r.earlier = r.host
 	}
 	*r = record{
 		host: id, earlier: r.earlier, opening: true, placed: now, seen: now, sent: p.Seq + 1,
 	}
-	t.host(id).open++
+	t.host(now, id).open++
 	t.unanswered.push(p.Flow, now)
 }
 
@@ -107,7 +107,7 @@
 			return
 		}
 	}
-	h := t.host(id)
+	h := t.host(now, id)
 	r.seen = now
 	if r.opening {
 		r.opening, r.acked = false, p.Acked
@@ -122,7 +122,7 @@
 		t.data(now, p, r, h)
 	}
 	if p.Flags.Has(pimpacket.Close) || p.Flags.Has(pimpacket.Reset) {
-		t.leave(r)
+		t.leave(now, r)
 		delete(t.flows, p.Flow)
 	}
 }
@@ -130,7 +130,7 @@
 // adopt remembers a flow that another VM has opened, or whose record named another backend server.
 func (t *Table) adopt(now pimclock.Instant, p *pimpacket.Packet, id pimcatalog.HostID) *record {
 	if old := t.flows[p.Flow]; old != nil {
-		t.leave(old)
+		t.leave(now, old)
 		delete(t.flows, p.Flow)
 	}
 	if len(t.flows) >= t.cfg.MaxFlows || p.Flags.Has(pimpacket.Reset) || p.Flags.Has(pimpacket.Close) {
@@ -138,7 +138,7 @@
 	}
 	r := &record{host: id, placed: now, seen: now, acked: p.Acked, sent: p.Seq}
 	t.flows[p.Flow] = r
-	t.host(id).open++
+	t.host(now, id).open++
 	return r
 }
 
@@ -155,7 +155,7 @@
 		return
 	}
 	r.running, r.runningSince, r.ahead = true, now, h.busy
-	h.busy++
+	h.setBusy(now, h.busy+1)
 	t.unfinished.push(p.Flow, now)
 }
 
@@ -165,17 +165,17 @@
 		return
 	}
 	r.running = false
-	h.busy--
+	h.setBusy(now, h.busy-1)
 	h.took(now.Sub(r.runningSince), r.ahead)
 }
 
 // leave takes a flow out of the counts of its backend server.
-func (t *Table) leave(r *record) {
-	h := t.host(r.host)
+func (t *Table) leave(now pimclock.Instant, r *record) {
+	h := t.host(now, r.host)
 	h.open--
 	if r.running {
 		r.running = false
-		h.busy--
+		h.setBusy(now, h.busy-1)
 	}
 }
 
@@ -183,13 +183,14 @@
 func (t *Table) Expire(now pimclock.Instant) {
 	for f, at, ok := t.unanswered.before(now.Add(-t.cfg.AnswerWithin)); ok; f, at, ok = t.unanswered.before(now.Add(-t.cfg.AnswerWithin)) {
 		if r := t.flows[f]; r != nil && r.opening && r.placed == at {
-			t.host(r.host).missed(now, at, &t.cfg)
+			t.host(now, r.host).missed(now, at, &t.cfg)
 		}
 	}
 	for f, at, ok := t.unfinished.before(now.Add(-t.cfg.AnsweredFor)); ok; f, at, ok = t.unfinished.before(now.Add(-t.cfg.AnsweredFor)) {
 		if r := t.flows[f]; r != nil && r.running && r.runningSince == at {
 			r.running = false
-			t.host(r.host).busy--
+			h := t.host(now, r.host)
+			h.setBusy(now, h.busy-1)
 		}
 	}
 	t.sweep(now)
@@ -206,7 +207,7 @@
 	t.swept = now
 	for f, r := range t.flows {
 		if now.Sub(r.seen) > t.cfg.IdleFor || r.opening && now.Sub(r.seen) > openingFor {
-			t.leave(r)
+			t.leave(now, r)
 			delete(t.flows, f)
 		}
 	}
--- /dev/null
+++ b/internal/coordination/pimgossip/mesh.go
@@ -0,0 +1,183 @@
+package pimgossip
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Outgoing is a message to one VM.
+type Outgoing struct {
+	To      netip.AddrPort
+	Message pimmesh.Message
+}
+
+// View is what this VM tells of itself.
+type View struct {
+	Revision pimid.Revision
+	Age      time.Duration
+	Loads    []pimmesh.HostLoad
+}
+
+// peer is what is known of another VM of the data centre.
+type peer struct {
+	name    string
+	address netip.AddrPort
+	// heard is when its last beat arrived; zero if only others have named it.
+	heard   pimclock.Instant
+	named   pimclock.Instant
+	canRead bool
+	leaving bool
+	pulled  pimclock.Instant
+	loads   map[pimcatalog.HostID]pimmesh.HostLoad
+}
+
+// Mesh holds what a VM knows of the others; it is safe for concurrent use.
+type Mesh struct {
+	cfg Settings
+	rng *rand.Rand
+
+	mu    sync.Mutex
+	peers map[netip.AddrPort]*peer
+	// strangers are VMs of other data centres by data centre, for those who ask.
+	strangers map[pimid.DataCentre]map[netip.AddrPort]*peer
+	beaten    pimclock.Instant
+	greeted   pimclock.Instant
+	canRead   bool
+}
+
+// New returns a mesh that knows nobody.
+func New(cfg Settings, rng *rand.Rand) *Mesh {
+	return &Mesh{
+		cfg: cfg, rng: rng, canRead: true, peers: map[netip.AddrPort]*peer{},
+		strangers: map[pimid.DataCentre]map[netip.AddrPort]*peer{},
+	}
+}
+
+// Tick returns the beats that are due.
+func (m *Mesh) Tick(now pimclock.Instant, v View) (out []Outgoing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.beaten != 0 && now.Sub(m.beaten) < m.cfg.Every {
+		return nil
+	}
+	m.beaten = now
+	m.forget(now)
+	out = m.beats(now, v)
+	return append(out, m.greetings(now, v, len(out) == 0)...)
+}
+
+// Tell returns beats to some VMs at once, after the view has changed or before the VM stops.
+func (m *Mesh) Tell(now pimclock.Instant, v View, leaving bool) (out []Outgoing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out = m.beats(now, v)
+	for i := range out {
+		out[i].Message.Beat.Leaving = leaving
+	}
+	return out
+}
+
+// beats returns a beat for each of a few random running VMs.
+func (m *Mesh) beats(now pimclock.Instant, v View) (out []Outgoing) {
+	running := m.running(now)
+	m.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
+	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
+		out = append(out, Outgoing{To: p.address, Message: m.beat(v, m.sample(now, m.peers))})
+	}
+	return out
+}
+
+// greetings returns beats for VMs that may have come or come back: seeds, and those that have fallen silent.
+func (m *Mesh) greetings(now pimclock.Instant, v View, alone bool) (out []Outgoing) {
+	every := m.cfg.GreetEvery
+	if alone {
+		every = m.cfg.HelloEvery
+	}
+	if m.greeted != 0 && now.Sub(m.greeted) < every {
+		return nil
+	}
+	m.greeted = now
+	targets := slices.Clone(m.cfg.Seeds)
+	for _, p := range m.peers {
+		if !m.isRunning(now, p) {
+			targets = append(targets, p.address)
+		}
+	}
+	for _, to := range targets {
+		if to == m.cfg.Address {
+			continue
+		}
+		msg := m.beat(v, nil)
+		msg.Beat.Hello = true
+		out = append(out, Outgoing{To: to, Message: msg})
+	}
+	return out
+}
+
+func (m *Mesh) beat(v View, peers []pimmesh.PeerAddress) pimmesh.Message {
+	return pimmesh.Message{Beat: &pimmesh.Beat{
+		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
+		Revision: v.Revision, Age: v.Age, CanRead: m.canRead, Loads: v.Loads, Peers: peers,
+	}}
+}
+
+// sampleSize is the number of VMs that a beat names.
+const sampleSize = 6
+
+// sample names some running VMs.
+func (m *Mesh) sample(now pimclock.Instant, of map[netip.AddrPort]*peer) (names []pimmesh.PeerAddress) {
+	for _, p := range of {
+		// The order of a map is random enough.
+		if m.isRunning(now, p) {
+			names = append(names, pimmesh.PeerAddress{Name: p.name, Address: p.address})
+		}
+		if len(names) == sampleSize {
+			break
+		}
+	}
+	return names
+}
+
+func (m *Mesh) running(now pimclock.Instant) (running []*peer) {
+	for _, p := range m.peers {
+		if m.isRunning(now, p) {
+			running = append(running, p)
+		}
+	}
+	// A fixed order makes runs with the same random numbers equal.
+	slices.SortFunc(running, func(a, b *peer) int { return a.address.Compare(b.address) })
+	return running
+}
+
+func (m *Mesh) isRunning(now pimclock.Instant, p *peer) bool {
+	return p.heard != 0 && !p.leaving && now.Sub(p.heard) <= m.cfg.AliveFor
+}
+
+func (m *Mesh) forget(now pimclock.Instant) {
+	forget := func(of map[netip.AddrPort]*peer) {
+		for address, p := range of {
+			if now.Sub(max(p.heard, p.named)) > m.cfg.RememberFor {
+				delete(of, address)
+			}
+		}
+	}
+	forget(m.peers)
+	for _, of := range m.strangers {
+		forget(of)
+	}
+}
+
+// Running returns the number of other VMs of the data centre that are heard.
+func (m *Mesh) Running(now pimclock.Instant) int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return len(m.running(now))
+}
--- /dev/null
+++ b/internal/coordination/pimgossip/receive.go
@@ -0,0 +1,92 @@
+package pimgossip
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// Heard is what follows from a beat.
+type Heard struct {
+	// Out are the messages to send.
+	Out []Outgoing
+	// Confirms is set if the sender knows nothing newer and has read the platform at AsOf.
+	Confirms bool
+	AsOf     pimclock.Instant
+}
+
+// transit is the time that a beat may have been under way; it makes a relayed view look older, never younger.
+const transit = 20 * time.Millisecond
+
+// Beat takes a beat of another VM.
+func (m *Mesh) Beat(now pimclock.Instant, b *pimmesh.Beat, v View) (h Heard) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if b.Address == m.cfg.Address {
+		return h
+	}
+	p, isNew := m.remember(now, b)
+	if b.DataCentre == m.cfg.DataCentre {
+		m.rememberNamed(now, b.Peers)
+	}
+	switch {
+	case b.Leaving:
+		return h
+	case b.Hello || isNew && b.DataCentre == m.cfg.DataCentre:
+		h.Out = append(h.Out, m.welcome(now, b, v))
+	}
+	if b.Revision > v.Revision && now.Sub(p.pulled) >= m.cfg.PullEvery {
+		p.pulled = now
+		h.Out = append(h.Out, Outgoing{To: b.Address, Message: pimmesh.Message{Pull: &pimmesh.Pull{Since: v.Revision}}})
+	}
+	if b.Revision == v.Revision && b.Age >= 0 {
+		h.Confirms, h.AsOf = true, now.Add(-b.Age-transit)
+	}
+	return h
+}
+
+// welcome answers a greeting with VMs of the sender's data centre.
+func (m *Mesh) welcome(now pimclock.Instant, b *pimmesh.Beat, v View) Outgoing {
+	known := m.peers
+	if b.DataCentre != m.cfg.DataCentre {
+		known = m.strangers[b.DataCentre]
+	}
+	return Outgoing{To: b.Address, Message: m.beat(v, m.sample(now, known))}
+}
+
+// remember notes the sender of a beat.
+func (m *Mesh) remember(now pimclock.Instant, b *pimmesh.Beat) (p *peer, isNew bool) {
+	of := m.peers
+	if b.DataCentre != m.cfg.DataCentre {
+		if of = m.strangers[b.DataCentre]; of == nil {
+			of = map[netip.AddrPort]*peer{}
+			m.strangers[b.DataCentre] = of
+		}
+	}
+	p = of[b.Address]
+	if p == nil {
+		p = &peer{}
+		of[b.Address] = p
+	}
+	isNew = !m.isRunning(now, p)
+	p.name, p.address, p.heard, p.canRead, p.leaving = b.Name, b.Address, now, b.CanRead, b.Leaving
+	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
+	for _, load := range b.Loads {
+		p.loads[load.ID] = load
+	}
+	return p, isNew
+}
+
+// rememberNamed notes VMs that others name; they are greeted at the next beat.
+func (m *Mesh) rememberNamed(now pimclock.Instant, named []pimmesh.PeerAddress) {
+	for _, n := range named {
+		if n.Address == m.cfg.Address || m.peers[n.Address] != nil {
+			continue
+		}
+		m.peers[n.Address] = &peer{name: n.Name, address: n.Address, named: now}
+		m.greeted = 0
+	}
+}
--- /dev/null
+++ b/internal/coordination/pimgossip/transfer.go
@@ -0,0 +1,56 @@
+package pimgossip
+
+import (
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Split cuts an encoded delta into chunks.
+func Split(from, to pimid.Revision, data []byte) (chunks []pimmesh.Chunk) {
+	sum := xxhash.Sum64(data)
+	count := max(1, (len(data)+pimmesh.MaxChunk-1)/pimmesh.MaxChunk)
+	for i := range count {
+		part := data[i*pimmesh.MaxChunk : min(len(data), (i+1)*pimmesh.MaxChunk)]
+		chunks = append(chunks, pimmesh.Chunk{From: from, To: to, Index: i, Count: count, Data: part, Sum: sum})
+	}
+	return chunks
+}
+
+// Assembly puts the chunks of the newest delta together; it is owned by one goroutine.
+type Assembly struct {
+	to      pimid.Revision
+	sum     uint64
+	parts   [][]byte
+	missing int
+}
+
+// maxChunks bounds a delta to about 20 MB.
+const maxChunks = 1 << 14
+
+// Add takes a chunk and returns the encoded delta once it is complete. A chunk of a newer delta replaces an older one.
+func (a *Assembly) Add(c *pimmesh.Chunk) (data []byte, complete bool) {
+	if c.Count <= 0 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
+		return nil, false
+	}
+	if c.Sum != a.sum || c.Count != len(a.parts) {
+		if c.To < a.to && a.missing > 0 {
+			return nil, false
+		}
+		*a = Assembly{to: c.To, sum: c.Sum, parts: make([][]byte, c.Count), missing: c.Count}
+	}
+	if a.parts[c.Index] == nil {
+		a.parts[c.Index] = c.Data
+		a.missing--
+	}
+	if a.missing > 0 {
+		return nil, false
+	}
+	for _, part := range a.parts {
+		data = append(data, part...)
+	}
+	sum := a.sum
+	*a = Assembly{}
+	return data, xxhash.Sum64(data) == sum
+}
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -34,6 +34,9 @@
 	Changes  []Change
 }
 
+// ErrGap means that changes before a delta are not known.
+var ErrGap = errors.New("delta starts after the revision in force")
+
 // ErrStale means that a batch or snapshot is older than what is believed already.
 var ErrStale = errors.New("revision is older than the one in force")
 
--- a/internal/coordination/pimregistry/contact.go
+++ b/internal/coordination/pimregistry/contact.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 const (
@@ -47,6 +48,22 @@
 	}
 }
 
+// Confirm records that another VM, which has read the platform at the given instant, knows nothing newer than the
+// revision. The end of a time without any news counts as the end of an outage.
+func (r *Registry) Confirm(revision pimid.Revision, asOf pimclock.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	last := pimclock.Instant(r.lastOK.Load())
+	if revision < r.revision || asOf <= last {
+		return
+	}
+	now := r.clock.Now()
+	if !r.contact.reached || now.Sub(last) > r.cfg.FreshFor {
+		r.contact = contact{reached: true, returned: now}
+	}
+	r.lastOK.Store(int64(asOf))
+}
+
 // Settled reports whether the view is current and entries that lapsed in the last outage have had time to return, so
 // that a backend server without an entry has ended.
 func (r *Registry) Settled(now pimclock.Instant) bool {
--- /dev/null
+++ b/internal/coordination/pimregistry/delta.go
@@ -0,0 +1,183 @@
+package pimregistry
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Delta is what one VM tells another one: all that has changed between two revisions. It holds states, not events, so
+// that it stays small however often an entry has changed.
+type Delta struct {
+	// From is zero for a delta that holds everything.
+	From   pimid.Revision `cbor:"1,keyasint"`
+	To     pimid.Revision `cbor:"2,keyasint"`
+	Config *ConfigDelta   `cbor:"3,keyasint,omitempty"`
+	Hosts  []HostState    `cbor:"4,keyasint,omitempty"`
+	// Removed are entries that disappeared and whose backend servers are forgotten.
+	Removed []RemovedHost `cbor:"5,keyasint,omitempty"`
+}
+
+// ConfigDelta is the difference between two configurations.
+type ConfigDelta struct {
+	Version     pimcatalog.Version   `cbor:"1,keyasint"`
+	Revision    pimid.Revision       `cbor:"2,keyasint"`
+	IdleTimeout time.Duration        `cbor:"3,keyasint"`
+	Services    []pimcatalog.Service `cbor:"4,keyasint"`
+	Routes      []pimcatalog.Route   `cbor:"5,keyasint,omitempty"`
+	// Dropped are the addresses of routes that were removed.
+	Dropped []netip.AddrPort `cbor:"6,keyasint,omitempty"`
+}
+
+// HostState is a backend server with its times as durations, since VMs do not share a clock.
+type HostState struct {
+	Host pimcatalog.Host `cbor:"1,keyasint"`
+	// ColdFor is the rest of the slow phase, GoneIn the time until an unlisted backend server counts as ended.
+	ColdFor time.Duration `cbor:"2,keyasint,omitempty"`
+	GoneIn  time.Duration `cbor:"3,keyasint,omitempty"`
+}
+
+// RemovedHost is an entry that disappeared at a revision.
+type RemovedHost struct {
+	ID       pimcatalog.HostID `cbor:"1,keyasint"`
+	Revision pimid.Revision    `cbor:"2,keyasint"`
+}
+
+// Since returns what has changed after a revision; zero asks for everything.
+func (r *Registry) Since(from pimid.Revision) Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	d := Delta{From: from, To: r.revision}
+	for _, h := range r.hosts {
+		if h.Revision > from {
+			d.Hosts = append(d.Hosts, stateOf(h, now))
+		}
+	}
+	for id, revision := range r.removed {
+		if revision > from {
+			d.Removed = append(d.Removed, RemovedHost{ID: id, Revision: revision})
+		}
+	}
+	if r.config != nil && r.configRevision > from {
+		d.Config = r.configSince(from)
+	}
+	return d
+}
+
+func stateOf(h *pimcatalog.Host, now pimclock.Instant) HostState {
+	s := HostState{Host: *h, ColdFor: h.Cold(now)}
+	if h.Unlisted {
+		s.GoneIn = max(0, h.GoneAt.Sub(now))
+	}
+	s.Host.ColdUntil, s.Host.GoneAt = 0, 0
+	return s
+}
+
+func (r *Registry) configSince(from pimid.Revision) *ConfigDelta {
+	d := &ConfigDelta{
+		Version: r.config.Version, Revision: r.configRevision, IdleTimeout: r.config.IdleTimeout,
+		Services: r.config.Services,
+	}
+	for i := range r.config.Routes {
+		if r.routeRevisions[r.config.Routes[i].Address] > from {
+			d.Routes = append(d.Routes, r.config.Routes[i])
+		}
+	}
+	for address, revision := range r.droppedRoutes {
+		if revision > from {
+			d.Dropped = append(d.Dropped, address)
+		}
+	}
+	return d
+}
+
+// Merge takes what another VM tells. A delta that starts after the own revision is not applied, since the changes
+// between would be missed; the error is ErrGap then.
+func (r *Registry) Merge(d Delta) (err error) {
+	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %d to %d", d.From, d.To) }()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if d.To <= r.revision {
+		return nil
+	}
+	if d.From > r.revision {
+		return ErrGap
+	}
+	now := r.clock.Now()
+	if d.Config != nil {
+		r.configure(Change{Revision: d.Config.Revision, Config: r.patched(d)})
+	}
+	told := make(map[pimcatalog.HostID]bool, len(d.Hosts))
+	for i := range d.Hosts {
+		told[d.Hosts[i].Host.ID] = true
+		r.adopt(now, d.Hosts[i])
+	}
+	for _, gone := range d.Removed {
+		if gone.Revision > r.known(gone.ID) {
+			r.remove(now, Change{ID: gone.ID, Revision: gone.Revision, Removed: true})
+		}
+	}
+	if d.From == 0 {
+		r.removeUntold(now, told, d.To)
+	}
+	r.revision = d.To
+	r.publish()
+	return nil
+}
+
+// patched returns the configuration that the delta makes of the own one.
+func (r *Registry) patched(d Delta) *pimcatalog.Config {
+	cfg := &pimcatalog.Config{
+		Version: d.Config.Version, IdleTimeout: d.Config.IdleTimeout, Services: d.Config.Services,
+	}
+	if d.From == 0 || r.config == nil {
+		cfg.Routes = d.Config.Routes
+		return cfg
+	}
+	routes := make(map[netip.AddrPort]pimcatalog.Route, len(r.config.Routes))
+	for _, route := range r.config.Routes {
+		routes[route.Address] = route
+	}
+	for _, address := range d.Config.Dropped {
+		delete(routes, address)
+	}
+	for _, route := range d.Config.Routes {
+		routes[route.Address] = route
+	}
+	cfg.Routes = slices.SortedFunc(maps.Values(routes), func(a, b pimcatalog.Route) int {
+		return a.Address.Compare(b.Address)
+	})
+	return cfg
+}
+
+// adopt takes the state of a backend server that another VM believes.
+func (r *Registry) adopt(now pimclock.Instant, s HostState) {
+	if s.Host.Revision <= r.known(s.Host.ID) {
+		return
+	}
+	h := s.Host
+	h.ColdUntil = now.Add(s.ColdFor)
+	if h.Unlisted {
+		h.GoneAt = now.Add(s.GoneIn)
+	}
+	delete(r.removed, h.ID)
+	r.hosts[h.ID] = &h
+	r.notify(Change{Revision: h.Revision, ID: h.ID, Host: &h, Removed: h.Unlisted}, Relayed)
+}
+
+// removeUntold removes the entries that a complete list does not name.
+func (r *Registry) removeUntold(now pimclock.Instant, told map[pimcatalog.HostID]bool, revision pimid.Revision) {
+	for id, h := range r.hosts {
+		if !told[id] && !h.Unlisted {
+			r.remove(now, Change{ID: id, Revision: revision, Removed: true})
+		}
+	}
+}
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -1,6 +1,7 @@
 package pimregistry
 
 import (
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,6 +44,7 @@
 	Lapsed     Decision = "lapsed"
 	Ended      Decision = "ended"
 	Superseded Decision = "superseded"
+	Relayed    Decision = "relayed"
 )
 
 // Registry holds what a VM believes; it is safe for concurrent use.
@@ -57,7 +59,9 @@
 	configRevision pimid.Revision
 	routes         *pimcatalog.RouteTable
 	config         *pimcatalog.Config
-	hosts          map[pimcatalog.HostID]*pimcatalog.Host
+	// routeRevisions holds the last change of each route, droppedRoutes that of each route that was removed.
+	routeRevisions, droppedRoutes map[netip.AddrPort]pimid.Revision
+	hosts                         map[pimcatalog.HostID]*pimcatalog.Host
 	// removed holds the revision at which an entry disappeared, so that a late copy does not bring it back.
 	removed map[pimcatalog.HostID]pimid.Revision
 	contact contact
@@ -75,6 +79,8 @@
 		cfg: cfg, clock: clock, notify: notify,
 		hosts:   map[pimcatalog.HostID]*pimcatalog.Host{},
 		removed: map[pimcatalog.HostID]pimid.Revision{},
+
+		routeRevisions: map[netip.AddrPort]pimid.Revision{}, droppedRoutes: map[netip.AddrPort]pimid.Revision{},
 	}
 	r.lastOK.Store(int64(never))
 	r.catalog.Store(pimcatalog.NewCatalog(0, nil, nil))
@@ -96,9 +102,13 @@
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d", b.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if b.To < r.revision {
+	if b.To < b.From {
 		return ErrStale
 	}
+	if b.To <= r.revision {
+		// Another VM has told the same changes meanwhile.
+		return nil
+	}
 	now := r.clock.Now()
 	for _, c := range b.Changes {
 		r.change(now, c)
@@ -123,11 +133,7 @@
 		listed[c.ID] = true
 		r.change(now, c)
 	}
-	for id, h := range r.hosts {
-		if !listed[id] && !h.Unlisted {
-			r.remove(now, Change{ID: id, Revision: s.Revision, Removed: true})
-		}
-	}
+	r.removeUntold(now, listed, s.Revision)
 	r.revision = s.Revision
 	r.publish()
 	return nil
@@ -148,7 +154,7 @@
 	case c.Host == nil:
 		r.mistrust(c)
 	default:
-		r.put(c)
+		r.put(now, c)
 	}
 }
 
@@ -166,14 +172,38 @@
 		r.notify(c, Outdated)
 		return
 	}
+	r.stampRoutes(c)
 	r.configRevision, r.config = c.Revision, c.Config
 	r.routes = pimcatalog.NewRouteTable(c.Config)
 	r.notify(c, Applied)
 }
 
+// stampRoutes notes which routes a new configuration changes and drops.
+func (r *Registry) stampRoutes(c Change) {
+	old := make(map[netip.AddrPort]*pimcatalog.Route, len(r.routeRevisions))
+	if r.config != nil {
+		for i := range r.config.Routes {
+			old[r.config.Routes[i].Address] = &r.config.Routes[i]
+		}
+	}
+	for i := range c.Config.Routes {
+		route := &c.Config.Routes[i]
+		if before := old[route.Address]; before == nil || !before.Equal(route) {
+			r.routeRevisions[route.Address] = c.Revision
+		}
+		delete(old, route.Address)
+		delete(r.droppedRoutes, route.Address)
+	}
+	for address := range old {
+		delete(r.routeRevisions, address)
+		r.droppedRoutes[address] = c.Revision
+	}
+}
+
 // put takes a new entry; an older entry with the same address belongs to a backend server that no longer exists.
-func (r *Registry) put(c Change) {
+func (r *Registry) put(now pimclock.Instant, c Change) {
 	h := *c.Host
+	h.ColdUntil = now.Add(h.Warmup)
 	h.Revision, h.Created = c.Revision, c.Created
 	for id, other := range r.hosts {
 		if id != h.ID && other.Address == h.Address && other.Created < h.Created && !other.Gone(never) {
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -5,11 +5,13 @@
 	"net"
 	"net/netip"
 	"sync"
+	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
 // hostPrefixBytes is the room in front of a packet for the number of its backend server.
@@ -32,6 +34,7 @@
 	wg       sync.WaitGroup
 	buf      [hostPrefixBytes + maxPacket]byte
 	reset    []byte
+	reported pimclock.Instant
 }
 
 func newEdge(n *Node, conn *net.UDPConn, table *pimflow.Table, placer pimsteer.Placer) *edge {
@@ -84,6 +87,7 @@
 		Catalog: e.node.registry.Catalog(), Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
 	}
 	e.table.Expire(now)
+	e.report(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
 	switch verdict.Action {
@@ -101,6 +105,20 @@
 	}
 }
 
+// reportEvery is the time between two reports to the other VMs.
+const reportEvery = 200 * time.Millisecond
+
+// report publishes what is seen of the backend servers.
+func (e *edge) report(now pimclock.Instant) {
+	if now.Sub(e.reported) < reportEvery {
+		return
+	}
+	e.reported = now
+	reports := e.table.Report(now)
+	e.node.mesh.reports.Store(&reports)
+	e.table.Keep(e.node.registry.Catalog())
+}
+
 func (e *edge) forward(framed []byte, h *pimcatalog.Host) {
 	e.node.platform.Codec.AppendHost(framed[:0], h.ID)
 	e.send(framed, h.Address)
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -40,6 +40,9 @@
 	readBackoffMax = 800 * time.Millisecond
 )
 
+// readerCheck is how often a VM that does not read the platform checks whether it should.
+const readerCheck = 100 * time.Millisecond
+
 // headerTimeout bounds the wait for the header of a readiness check.
 const headerTimeout = 2 * time.Second
 
@@ -53,6 +56,7 @@
 	set      *metrics.Set
 	registry *pimregistry.Registry
 	edge     *edge
+	mesh     *mesh
 	stopping atomic.Bool
 	wg       sync.WaitGroup
 	cleanups []func()
@@ -78,8 +82,16 @@
 	if err := n.listen(rng); err != nil {
 		return err
 	}
+	var err error
+	var closeMesh func()
+	if n.mesh, closeMesh, err = newMesh(n, rng); err != nil {
+		return err
+	}
+	n.defers(closeMesh)
+	n.mesh.start()
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
-		Source: n.platform.Source, Sink: n.registry, Changed: n.edge.start, Observe: n.observe,
+		Source: n.platform.Source, Sink: n.registry, Changed: n.changed, Observe: n.observe,
+		Enabled: n.reads, Hold: n.hold, IdleCheck: readerCheck,
 		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, rng), Log: n.log,
 	})
 	n.defers(stop)
@@ -149,6 +161,7 @@
 // context ends.
 func (n *Node) Shutdown(ctx context.Context) {
 	n.stopping.Store(true)
+	n.mesh.tell(true)
 	timer := time.NewTimer(time.Duration(n.cfg.Drain.Linger))
 	defer timer.Stop()
 	select {
@@ -159,6 +172,7 @@
 
 // observe tells the registry whether the platform can be read and logs the changes.
 func (n *Node) observe(err error) {
+	n.mesh.gossip.SetCanRead(err == nil)
 	if err != nil {
 		n.registry.Lost()
 		return
@@ -166,6 +180,26 @@
 	n.registry.Reached()
 }
 
+// changed acts on a new view.
+func (n *Node) changed() {
+	n.edge.start()
+	n.mesh.tell(false)
+}
+
+// reads reports whether this VM reads the platform now. A VM without a view always does.
+func (n *Node) reads() bool {
+	now := n.clock.Now()
+	return !n.registry.Catalog().Ready() || n.mesh.gossip.Reads(now, n.registry.Age(now))
+}
+
+// hold says how long a watch may wait: a VM that steps in for the reader wants to know at once.
+func (n *Node) hold() time.Duration {
+	if n.mesh.gossip.Rank(n.clock.Now()) > 0 && n.registry.Catalog().Ready() {
+		return time.Millisecond
+	}
+	return time.Duration(n.cfg.Platform.WatchFor)
+}
+
 func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
 
 func (n *Node) close() {
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -16,7 +16,10 @@
 	ViewAgeMs  int64              `json:"view_age_ms"`
 	UptimeMs   int64              `json:"uptime_ms"`
 	Routes     int                `json:"routes"`
-	Hosts      []HostStatus       `json:"hosts"`
+	// Rank is the number of VMs that read the platform rather than this one.
+	Rank  int          `json:"reader_rank"`
+	Peers []string     `json:"peers"`
+	Hosts []HostStatus `json:"hosts"`
 }
 
 // HostStatus is what a VM believes of one backend server.
@@ -37,6 +40,7 @@
 	s := Status{
 		Name: n.cfg.Node.Name, DataCentre: n.cfg.Node.DataCentre, Ready: n.isReady(), Revision: c.Revision,
 		ViewAgeMs: n.registry.Age(now).Milliseconds(), UptimeMs: now.Sub(n.started).Milliseconds(),
+		Rank: n.mesh.gossip.Rank(now), Peers: n.mesh.gossip.Names(now),
 	}
 	if c.Ready() {
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
--- a/internal/pimnode/loops.go
+++ b/internal/pimnode/loops.go
@@ -8,7 +8,7 @@
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimmember"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
-	"github.com/pimentoyard/pimentoyard/internal/transport/pimpeer"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 )
 
 // startLoops starts the periodic work of the VM.
@@ -73,6 +73,6 @@
 		if err := n.gossip.Send(m.Address, m.Gossip); err != nil {
 			n.log.Debug().Stringer("vm", m.To).Err(err).Msg("gossip not sent")
 		}
-		n.budget.Charge(n.clock.Now(), proto.Size(m.Gossip)+pimpeer.Overhead)
+		n.budget.Charge(n.clock.Now(), proto.Size(m.Gossip)+pimseal.Overhead)
 	}
 }
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -17,6 +17,8 @@
 	Node     EntryNode     `toml:"node"`
 	Edge     EntryEdge     `toml:"edge"`
 	Platform EntryPlatform `toml:"platform"`
+	Peer     EntryPeer     `toml:"peer"`
+	Cluster  Cluster       `toml:"cluster"`
 	Operator Operator      `toml:"operator"`
 	Log      Log           `toml:"log"`
 	Drain    EntryDrain    `toml:"drain"`
@@ -47,6 +49,22 @@
 	WatchTimeout pimcontract.Duration `toml:"watch_timeout"`
 }
 
+// EntryPeer says how this VM finds the others.
+type EntryPeer struct {
+	// Address receives the messages of other VMs; all VMs use the same port.
+	Address netip.AddrPort `toml:"address"`
+	// Seeds are the operator addresses of VMs that may know others.
+	Seeds []netip.AddrPort `toml:"seeds"`
+}
+
+// SeedAddresses returns where the seeds receive messages.
+func (p EntryPeer) SeedAddresses() (addresses []netip.AddrPort) {
+	for _, s := range p.Seeds {
+		addresses = append(addresses, netip.AddrPortFrom(s.Addr(), p.Address.Port()))
+	}
+	return addresses
+}
+
 // EntryDrain says how a planned stop goes.
 type EntryDrain struct {
 	// Linger is how long a stopping VM goes on to forward packets after it has told the fabric.
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -42,6 +42,8 @@
 	v.check(s.Node.DataCentre != "", "node.data_centre", "is required")
 	v.address(s.Edge.PacketAddress, "edge.packet_address")
 	v.address(s.Edge.ReadinessAddress, "edge.readiness_address")
+	v.address(s.Peer.Address, "peer.address")
+	v.cluster(s.Cluster)
 	v.address(s.Platform.Address, "platform.address")
 	v.positive(s.Platform.Timeout, "platform.timeout")
 	v.positive(s.Platform.WatchFor, "platform.watch_for")
--- /dev/null
+++ b/internal/protocol/pimmesh/doc.go
@@ -0,0 +1,2 @@
+// Package pimmesh defines the messages between the VMs that steer opaque flows, in CBOR.
+package pimmesh
--- a/internal/state/pimcatalog/config.go
+++ b/internal/state/pimcatalog/config.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"time"
 )
 
@@ -37,6 +38,12 @@
 	Timeout, Target time.Duration
 }
 
+// Equal reports whether two routes say the same.
+func (r *Route) Equal(other *Route) bool {
+	return r.Name == other.Name && r.Address == other.Address && r.Kind == other.Kind && r.Priority == other.Priority &&
+		r.Timeout == other.Timeout && r.Target == other.Target && slices.Equal(r.Shares, other.Shares)
+}
+
 // Version orders configurations.
 type Version uint64
 
--- a/internal/state/pimcatalog/host.go
+++ b/internal/state/pimcatalog/host.go
@@ -45,7 +45,8 @@
 	Slots int
 	// Leaving excludes the backend server from new flows; its open flows go on.
 	Leaving bool
-	// ColdUntil is when the slow phase after a start ends.
+	// Warmup is the rest of the slow phase after a start as it was published, and ColdUntil is when it ends.
+	Warmup    time.Duration
 	ColdUntil pimclock.Instant
 	// StartedAt identifies the run of the backend server in unix milliseconds; zero means that it is not published.
 	StartedAt int64
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"sync"
 	"time"
 
@@ -24,8 +25,9 @@
 type Source[B Batch, S any] interface {
 	// Keys returns everything.
 	Keys(ctx context.Context) (S, error)
-	// Watch waits for changes after a revision; the error is ErrCompacted if they are gone.
-	Watch(ctx context.Context, from pimid.Revision) (B, error)
+	// Watch returns changes after a revision and waits for them at most as long as hold and the source allow; the
+	// error is ErrCompacted if they are gone.
+	Watch(ctx context.Context, from pimid.Revision, hold time.Duration) (B, error)
 }
 
 // Sink takes what a follower reads.
@@ -41,6 +43,10 @@
 	Sink   Sink[B, S]
 	// Enabled reports whether this VM reads; nil means always.
 	Enabled func() bool
+	// Hold says how long the next watch may wait; nil means as long as the source allows.
+	Hold func() time.Duration
+	// IdleCheck is how often a VM that is not a reader checks whether it has become one; zero means one second.
+	IdleCheck time.Duration
 	// Changed is called after each change of the sink; nil means that nobody asks.
 	Changed func()
 	// Observe hears the result of each read before it is applied; nil means that nobody asks.
@@ -55,14 +61,23 @@
 	wg  sync.WaitGroup
 }
 
-// idleCheck is how often a VM that is not a reader checks whether it has become one.
-const idleCheck = time.Second
+const (
+	defaultIdleCheck = time.Second
+	// anyHold leaves the wait to the source.
+	anyHold = time.Duration(math.MaxInt64)
+)
 
 // New follows a source until cleanup is called.
 func New[B Batch, S any](ctx context.Context, cfg Config[B, S]) (f *Follower[B, S], cleanup func()) {
 	if cfg.Enabled == nil {
 		cfg.Enabled = func() bool { return true }
 	}
+	if cfg.Hold == nil {
+		cfg.Hold = func() time.Duration { return anyHold }
+	}
+	if cfg.IdleCheck == 0 {
+		cfg.IdleCheck = defaultIdleCheck
+	}
 	if cfg.Changed == nil {
 		cfg.Changed = func() {}
 	}
@@ -89,7 +104,7 @@
 // step makes one call and returns the time to wait before the next.
 func (f *Follower[B, S]) step(ctx context.Context) time.Duration {
 	if !f.cfg.Enabled() {
-		return idleCheck
+		return f.cfg.IdleCheck
 	}
 	err := f.read(ctx)
 	if err == nil {
@@ -109,7 +124,7 @@
 	if from == 0 {
 		return f.readAll(ctx)
 	}
-	b, err := f.cfg.Source.Watch(ctx, from)
+	b, err := f.cfg.Source.Watch(ctx, from, f.cfg.Hold())
 	if errors.Is(err, ErrCompacted) {
 		return f.readAll(ctx)
 	}
--- a/internal/transport/pimpeer/credentials.go
+++ b/internal/transport/pimpeer/credentials.go
@@ -16,15 +16,15 @@
 
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // MinSecret is the smallest length of the cluster secret in bytes.
-const MinSecret = 16
+const MinSecret = pimseal.MinSecret
 
 const (
 	caInfo     = "pimentoyard peer ca v1"
-	gossipInfo = "pimentoyard gossip v1"
 	uriScheme  = "pimentoyard"
 	serverName = "peer.pimentoyard"
 )
@@ -44,26 +44,22 @@
 
 // Credentials prove the identity of the own VM; everything in them derives from the cluster secret.
 type Credentials struct {
-	id        Identity
-	leaf      tls.Certificate
-	roots     *x509.CertPool
-	gossipKey []byte
+	id     Identity
+	leaf   tls.Certificate
+	roots  *x509.CertPool
+	secret []byte
 }
 
 // NewCredentials derives the CA and gossip keys from the cluster secret and issues a certificate for this run.
 func NewCredentials(secret []byte, id Identity) (c *Credentials, err error) {
 	defer func() { err = oops.In("pimpeer").Wrapf(err, "derive credentials") }()
 	if len(secret) < MinSecret {
-		return nil, ErrSecret
+		return nil, pimseal.ErrSecret
 	}
 	seed, err := hkdf.Key(sha256.New, secret, nil, caInfo, ed25519.SeedSize)
 	if err != nil {
 		return nil, err
 	}
-	gossipKey, err := hkdf.Key(sha256.New, secret, nil, gossipInfo, sha256.Size)
-	if err != nil {
-		return nil, err
-	}
 	caKey := ed25519.NewKeyFromSeed(seed)
 	ca, err := issueCA(caKey)
 	if err != nil {
@@ -75,7 +71,7 @@
 	}
 	roots := x509.NewCertPool()
 	roots.AddCert(ca)
-	return &Credentials{id: id, leaf: leaf, roots: roots, gossipKey: gossipKey}, nil
+	return &Credentials{id: id, leaf: leaf, roots: roots, secret: secret}, nil
 }
 
 func issueCA(key ed25519.PrivateKey) (*x509.Certificate, error) {
--- a/internal/transport/pimpeer/gossip.go
+++ b/internal/transport/pimpeer/gossip.go
@@ -13,6 +13,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 )
 
 // Handler receives the authenticated messages of other VMs, one at a time.
@@ -89,21 +90,9 @@
 	g.gotLen.Add(len(p))
 	msg, err := g.sealer.Open(time.Now().UnixMilli(), p)
 	if err != nil {
-		g.set.GetOrCreateCounter(fmt.Sprintf("pimentoyard_gossip_dropped_total{reason=%q}", reasonOf(err))).Inc()
+		g.set.GetOrCreateCounter(fmt.Sprintf("pimentoyard_gossip_dropped_total{reason=%q}", pimseal.Reason(err))).Inc()
 		g.log.Debug().Err(err).Stringer("remote", from).Msg("gossip dropped")
 		return
 	}
 	g.handle(msg)
 }
-
-func reasonOf(err error) string {
-	for reason, target := range map[string]error{
-		"truncated": ErrShort, "version": ErrVersion, "forged": ErrForged, "replayed": ErrReplayed, "time": ErrTime,
-		"content": ErrContent,
-	} {
-		if errors.Is(err, target) {
-			return reason
-		}
-	}
-	return "other"
-}
--- a/internal/transport/pimpeer/peer_test.go
+++ b/internal/transport/pimpeer/peer_test.go
@@ -13,9 +13,25 @@
 	"github.com/rs/zerolog"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
+const testSecret = "0123456789abcdef-test"
+
+func sealer(tb testing.TB, secret string, node pimid.NodeID, inc pimid.Incarnation) *Sealer {
+	tb.Helper()
+	c, err := NewCredentials([]byte(secret), Identity{Node: node, Incarnation: inc})
+	if err != nil {
+		tb.Fatal(err)
+	}
+	s, err := NewSealer(c)
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return s
+}
+
 // echo answers PullConfig with the verified identity of the caller.
 type echo struct {
 	pimpb.DRPCPeerUnimplementedServer
@@ -118,7 +134,7 @@
 // Guards against a secret that can be guessed.
 func TestShortSecretIsRefused(t *testing.T) {
 	_, err := NewCredentials([]byte("short"), Identity{})
-	is.New(t).True(errors.Is(err, ErrSecret))
+	is.New(t).True(errors.Is(err, pimseal.ErrSecret))
 }
 
 // Guards against datagrams that are lost between socket and handler, or dropped without being counted.
@@ -142,7 +158,7 @@
 	is.Equal(g.GetSequence(), uint64(5))
 	is.Equal(g.GetSender(), uint32(2))
 	is.Equal(set.GetOrCreateCounter(`pimentoyard_gossip_dropped_total{reason="truncated"}`).Get(), uint64(1))
-	big := &pimpb.Gossip{Config: &pimpb.ConfigDigest{Hash: make([]byte, MaxDatagram)}}
-	is.True(errors.Is(from.Send(target, big), ErrTooLarge))
+	big := &pimpb.Gossip{Config: &pimpb.ConfigDigest{Hash: make([]byte, pimseal.MaxDatagram)}}
+	is.True(errors.Is(from.Send(target, big), pimseal.ErrTooLarge))
 	cleanup()
 }
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -82,9 +82,9 @@
 	return snap, nil
 }
 
-// Watch waits for events after a revision. The batch has no events if the platform saw none in time; its To is
+// Watch waits for events after a revision, as long as the platform holds a watch. The batch has no events if the platform saw none in time; its To is
 // below From if the platform is older than the reader.
-func (c *Client) Watch(ctx context.Context, from pimid.Revision) (b pimconfig.Batch, err error) {
+func (c *Client) Watch(ctx context.Context, from pimid.Revision, _ time.Duration) (b pimconfig.Batch, err error) {
 	defer func() { err = oops.In("pimplatform").Wrapf(err, "watch from revision %d", from) }()
 	var r watchResponse
 	query := url.Values{"from": {strconv.FormatUint(uint64(from), 10)}}
--- a/internal/transport/pimplatform/client_test.go
+++ b/internal/transport/pimplatform/client_test.go
@@ -53,10 +53,10 @@
 	is.Equal(len(snap.Entries), 2)
 	is.Equal(string(snap.Entries[0].Value), `{"id":1}`)
 	state.Delete("services/1")
-	b, err := c.Watch(t.Context(), 2)
+	b, err := c.Watch(t.Context(), 2, 0)
 	is.NoErr(err)
 	is.Equal(b, pimconfig.Batch{From: 2, To: 3, Events: []pimconfig.Event{{Revision: 3, Key: "services/1", Deleted: true}}})
-	b, err = c.Watch(t.Context(), 3) // held until the server gives up
+	b, err = c.Watch(t.Context(), 3, 0) // held until the server gives up
 	is.NoErr(err)
 	is.Equal(b, pimconfig.Batch{From: 3, To: 3})
 	list, err := c.VMs(t.Context())
@@ -90,7 +90,7 @@
 	is := is.New(t)
 	_, server, c := platform(t, time.Millisecond)
 	server.SetMode(standplatform.Mode{Down: true})
-	_, err := c.Watch(t.Context(), 1)
+	_, err := c.Watch(t.Context(), 1, 0)
 	var status *StatusError
 	is.True(errors.As(err, &status))
 	is.Equal(status.Status, http.StatusServiceUnavailable)
--- a/internal/transport/pimpeer/replay.go
+++ b/internal/transport/pimseal/replay.go
@@ -1,4 +1,4 @@
-package pimpeer
+package pimseal
 
 import (
 	"crypto/cipher"
@@ -33,7 +33,7 @@
 	if ok && known.incarnation == id.Incarnation {
 		return known.aead, nil
 	}
-	return s.creds.aead(id)
+	return s.aead(id)
 }
 
 // accept records a sequence number and reports whether it is new. Datagrams of an older run are replays.
--- /dev/null
+++ b/internal/transport/pimseal/seal.go
@@ -0,0 +1,126 @@
+package pimseal
+
+import (
+	"crypto/cipher"
+	"crypto/hkdf"
+	"crypto/sha256"
+	"encoding/binary"
+	"sync"
+	"sync/atomic"
+
+	"github.com/samber/oops"
+	"golang.org/x/crypto/chacha20poly1305"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+const (
+	version = 2
+	// headerSize is version 1, node 8, incarnation 8, sequence 8, time 8.
+	headerSize = 33
+	// Overhead is the number of bytes that sealing adds to a message.
+	Overhead = headerSize + chacha20poly1305.Overhead
+	// MaxDatagram bounds a sealed datagram in bytes.
+	MaxDatagram = 1400
+	// MinSecret is the smallest length of the cluster secret in bytes.
+	MinSecret = 16
+)
+
+// info separates the keys of this use of the cluster secret from those of other uses.
+const info = "pimentoyard gossip v1"
+
+// Identity is one run of one VM.
+type Identity struct {
+	// Node is a number that the VMs of a fleet do not share.
+	Node        uint64
+	Incarnation pimid.Incarnation
+}
+
+// Sealer seals and opens datagrams; it is safe for concurrent use. Each run of a VM has its own key, derived from the
+// cluster secret, node and incarnation, and the nonce is the sequence number, so that no pair repeats.
+type Sealer struct {
+	id       Identity
+	key      []byte
+	own      cipher.AEAD
+	sequence atomic.Uint64
+
+	mu      sync.Mutex
+	senders map[uint64]*sender
+}
+
+// New returns a sealer for the own VM.
+func New(secret []byte, id Identity) (s *Sealer, err error) {
+	defer func() { err = oops.In("pimseal").Wrapf(err, "create sealer") }()
+	if len(secret) < MinSecret {
+		return nil, ErrSecret
+	}
+	key, err := hkdf.Key(sha256.New, secret, nil, info, sha256.Size)
+	if err != nil {
+		return nil, err
+	}
+	s = &Sealer{id: id, key: key, senders: map[uint64]*sender{}}
+	s.own, err = s.aead(id)
+	return s, err
+}
+
+func (s *Sealer) aead(id Identity) (cipher.AEAD, error) {
+	var run [16]byte
+	binary.BigEndian.PutUint64(run[:], id.Node)
+	binary.BigEndian.PutUint64(run[8:], uint64(id.Incarnation))
+	key, err := hkdf.Expand(sha256.New, s.key, string(run[:]), chacha20poly1305.KeySize)
+	if err != nil {
+		return nil, err
+	}
+	return chacha20poly1305.New(key)
+}
+
+// Seal returns the datagram for a message; the error is ErrTooLarge.
+func (s *Sealer) Seal(nowUnixMilli int64, plain []byte) (datagram []byte, err error) {
+	if len(plain)+Overhead > MaxDatagram {
+		return nil, ErrTooLarge
+	}
+	sequence := s.sequence.Add(1)
+	header := make([]byte, 0, len(plain)+Overhead)
+	header = append(header, version)
+	header = binary.BigEndian.AppendUint64(header, s.id.Node)
+	header = binary.BigEndian.AppendUint64(header, uint64(s.id.Incarnation))
+	header = binary.BigEndian.AppendUint64(header, sequence)
+	header = binary.BigEndian.AppendUint64(header, uint64(nowUnixMilli))
+	return s.own.Seal(header, nonce(sequence), plain, header), nil
+}
+
+// Open returns sender and message of an authentic datagram that was not received before.
+func (s *Sealer) Open(nowUnixMilli int64, datagram []byte) (id Identity, plain []byte, err error) {
+	if len(datagram) < Overhead {
+		return id, nil, ErrShort
+	}
+	header, sealed := datagram[:headerSize], datagram[headerSize:]
+	if header[0] != version {
+		return id, nil, ErrVersion
+	}
+	id = Identity{
+		Node:        binary.BigEndian.Uint64(header[1:]),
+		Incarnation: pimid.Incarnation(binary.BigEndian.Uint64(header[9:])),
+	}
+	sequence := binary.BigEndian.Uint64(header[17:])
+	aead, err := s.aeadOf(id)
+	if err != nil {
+		return id, nil, err
+	}
+	if plain, err = aead.Open(nil, nonce(sequence), sealed, header); err != nil {
+		return id, nil, ErrForged
+	}
+	if age := nowUnixMilli - int64(binary.BigEndian.Uint64(header[25:])); age > windowMillis || age < -windowMillis {
+		return id, nil, ErrTime
+	}
+	if !s.accept(id, sequence, aead) {
+		return id, nil, ErrReplayed
+	}
+	return id, plain, nil
+}
+
+func nonce(sequence uint64) []byte {
+	n := make([]byte, chacha20poly1305.NonceSize)
+	binary.BigEndian.PutUint64(n[chacha20poly1305.NonceSize-8:], sequence)
+	return n
+}
--- a/internal/transport/pimpeer/seal_test.go
+++ b/internal/transport/pimseal/seal_test.go
@@ -1,4 +1,4 @@
-package pimpeer
+package pimseal
 
 import (
 	"encoding/binary"
@@ -7,19 +7,14 @@
 
 	"github.com/matryer/is"
 
-	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 const nowMillis = 1_800_000_000_000
 
-func sealer(tb testing.TB, secret string, node pimid.NodeID, inc pimid.Incarnation) *Sealer {
+func sealer(tb testing.TB, secret string, node uint64, inc pimid.Incarnation) *Sealer {
 	tb.Helper()
-	c, err := NewCredentials([]byte(secret), Identity{Node: node, Incarnation: inc})
-	if err != nil {
-		tb.Fatal(err)
-	}
-	s, err := NewSealer(c)
+	s, err := New([]byte(secret), Identity{Node: node, Incarnation: inc})
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -30,7 +25,7 @@
 
 func seal(tb testing.TB, s *Sealer) []byte {
 	tb.Helper()
-	p, err := s.Seal(nowMillis, &pimpb.Gossip{Kind: pimpb.GossipKind_GOSSIP_KIND_PING, Sequence: 7})
+	p, err := s.Seal(nowMillis, []byte("message"))
 	if err != nil {
 		tb.Fatal(err)
 	}
@@ -52,9 +47,10 @@
 		"one byte short":    {func(p []byte) []byte { return p[:len(p)-1] }, nowMillis, ErrForged},
 		"one byte more":     {func(p []byte) []byte { return append(p, 0) }, nowMillis, ErrForged},
 		"other version":     {change(0), nowMillis, ErrVersion},
-		"other node":        {change(2), nowMillis, ErrForged},
-		"other incarnation": {change(5), nowMillis, ErrForged},
-		"other sequence":    {change(18), nowMillis, ErrForged},
+		"other node":        {change(8), nowMillis, ErrForged},
+		"other incarnation": {change(16), nowMillis, ErrForged},
+		"other sequence":    {change(24), nowMillis, ErrForged},
+		"other time":        {change(32), nowMillis, ErrForged},
 		"other content":     {change(headerSize), nowMillis, ErrForged},
 		"other tag":         {func(p []byte) []byte { p[len(p)-1] ^= 1; return p }, nowMillis, ErrForged},
 		"too old":           {nil, nowMillis + windowMillis + 1, ErrTime},
@@ -68,11 +64,12 @@
 			if tc.change != nil {
 				bad = tc.change(bad)
 			}
-			_, err := to.Open(tc.at, bad)
+			_, _, err := to.Open(tc.at, bad)
 			is.True(errors.Is(err, tc.want))
-			g, err := to.Open(nowMillis, p) // a bad datagram must not block the good one
+			id, plain, err := to.Open(nowMillis, p) // a bad datagram must not block the good one
 			is.NoErr(err)
-			is.Equal(g.GetSender(), uint32(1))
+			is.Equal(id, Identity{Node: 1, Incarnation: 5})
+			is.Equal(string(plain), "message")
 		})
 	}
 }
@@ -80,7 +77,7 @@
 // Guards against a sender with another cluster secret.
 func TestOpenRefusesOtherSecret(t *testing.T) {
 	is := is.New(t)
-	_, err := sealer(t, testSecret, 2, 6).Open(nowMillis, seal(t, sealer(t, "another-secret-0123", 1, 5)))
+	_, _, err := sealer(t, testSecret, 2, 6).Open(nowMillis, seal(t, sealer(t, "another-secret-0123", 1, 5)))
 	is.True(errors.Is(err, ErrForged))
 }
 
@@ -93,7 +90,7 @@
 	for range windowBits + 10 {
 		sent = append(sent, seal(t, from))
 	}
-	open := func(p []byte) error { _, err := to.Open(nowMillis, p); return err }
+	open := func(p []byte) error { _, _, err := to.Open(nowMillis, p); return err }
 	is.NoErr(open(sent[20]))
 	is.NoErr(open(sent[3])) // reordered
 	is.True(errors.Is(open(sent[3]), ErrReplayed))
@@ -111,12 +108,12 @@
 	good := seal(f, from)
 	f.Add(good)
 	f.Add(good[:headerSize])
-	f.Add([]byte{sealVersion})
+	f.Add([]byte{version})
 	f.Add(binary.BigEndian.AppendUint64(make([]byte, Overhead), 1))
 	to := sealer(f, testSecret, 2, 6)
 	f.Fuzz(func(t *testing.T, p []byte) {
-		if g, err := to.Open(nowMillis, p); err == nil && string(p) != string(good) {
-			t.Fatalf("accepted a datagram that was never sealed: %v", g)
+		if _, plain, err := to.Open(nowMillis, p); err == nil && string(p) != string(good) {
+			t.Fatalf("accepted a datagram that was never sealed: %q", plain)
 		}
 	})
 }
