fix: tell removals that a VM did not see itself

A model test with random reads, watches, restarts and relays found three more of the kind: entries that come and go between two lists, a removal that was learnt before the first contact and never took effect, and a complete delta that names an entry as removed at an older revision. Ruled out: a late watch after a merge (Apply ignores what is known already). A delta now starts at the last complete list of its sender or tells everything.

--- a/internal/coordination/pimregistry/contact.go
+++ b/internal/coordination/pimregistry/contact.go
@@ -8,11 +8,8 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-const (
-	// never is before any instant and always after any.
-	never  pimclock.Instant = math.MinInt64 / 2
-	always pimclock.Instant = math.MaxInt64 / 2
-)
+// never is before any instant.
+const never pimclock.Instant = math.MinInt64 / 2
 
 // contact remembers the last outage of the platform as this VM saw it. A VM that has just started knows of none, so it
 // counts the time before its start as one.
@@ -22,10 +19,11 @@
 	returned pimclock.Instant
 }
 
-// returnsBy is the instant by which entries that lapsed in the last outage must have returned.
-func (c *contact) returnsBy(within time.Duration) pimclock.Instant {
+// returnsBy is the instant by which entries that lapsed in the last outage must have returned. A change that is learnt
+// from another VM before the own contact has returned shows that the platform is back now.
+func (c *contact) returnsBy(now pimclock.Instant, within time.Duration) pimclock.Instant {
 	if !c.reached {
-		return always
+		return now.Add(within)
 	}
 	return c.returned.Add(within)
 }
@@ -68,7 +66,7 @@
 // that a backend server without an entry has ended.
 func (r *Registry) Settled(now pimclock.Instant) bool {
 	r.mu.Lock()
-	by := r.contact.returnsBy(r.cfg.ReturnWithin)
+	by := r.contact.returnsBy(now, r.cfg.ReturnWithin)
 	r.mu.Unlock()
 	return r.Fresh(now) && !now.Before(by)
 }
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -50,10 +50,14 @@
 	Revision pimid.Revision    `cbor:"2,keyasint"`
 }
 
-// Since returns what has changed after a revision; zero asks for everything.
+// Since returns what has changed after a revision; zero asks for everything. A VM whose last
+// complete list is newer tells everything, since it does not know which entries came and went before.
 func (r *Registry) Since(from pimid.Revision) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if from < r.base {
+		from = 0
+	}
 	now := r.clock.Now()
 	d := Delta{From: from, To: r.revision}
 	for _, h := range r.hosts {
@@ -117,7 +121,7 @@
 	}
 	told := make(map[pimcatalog.HostID]bool, len(d.Hosts))
 	for i := range d.Hosts {
-		told[d.Hosts[i].Host.ID] = true
+		told[d.Hosts[i].Host.ID] = !d.Hosts[i].Host.Unlisted
 		r.adopt(now, d.Hosts[i])
 	}
 	for _, gone := range d.Removed {
@@ -127,6 +131,7 @@
 	}
 	if d.From == 0 {
 		r.removeUntold(now, told, d.To)
+		r.base = d.To
 	}
 	r.revision = d.To
 	r.publish()
--- /dev/null
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -0,0 +1,211 @@
+package pimregistry
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+func route(port uint16, timeout time.Duration) pimcatalog.Route {
+	return pimcatalog.Route{
+		Name: fmt.Sprint(port), Address: netip.AddrPortFrom(netip.MustParseAddr("198.18.0.1"), port),
+		Shares: []pimcatalog.Share{{Service: "desk", Weight: 1}}, Timeout: timeout,
+	}
+}
+
+func configChange(revision pimid.Revision, version pimcatalog.Version, routes ...pimcatalog.Route) Change {
+	return Change{Revision: revision, Config: &pimcatalog.Config{
+		Version: version, Routes: routes, Services: []pimcatalog.Service{"desk"},
+	}}
+}
+
+func hostChange(revision pimid.Revision, id pimcatalog.HostID) Change {
+	return Change{Revision: revision, Created: revision, ID: id, Host: &pimcatalog.Host{
+		ID: id, Name: fmt.Sprintf("i-%x", uint64(id)), Service: "desk", DataCentre: "ikeja", Slots: 2,
+		Address: netip.AddrPortFrom(netip.MustParseAddr("10.1.64.1"), uint16(id)),
+	}}
+}
+
+func newRegistry(clock pimclock.Clock) *Registry { return New(DefaultSettings(), clock, nil) }
+
+// Guards against a route that stays in force, or a backend server that stays listed, because the VM that told the
+// changes had started after it was removed. Found by hunts (seeds 47657438101 and hunt-1f5f-27): a VM went back to an
+// older configuration.
+func TestDeltaOfAVMThatStartedLaterTellsRemovals(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	behind, late := newRegistry(clock), newRegistry(clock)
+	behind.Reached()
+	is.NoErr(behind.Restore(Snapshot{Revision: 10, Changes: []Change{
+		configChange(5, 1, route(1, time.Second), route(2, time.Second)), hostChange(6, 7), hostChange(7, 8),
+	}}))
+	// The late VM reads the platform when route 2 and backend server 8 are gone.
+	late.Reached()
+	is.NoErr(late.Restore(Snapshot{Revision: 20, Changes: []Change{configChange(15, 2, route(1, time.Second)), hostChange(6, 7)}}))
+	is.NoErr(behind.Merge(late.Since(behind.Revision())))
+	is.Equal(behind.Revision(), pimid.Revision(20))
+	is.Equal(behind.Catalog().Routes.Route(route(2, 0).Address), nil)
+	clock.Advance(DefaultSettings().ReturnWithin)
+	is.True(behind.Catalog().Host(pimcatalog.HostID(8).Tag()).Gone(clock.Now()))
+	is.True(!behind.Catalog().Host(pimcatalog.HostID(7).Tag()).Gone(clock.Now()))
+}
+
+// Guards against a VM that skips changes between its own revision and the start of a delta.
+func TestDeltaWithAGapIsRefused(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := newRegistry(clock)
+	is.NoErr(r.Restore(Snapshot{Revision: 10}))
+	is.True(errors.Is(r.Merge(Delta{From: 11, To: 12}), ErrGap))
+	is.NoErr(r.Merge(Delta{From: 3, To: 9})) // older than what is known: nothing to do
+	is.Equal(r.Revision(), pimid.Revision(10))
+}
+
+// world is the platform of TestVMsAgreeInAnyOrder.
+type world struct {
+	revision pimid.Revision
+	version  pimcatalog.Version
+	routes   map[uint16]pimcatalog.Route
+	hosts    map[pimcatalog.HostID]Change
+	log      []Change
+}
+
+func (w *world) step(rng *rand.Rand) {
+	w.revision++
+	id := pimcatalog.HostID(1 + rng.IntN(6))
+	switch rng.IntN(3) {
+	case 0:
+		c := hostChange(w.revision, id)
+		c.Host.Leaving = rng.IntN(2) == 0
+		w.hosts[id] = c
+		w.log = append(w.log, c)
+	case 1:
+		delete(w.hosts, id)
+		w.log = append(w.log, Change{Revision: w.revision, ID: id, Removed: true})
+	default:
+		port := uint16(1 + rng.IntN(5))
+		if _, ok := w.routes[port]; ok && rng.IntN(2) == 0 {
+			delete(w.routes, port)
+		} else {
+			w.routes[port] = route(port, time.Duration(w.revision))
+		}
+		w.version++
+		w.log = append(w.log, w.config())
+	}
+}
+
+func (w *world) config() Change {
+	var routes []pimcatalog.Route
+	for _, r := range w.routes {
+		routes = append(routes, r)
+	}
+	return configChange(w.revision, w.version, routes...)
+}
+
+func (w *world) snapshot() (s Snapshot) {
+	s.Revision = w.revision
+	for i := len(w.log) - 1; i >= 0; i-- {
+		if w.log[i].Config != nil {
+			s.Changes = append(s.Changes, w.log[i])
+			break
+		}
+	}
+	for _, c := range w.hosts {
+		s.Changes = append(s.Changes, c)
+	}
+	return s
+}
+
+// Guards against VMs that disagree after reads, watches, restarts and relays in any order, and against a revision or
+// configuration that goes back.
+func TestVMsAgreeInAnyOrder(t *testing.T) {
+	const seeds, vms, steps = 500, 4, 120
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		clock := &pimclock.Manual{}
+		w := &world{routes: map[uint16]pimcatalog.Route{}, hosts: map[pimcatalog.HostID]Change{}}
+		fleet := make([]*Registry, vms)
+		for i := range fleet {
+			fleet[i] = newRegistry(clock)
+		}
+		for range steps {
+			clock.Advance(50 * time.Millisecond)
+			i, j := rng.IntN(vms), rng.IntN(vms)
+			before := fleet[i].Catalog()
+			switch rng.IntN(6) {
+			case 0, 1:
+				w.step(rng)
+			case 2:
+				fleet[i].Reached()
+				_ = fleet[i].Restore(w.snapshot())
+			case 3:
+				from := fleet[i].Revision()
+				var changes []Change
+				for _, c := range w.log {
+					if c.Revision > from {
+						changes = append(changes, c)
+					}
+				}
+				if from > 0 {
+					_ = fleet[i].Apply(Batch{From: from, To: w.revision, Changes: changes})
+				}
+			case 4:
+				_ = fleet[i].Merge(fleet[j].Since(fleet[i].Revision()))
+			case 5:
+				if rng.IntN(4) == 0 {
+					fleet[i] = newRegistry(clock)
+					continue
+				}
+			}
+			after := fleet[i].Catalog()
+			if after.Revision < before.Revision || before.Ready() && after.Routes.Version < before.Routes.Version {
+				t.Fatalf("seed %d: went back from %d to %d", seed, before.Revision, after.Revision)
+			}
+		}
+		check(t, seed, w, clock, fleet)
+	}
+}
+
+// check lets one VM read the platform and tell the others, which must then believe what the platform publishes.
+func check(t *testing.T, seed uint64, w *world, clock *pimclock.Manual, fleet []*Registry) {
+	t.Helper()
+	fleet[0].Reached()
+	if err := fleet[0].Restore(w.snapshot()); err != nil {
+		t.Fatalf("seed %d: %v", seed, err)
+	}
+	for _, r := range fleet[1:] {
+		if err := r.Merge(fleet[0].Since(r.Revision())); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
+		}
+	}
+	clock.Advance(DefaultSettings().ReturnWithin)
+	for i, r := range fleet {
+		c := r.Catalog()
+		for id := pimcatalog.HostID(1); id <= 6; id++ {
+			want, listed := w.hosts[id]
+			h := c.Host(id.Tag())
+			if open := h != nil && !h.Gone(clock.Now()); open != listed || listed && h.Leaving != want.Host.Leaving {
+				t.Fatalf("seed %d, vm %d: host %d listed %v, believed %v", seed, i, id, listed, open)
+			}
+		}
+		for port := uint16(1); port <= 5; port++ {
+			want, published := w.routes[port]
+			var got *pimcatalog.Route
+			if c.Ready() {
+				got = c.Routes.Route(route(port, 0).Address)
+			}
+			if (got != nil) != published || published && !got.Equal(&want) {
+				t.Fatalf("seed %d, vm %d: route %d published %v, believed %v", seed, i, port, published, got)
+			}
+		}
+	}
+}
--- a/internal/coordination/pimregistry/lapse.go
+++ b/internal/coordination/pimregistry/lapse.go
@@ -21,7 +21,7 @@
 	h := *old
 	h.Unlisted, h.Revision, h.GoneAt = true, c.Revision, now
 	decision := Ended
-	if back := r.contact.returnsBy(r.cfg.ReturnWithin); !old.Leaving && now.Before(back) {
+	if back := r.contact.returnsBy(now, r.cfg.ReturnWithin); !old.Leaving && now.Before(back) {
 		h.GoneAt, decision = back, Lapsed
 	}
 	r.hosts[c.ID] = &h
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -55,6 +55,8 @@
 
 	mu       sync.Mutex
 	revision pimid.Revision
+	// base is the revision of the last complete list: what came and went before it is not known.
+	base pimid.Revision
 	// configRevision is the revision of the configuration in force.
 	configRevision pimid.Revision
 	routes         *pimcatalog.RouteTable
@@ -134,7 +136,7 @@
 		r.change(now, c)
 	}
 	r.removeUntold(now, listed, s.Revision)
-	r.revision = s.Revision
+	r.base, r.revision = s.Revision, s.Revision
 	r.publish()
 	return nil
 }
