trial: choose the surcharge of another data centre by the kind of flow

Conclusion: a VM sees no load of other data centres, so it spills blindly, and flows placed there break when the data centres lose each other.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -30,6 +30,8 @@
 	Work time.Duration
 	// Suspect is set while the backend server does not answer.
 	Suspect bool
+	// Misses is the number of flows without an answer since the last sign of life.
+	Misses int
 }
 
 func (t *Table) host(now pimclock.Instant, id pimcatalog.HostID) *host {
@@ -47,7 +49,7 @@
 	if h == nil {
 		return Load{}
 	}
-	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil)}
+	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.misses}
 }
 
 // Keep forgets the backend servers that are not in the catalog any more.
@@ -62,12 +64,8 @@
 // answered records a sign of life.
 func (h *host) answered(now pimclock.Instant) { h.alive, h.misses, h.suspectUntil = now, 0, 0 }
 
-// missed records that a packet of the given time has had no answer. A sign of life after that time outweighs it: then
-// only this packet was lost.
-func (h *host) missed(now, sent pimclock.Instant, cfg *Settings) {
-	if sent.Before(h.alive) {
-		return
-	}
+// missed records a packet without an answer.
+func (h *host) missed(now pimclock.Instant, cfg *Settings) {
 	const maxDoublings = 8
 	h.suspectUntil = now.Add(min(cfg.SuspectMin<<min(h.misses, maxDoublings), cfg.SuspectMax))
 	h.misses++
@@ -96,16 +94,20 @@
 type Report struct {
 	ID pimcatalog.HostID
 	// Busy is the mean number of running requests since the last report.
-	Busy    float64
-	Open    int
-	Suspect bool
+	Busy float64
+	Open int
+	// Misses is the number of flows without an answer since the last sign of life.
+	Misses int
 }
 
 // Report returns what the others may want to know, and starts the next mean.
 func (t *Table) Report(now pimclock.Instant) (reports []Report) {
 	for id, h := range t.hosts {
-		r := Report{ID: id, Busy: h.meanBusy(now), Open: h.open, Suspect: now.Before(h.suspectUntil)}
-		if r.Busy > 0 || r.Open > 0 || r.Suspect {
+		r := Report{ID: id, Busy: h.meanBusy(now), Open: h.open}
+		if now.Before(h.suspectUntil) {
+			r.Misses = h.misses
+		}
+		if r.Busy > 0 || r.Open > 0 || r.Misses > 0 {
 			reports = append(reports, r)
 		}
 	}
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -1,6 +1,7 @@
 package pimflow
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
@@ -13,6 +14,8 @@
 	// AnswerWithin is how long a caller needs to go on after an opening packet if the backend server has answered: two
 	// round trips between data centres and to the caller.
 	AnswerWithin time.Duration
+	// RepeatedAfter is how long a caller waits for the confirmation of its data.
+	RepeatedAfter time.Duration
 	// AnsweredFor is how long a request counts as running without a sign of its end; the end of an answer that fits
 	// one packet is not seen.
 	AnsweredFor time.Duration
@@ -27,12 +30,13 @@
 // DefaultSettings returns the times for data centres that are at most 10 ms apart.
 func DefaultSettings() Settings {
 	return Settings{
-		AnswerWithin: 60 * time.Millisecond,
-		AnsweredFor:  500 * time.Millisecond,
-		IdleFor:      20 * time.Second,
-		SuspectMin:   500 * time.Millisecond,
-		SuspectMax:   4 * time.Second,
-		MaxFlows:     100_000,
+		AnswerWithin:  60 * time.Millisecond,
+		RepeatedAfter: 200 * time.Millisecond,
+		AnsweredFor:   500 * time.Millisecond,
+		IdleFor:       20 * time.Second,
+		SuspectMin:    500 * time.Millisecond,
+		SuspectMax:    4 * time.Second,
+		MaxFlows:      100_000,
 	}
 }
 
@@ -49,6 +53,10 @@
 	// running is set from the request to the first sign of its answer.
 	running      bool
 	runningSince pimclock.Instant
+	// requests is the number of requests so far.
+	requests int
+	// missed is set once the flow has counted as a packet without an answer, so that it counts once.
+	missed bool
 	// ahead is the number of running requests that the backend server had before this one.
 	ahead int
 }
@@ -61,11 +69,32 @@
 	// unanswered holds opening flows and unfinished the running requests, both in the order of their times.
 	unanswered, unfinished queue
 	swept                  pimclock.Instant
+	suspicions             []Suspicion
+	routes                 map[netip.AddrPort]*routeStats
+}
+
+// Cause says why a backend server is suspected.
+type Cause string
+
+// The causes.
+const (
+	// CauseUnanswered is an opening packet without an answer.
+	CauseUnanswered Cause = "unanswered"
+	// CauseRepeated is data that the caller had to repeat.
+	CauseRepeated Cause = "repeated"
+)
+
+// Suspicion is a packet without an answer.
+type Suspicion struct {
+	Host  pimcatalog.HostID
+	Cause Cause
+	// Misses is the number of such flows since the last sign of life.
+	Misses int
 }
 
 // New returns an empty table.
 func New(cfg Settings) *Table {
-	return &Table{cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{}}
+	return &Table{cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{}, routes: map[netip.AddrPort]*routeStats{}}
 }
 
 // Len returns the number of flows that are remembered.
@@ -110,11 +139,11 @@
 	h := t.host(now, id)
 	r.seen = now
 	if r.opening {
-		r.opening, r.acked = false, p.Acked
+		r.opening, r.missed, r.acked = false, false, p.Acked
 		h.answered(now)
 	}
 	if p.Acked.After(r.acked) > 0 {
-		r.acked = p.Acked
+		r.acked, r.missed = p.Acked, false
 		h.answered(now)
 		t.finish(now, r, h)
 	}
@@ -122,6 +151,7 @@
 		t.data(now, p, r, h)
 	}
 	if p.Flags.Has(pimpacket.Close) || p.Flags.Has(pimpacket.Reset) {
+		t.route(p.Flow.Route).closed(r.requests)
 		t.leave(now, r)
 		delete(t.flows, p.Flow)
 	}
@@ -147,7 +177,7 @@
 	end := p.Seq + pimpacket.Sequence(p.Data)
 	if end.After(r.sent) <= 0 {
 		// The backend server has not confirmed the data within the caller's retransmission time.
-		h.missed(now, r.placed, &t.cfg)
+		t.missed(now, now.Add(-t.cfg.RepeatedAfter), r, CauseRepeated)
 		return
 	}
 	r.sent = end
@@ -155,6 +185,7 @@
 		return
 	}
 	r.running, r.runningSince, r.ahead = true, now, h.busy
+	r.requests++
 	h.setBusy(now, h.busy+1)
 	t.unfinished.push(p.Flow, now)
 }
@@ -179,11 +210,28 @@
 	}
 }
 
+// missed records a packet without an answer.
+func (t *Table) missed(now, sent pimclock.Instant, r *record, cause Cause) {
+	h := t.host(now, r.host)
+	if r.missed || sent.Before(h.alive) {
+		return
+	}
+	r.missed = true
+	h.missed(now, &t.cfg)
+	t.suspicions = append(t.suspicions, Suspicion{Host: r.host, Cause: cause, Misses: h.misses})
+}
+
+// Suspicions returns the packets without an answer since the last call.
+func (t *Table) Suspicions() (all []Suspicion) {
+	all, t.suspicions = t.suspicions, nil
+	return all
+}
+
 // Expire draws the conclusions that need no packet: opening packets without an answer and requests without an end.
 func (t *Table) Expire(now pimclock.Instant) {
 	for f, at, ok := t.unanswered.before(now.Add(-t.cfg.AnswerWithin)); ok; f, at, ok = t.unanswered.before(now.Add(-t.cfg.AnswerWithin)) {
 		if r := t.flows[f]; r != nil && r.opening && r.placed == at {
-			t.host(now, r.host).missed(now, at, &t.cfg)
+			t.missed(now, at, r, CauseUnanswered)
 		}
 	}
 	for f, at, ok := t.unfinished.before(now.Add(-t.cfg.AnsweredFor)); ok; f, at, ok = t.unfinished.before(now.Add(-t.cfg.AnsweredFor)) {
@@ -196,6 +244,27 @@
 	t.sweep(now)
 }
 
+// Waiting is a flow whose request has no answer yet.
+type Waiting struct {
+	Flow  pimpacket.Flow
+	Acked pimpacket.Sequence
+}
+
+// Abandon forgets the flows of a backend server and returns those that wait for an answer.
+func (t *Table) Abandon(now pimclock.Instant, id pimcatalog.HostID) (waiting []Waiting) {
+	for f, r := range t.flows {
+		if r.host != id || r.opening {
+			continue
+		}
+		if r.running {
+			waiting = append(waiting, Waiting{Flow: f, Acked: r.acked})
+		}
+		t.leave(now, r)
+		delete(t.flows, f)
+	}
+	return waiting
+}
+
 // sweepEvery is how often silent flows are looked for.
 const sweepEvery = time.Second
 
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"net/netip"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
@@ -11,10 +12,20 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// Observer tells what was observed of flows and backend servers; pimflow.Table implements it.
+// Load is what this VM and the others observe of a backend server.
+type Load struct {
+	pimflow.Load
+	// BusyElsewhere and OpenElsewhere are the running requests and flows that the other VMs of the data centre see.
+	BusyElsewhere, OpenElsewhere float64
+	// MissesElsewhere is the number of their flows without an answer.
+	MissesElsewhere int
+}
+
+// Observer tells what was observed of flows and backend servers.
 type Observer interface {
-	Load(now pimclock.Instant, id pimcatalog.HostID) pimflow.Load
+	Load(now pimclock.Instant, id pimcatalog.HostID) Load
 	Tried(f pimpacket.Flow) (last, before pimcatalog.HostID)
+	KeepsFlows(route netip.AddrPort) (keeps, known bool)
 }
 
 // Placer chooses backend servers; it is owned by one goroutine.
@@ -38,12 +49,16 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) *pimcatalog.Host {
 	last, before := p.observer.Tried(pkt.Flow)
+	remote := p.remoteCost(route)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
 	for _, h := range c.Service(p.service(route)) {
 		if !h.Open(now) {
 			continue
 		}
 		cost := p.cost(now, h)
+		if h.DataCentre != p.home {
+			cost += remote
+		}
 		if h.ID == last || h.ID == before {
 			cost += triedCost
 		}
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -44,12 +44,14 @@
 	ReasonUntagged
 	// ReasonOverload means that the queues of all backend servers are taken to be full.
 	ReasonOverload
+	// ReasonHostDark means that the backend server of the flow answers nobody.
+	ReasonHostDark
 	reasons
 )
 
 var reasonNames = [reasons]string{
 	"placed", "established", "no_route", "no_host", "host_gone", "unknown_host", "view_behind", "no_view", "untagged",
-	"overload",
+	"overload", "host_dark",
 }
 
 // String returns the name of the reason in logs and metrics.
@@ -80,6 +82,8 @@
 	Fresh bool
 	// Settled is set if, besides, a backend server that the view does not know has ended.
 	Settled bool
+	// Dark reports whether a backend server answers nobody; nil means that none is.
+	Dark func(id pimcatalog.HostID) bool
 }
 
 // Placer chooses the backend server of a new flow.
@@ -129,6 +133,9 @@
 		return refuse(v.Settled, ReasonUnknownHost)
 	case host.Gone(now):
 		return Verdict{Action: Reset, Reason: ReasonHostGone, Host: host}
+	case p.Data > 0 && v.Dark != nil && v.Dark(host.ID):
+		// The request cannot be served there, so the caller may try elsewhere at once.
+		return Verdict{Action: Reset, Reason: ReasonHostDark, Host: host}
 	default:
 		return Verdict{Action: Forward, Reason: ReasonEstablished, Host: host}
 	}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
@@ -28,7 +29,10 @@
 	node     *Node
 	conn     *net.UDPConn
 	table    *pimflow.Table
-	placer   pimsteer.Placer
+	observer *observer
+	placer   *pimplace.Placer
+	// dark holds the backend servers whose flows were abandoned.
+	dark     map[pimcatalog.HostID]bool
 	counters edgeCounters
 	once     sync.Once
 	wg       sync.WaitGroup
@@ -37,8 +41,11 @@
 	reported pimclock.Instant
 }
 
-func newEdge(n *Node, conn *net.UDPConn, table *pimflow.Table, placer pimsteer.Placer) *edge {
-	e := &edge{node: n, conn: conn, table: table, placer: placer, counters: newEdgeCounters(n.set)}
+func newEdge(n *Node, conn *net.UDPConn, view *observer, placer *pimplace.Placer) *edge {
+	e := &edge{
+		node: n, conn: conn, table: view.table, observer: view, placer: placer, counters: newEdgeCounters(n.set),
+		dark: map[pimcatalog.HostID]bool{},
+	}
 	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
 		n.log.Warn().Err(err).Msg("receive buffer not set")
 	}
@@ -83,10 +90,13 @@
 		return
 	}
 	now := e.node.clock.Now()
+	catalog := e.node.registry.Catalog()
 	view := pimsteer.View{
-		Catalog: e.node.registry.Catalog(), Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
+		Catalog: catalog, Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
+		Dark: func(id pimcatalog.HostID) bool { return len(e.dark) > 0 && e.placer.IsDark(now, catalog, id) },
 	}
 	e.table.Expire(now)
+	e.suspect(now)
 	e.report(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
@@ -105,6 +115,48 @@
 	}
 }
 
+// suspect acts on packets without an answer: the others hear of them at once, and the callers that wait for a backend
+// server that answers nobody are told to try elsewhere.
+func (e *edge) suspect(now pimclock.Instant) {
+	suspicions := e.table.Suspicions()
+	for _, s := range suspicions {
+		e.node.log.Info().Str("cause", string(s.Cause)).Int("misses", s.Misses).Str("host", e.hostName(s.Host)).
+			Msg("backend server does not answer")
+	}
+	if len(suspicions) > 0 {
+		e.publish(now)
+		e.node.mesh.tell(false)
+		e.abandon(now)
+	}
+}
+
+// abandon resets the waiting flows of each backend server that has become dark.
+func (e *edge) abandon(now pimclock.Instant) {
+	catalog := e.node.registry.Catalog()
+	for _, h := range catalog.Hosts() {
+		switch dark := e.placer.IsDark(now, catalog, h.ID); {
+		case dark == e.dark[h.ID]:
+		case !dark:
+			delete(e.dark, h.ID)
+			e.node.log.Info().Str("host", h.Name).Msg("backend server answers again")
+		default:
+			e.dark[h.ID] = true
+			waiting := e.table.Abandon(now, h.ID)
+			for _, w := range waiting {
+				e.sendReset(&pimpacket.Packet{Flow: w.Flow, Acked: w.Acked})
+			}
+			e.node.log.Warn().Str("host", h.Name).Int("flows_reset", len(waiting)).Msg("backend server answers nobody")
+		}
+	}
+}
+
+func (e *edge) hostName(id pimcatalog.HostID) string {
+	if h := e.node.registry.Catalog().Host(id.Tag()); h != nil {
+		return h.Name
+	}
+	return "unknown"
+}
+
 // reportEvery is the time between two reports to the other VMs.
 const reportEvery = 200 * time.Millisecond
 
@@ -113,10 +165,16 @@
 	if now.Sub(e.reported) < reportEvery {
 		return
 	}
+	e.publish(now)
+	e.observer.elsewhere = e.node.mesh.gossip.Loads(now)
+	e.table.Keep(e.node.registry.Catalog())
+	e.abandon(now)
+}
+
+func (e *edge) publish(now pimclock.Instant) {
 	e.reported = now
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
-	e.table.Keep(e.node.registry.Catalog())
 }
 
 func (e *edge) forward(framed []byte, h *pimcatalog.Host) {
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -120,7 +120,7 @@
 	const hundredths = 100
 	for _, r := range reports[:min(len(reports), maxLoads)] {
 		told = append(told, pimmesh.HostLoad{
-			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, Suspect: r.Suspect,
+			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, Misses: r.Misses,
 		})
 	}
 	return told
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -107,8 +107,9 @@
 		return err
 	}
 	table := pimflow.New(pimflow.DefaultSettings())
-	placer := pimplace.New(n.cfg.Node.DataCentre, table, pimpick.LeastLoaded{}, rng)
-	n.edge = newEdge(n, conn, table, placer)
+	view := &observer{table: table}
+	placer := pimplace.New(n.cfg.Node.DataCentre, view, pimpick.LeastLoaded{}, rng)
+	n.edge = newEdge(n, conn, view, placer)
 	n.defers(n.edge.close)
 	return nil
 }
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -51,8 +51,8 @@
 	// Busy is the mean number of running requests since the last beat, in hundredths.
 	Busy int `cbor:"2,keyasint,omitempty"`
 	Open int `cbor:"3,keyasint,omitempty"`
-	// Suspect is set while the backend server does not answer.
-	Suspect bool `cbor:"4,keyasint,omitempty"`
+	// Misses is the number of flows to which the backend server has not answered since its last sign of life.
+	Misses int `cbor:"4,keyasint,omitempty"`
 }
 
 // Pull asks for all changes after a revision.
