--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -1,7 +1,6 @@
 package pimflow
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
@@ -53,8 +52,6 @@
 	// running is set from the request to the first sign of its answer.
 	running      bool
 	runningSince pimclock.Instant
-	// requests is the number of requests so far.
-	requests int
 	// missed is set once the flow has counted as a packet without an answer, so that it counts once.
 	missed bool
 	// ahead is the number of running requests that the backend server had before this one.
@@ -70,7 +67,6 @@
 	unanswered, unfinished queue
 	swept                  pimclock.Instant
 	suspicions             []Suspicion
-	routes                 map[netip.AddrPort]*routeStats
 }
 
 // Cause says why a backend server is suspected.
@@ -94,7 +90,7 @@
 
 // New returns an empty table.
 func New(cfg Settings) *Table {
-	return &Table{cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{}, routes: map[netip.AddrPort]*routeStats{}}
+	return &Table{cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{}}
 }
 
 // Len returns the number of flows that are remembered.
@@ -151,7 +147,6 @@
 		t.data(now, p, r, h)
 	}
 	if p.Flags.Has(pimpacket.Close) || p.Flags.Has(pimpacket.Reset) {
-		t.route(p.Flow.Route).closed(r.requests)
 		t.leave(now, r)
 		delete(t.flows, p.Flow)
 	}
@@ -185,7 +180,6 @@
 		return
 	}
 	r.running, r.runningSince, r.ahead = true, now, h.busy
-	r.requests++
 	h.setBusy(now, h.busy+1)
 	t.unfinished.push(p.Flow, now)
 }
--- a/internal/coordination/pimplace/cost.go
+++ b/internal/coordination/pimplace/cost.go
@@ -11,13 +11,9 @@
 	openCost = 0.05
 	// coldCost multiplies the load of a backend server that has just started.
 	coldCost = 1.6
-	// remoteKept, remoteShort and remoteDownload are the costs of another data centre. A flow that is kept for many
-	// requests breaks when the data centres lose each other, so it leaves the own one only if nothing is left there. A
-	// single request may leave before the wait at home, of about 30 ms a request, costs it its target. A download pays
-	// for its bytes.
-	remoteKept     = 8
-	remoteShort    = 8
-	remoteDownload = 8
+	// remoteCost is that of another data centre. A VM sees no load there, and a flow that is placed there breaks when
+	// the data centres lose each other, so it pays only if the queues at home are nearly full.
+	remoteCost = 8
 	// suspectCost is that of a backend server that does not answer.
 	suspectCost = 20
 	// triedCost is that of a backend server that has not answered this flow.
@@ -33,21 +29,11 @@
 	if h.Cold(now) > 0 {
 		cost = (cost + 1) * coldCost
 	}
+	if h.DataCentre != p.home {
+		cost += remoteCost
+	}
 	if load.Suspect {
 		cost += suspectCost
 	}
 	return cost
 }
-
-// remoteCost is the surcharge of a backend server in another data centre.
-func (p *Placer) remoteCost(route *pimcatalog.Route) float64 {
-	keeps, known := p.observer.KeepsFlows(route.Address)
-	switch {
-	case keeps || !known && route.Kind == pimcatalog.KindIdempotent:
-		return remoteKept
-	case route.Kind == pimcatalog.KindDownload:
-		return remoteDownload
-	default:
-		return remoteShort
-	}
-}
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"net/netip"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
@@ -25,7 +24,6 @@
 type Observer interface {
 	Load(now pimclock.Instant, id pimcatalog.HostID) Load
 	Tried(f pimpacket.Flow) (last, before pimcatalog.HostID)
-	KeepsFlows(route netip.AddrPort) (keeps, known bool)
 }
 
 // Placer chooses backend servers; it is owned by one goroutine.
@@ -49,16 +47,12 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) *pimcatalog.Host {
 	last, before := p.observer.Tried(pkt.Flow)
-	remote := p.remoteCost(route)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
 	for _, h := range c.Service(p.service(route)) {
 		if !h.Open(now) {
 			continue
 		}
 		cost := p.cost(now, h)
-		if h.DataCentre != p.home {
-			cost += remote
-		}
 		if h.ID == last || h.ID == before {
 			cost += triedCost
 		}
--- a/internal/pimentry/observer.go
+++ b/internal/pimentry/observer.go
@@ -1,8 +1,6 @@
 package pimentry
 
 import (
-	"net/netip"
-
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimgossip"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
@@ -28,8 +26,3 @@
 
 // Tried returns the backend servers that have not answered the flow.
 func (o *observer) Tried(f pimpacket.Flow) (last, before pimcatalog.HostID) { return o.table.Tried(f) }
-
-// KeepsFlows reports whether the callers of a route send several requests on a flow.
-func (o *observer) KeepsFlows(route netip.AddrPort) (keeps, known bool) {
-	return o.table.KeepsFlows(route)
-}
