--- /dev/null
+++ b/cmd/pimentry/reload.go
@@ -0,0 +1,76 @@
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"reflect"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimentry"
+	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+)
+
+// settingsEvery is how often the settings file is read again, since it may change without a signal.
+const settingsEvery = 2 * time.Second
+
+// settingsWatcher applies changes of the settings file to a running VM.
+type settingsWatcher struct {
+	file string
+	last pimsettings.Entry
+	// modified is the time of the file that was read last.
+	modified time.Time
+	node     *pimentry.Node
+	log      zerolog.Logger
+}
+
+// run watches the file until the context ends.
+func (w *settingsWatcher) run(ctx context.Context) {
+	hangup := make(chan os.Signal, 1)
+	signal.Notify(hangup, syscall.SIGHUP)
+	defer signal.Stop(hangup)
+	ticker := time.NewTicker(settingsEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-hangup:
+			w.reload()
+		case <-ticker.C:
+			if w.isModified() {
+				w.reload()
+			}
+		}
+	}
+}
+
+func (w *settingsWatcher) isModified() bool {
+	info, err := os.Stat(w.file)
+	if err != nil {
+		w.log.Warn().Err(err).Msg("settings file not found; the settings stay in force")
+		return false
+	}
+	if info.ModTime().Equal(w.modified) {
+		return false
+	}
+	w.modified = info.ModTime()
+	return true
+}
+
+// reload applies the file; wrong settings leave the present ones in force.
+func (w *settingsWatcher) reload() {
+	cfg, err := pimsettings.ReadEntry(w.file)
+	if err != nil {
+		w.log.Error().Err(err).Msg("settings are wrong; the present ones stay in force")
+		return
+	}
+	if reflect.DeepEqual(cfg, w.last) {
+		return
+	}
+	w.last = cfg
+	w.node.Reload(cfg)
+}
--- a/cmd/pimentry/run.go
+++ b/cmd/pimentry/run.go
@@ -12,6 +12,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/pimentry"
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimlog"
 	"github.com/pimentoyard/pimentoyard/platform"
 )
 
@@ -24,22 +25,22 @@
 
 // Execute runs the command.
 func (c *runCommand) Execute([]string) error {
-	// A signal to reload must not end a process that is still starting.
+	// A signal to reload must not end a process that is still starting; the watcher of the settings takes it later.
 	signal.Ignore(syscall.SIGHUP)
 	cfg, err := pimsettings.ReadEntry(c.Settings)
 	if err != nil {
 		return err
 	}
-	log, err := newLogger(c.out, cfg)
+	log, closeLog, err := newLogger(c.out, cfg)
 	if err != nil {
 		return err
 	}
+	defer closeLog()
 	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer cancel()
 	clock := pimclock.Boot{}
 	store, closeStore := platform.NewStore(platform.StoreSettings{
 		Address: cfg.Platform.Address.String(), Timeout: time.Duration(cfg.Platform.Timeout),
-		WatchFor: time.Duration(cfg.Platform.WatchFor), WatchTimeout: time.Duration(cfg.Platform.WatchTimeout),
 	})
 	defer closeStore()
 	node, cleanup, err := pimentry.New(context.Background(), cfg, pimentry.Platform{
@@ -49,8 +50,9 @@
 		return err
 	}
 	defer cleanup()
-	log.Info().Msg("started")
-	<-ctx.Done()
+	log.Info().Str("settings", c.Settings).Msg("started")
+	watcher := &settingsWatcher{file: c.Settings, last: cfg, node: node, log: log}
+	watcher.run(ctx)
 	return shutdown(node, log)
 }
 
@@ -64,11 +66,12 @@
 	return nil
 }
 
-func newLogger(out output, cfg pimsettings.Entry) (zerolog.Logger, error) {
+func newLogger(out output, cfg pimsettings.Entry) (log zerolog.Logger, cleanup func(), err error) {
 	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
-		return zerolog.Nop(), err
+		return zerolog.Nop(), nil, err
 	}
-	return zerolog.New(out.stdout).Level(level).With().Timestamp().
-		Str("vm", cfg.Node.Name).Str("data_centre", string(cfg.Node.DataCentre)).Logger(), nil
+	log, cleanup = pimlog.New(out.stdout, level)
+	log = log.With().Str("vm", cfg.Node.Name).Str("data_centre", string(cfg.Node.DataCentre)).Logger()
+	return log, cleanup, nil
 }
--- /dev/null
+++ b/internal/coordination/pimflow/table_test.go
@@ -0,0 +1,203 @@
+package pimflow
+
+import (
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+const (
+	hostA pimcatalog.HostID = 7
+	hostB pimcatalog.HostID = 8
+)
+
+func flow(port uint16) pimpacket.Flow {
+	return pimpacket.Flow{
+		Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port),
+		Route:  netip.MustParseAddrPort("198.18.0.1:443"),
+	}
+}
+
+// caller plays the packets of one caller.
+type caller struct {
+	t     *Table
+	flow  pimpacket.Flow
+	seq   pimpacket.Sequence
+	acked pimpacket.Sequence
+}
+
+func newCaller(t *Table, port uint16) *caller {
+	return &caller{t: t, flow: flow(port), seq: 1000, acked: 50}
+}
+
+func (c *caller) open(now pimclock.Instant, at pimcatalog.HostID, attempt int) {
+	c.t.Placed(now, &pimpacket.Packet{Flow: c.flow, Flags: pimpacket.Open, Seq: c.seq, Attempt: attempt}, at)
+}
+
+func (c *caller) pass(now pimclock.Instant, at pimcatalog.HostID, data int, flags pimpacket.Flags) {
+	c.t.Passed(now, &pimpacket.Packet{
+		Flow: c.flow, Flags: flags | pimpacket.Ack, Tag: at.Tag(), Seq: c.seq + 1, Acked: c.acked, Data: data,
+	}, at)
+}
+
+// Guards against requests that are counted twice, never, or for ever.
+func TestLoadFollowsRequests(t *testing.T) {
+	is := is.New(t)
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	c := newCaller(table, 1)
+	load := func() (busy, open int) {
+		l := table.Load(now, hostA)
+		return l.Busy, l.Open
+	}
+	c.open(now, hostA, 0)
+	now = now.Add(10 * time.Millisecond)
+	c.pass(now, hostA, 200, 0) // the end of the handshake brings the request
+	busy, open := load()
+	is.Equal(busy, 1)
+	is.Equal(open, 1)
+	now = now.Add(30 * time.Millisecond)
+	c.acked += 2000
+	c.seq += 200
+	c.pass(now, hostA, 0, 0) // the first sign of the answer
+	busy, _ = load()
+	is.Equal(busy, 0)
+	is.Equal(table.Load(now, hostA).Work, 30*time.Millisecond)
+	c.pass(now, hostA, 100, 0)
+	now = now.Add(DefaultSettings().AnsweredFor)
+	table.Expire(now) // an answer of one packet is not seen
+	busy, _ = load()
+	is.Equal(busy, 0)
+	c.pass(now, hostA, 0, pimpacket.Close)
+	_, open = load()
+	is.Equal(open, 0)
+	is.Equal(table.Len(), 0)
+}
+
+// Guards against a backend server that answers nobody and goes on to get a third of the new flows, and against one lost
+// packet that condemns it.
+func TestBackendServerThatDoesNotAnswerIsSuspected(t *testing.T) {
+	is := is.New(t)
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	a := newCaller(table, 1)
+	a.open(now, hostA, 0)
+	now = now.Add(DefaultSettings().AnswerWithin)
+	table.Expire(now)
+	is.True(table.Load(now, hostA).Suspect)
+	is.Equal(table.Suspicions(), []Suspicion{{Host: hostA, Cause: CauseUnanswered, Misses: 1}})
+	last, before := table.Tried(a.flow)
+	is.Equal(last, hostA)
+	is.Equal(before, pimcatalog.HostID(0))
+	now = now.Add(140 * time.Millisecond)
+	a.open(now, hostB, 1) // the copy goes elsewhere
+	last, before = table.Tried(a.flow)
+	is.Equal(last, hostB)
+	is.Equal(before, hostA)
+	is.Equal(table.Load(now, hostA).Open, 0)
+
+	other := newCaller(table, 2)
+	other.open(now, hostA, 0)
+	other.pass(now.Add(10*time.Millisecond), hostA, 0, 0)
+	is.True(!table.Load(now, hostA).Suspect) // a sign of life
+	is.Equal(table.Load(now, hostA).Misses, 0)
+}
+
+// Guards against counting the copies of one flow as many flows without an answer.
+func TestRepeatedDataCountsOnceAFlow(t *testing.T) {
+	is := is.New(t)
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	for port := range uint16(3) {
+		c := newCaller(table, port)
+		c.open(now, hostA, 0)
+		c.pass(now.Add(5*time.Millisecond), hostA, 200, 0)
+	}
+	for _, after := range []time.Duration{200, 600, 1400} {
+		now = pimclock.Instant(time.Hour).Add(10*time.Millisecond + after*time.Millisecond)
+		newCaller(table, 0).pass(now, hostA, 200, 0)
+	}
+	is.Equal(table.Load(now, hostA).Misses, 1)
+	newCaller(table, 1).pass(now, hostA, 200, 0)
+	is.Equal(table.Load(now, hostA).Misses, 2)
+	waiting := table.Abandon(now, hostA)
+	is.Equal(len(waiting), 3-0)
+	is.Equal(table.Len(), 0)
+}
+
+// Guards against counts that drift: after any mix of packets, loss, copies and restarts of flows, a table without flows
+// counts nothing.
+func TestCountsReturnToZero(t *testing.T) {
+	const seeds, steps = 200, 400
+	for seed := range uint64(seeds) {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+		callers := map[uint16]*caller{}
+		for range steps {
+			now = now.Add(time.Duration(rng.IntN(40)) * time.Millisecond)
+			port := uint16(rng.IntN(12))
+			c := callers[port]
+			if c == nil {
+				c = newCaller(table, port)
+				callers[port] = c
+			}
+			at := []pimcatalog.HostID{hostA, hostB}[rng.IntN(2)]
+			switch rng.IntN(7) {
+			case 0:
+				c.open(now, at, rng.IntN(3))
+			case 1, 2:
+				c.pass(now, at, 100, 0)
+			case 3:
+				c.acked += 1000
+				c.seq += 100
+				c.pass(now, at, 0, 0)
+			case 4:
+				c.pass(now, at, 0, pimpacket.Close)
+			case 5:
+				table.Abandon(now, at)
+			default:
+				table.Expire(now)
+			}
+			for _, id := range []pimcatalog.HostID{hostA, hostB} {
+				if l := table.Load(now, id); l.Busy < 0 || l.Open < l.Busy {
+					t.Fatalf("seed %d: %+v", seed, l)
+				}
+			}
+		}
+		now = now.Add(time.Minute)
+		table.Expire(now)
+		for _, id := range []pimcatalog.HostID{hostA, hostB} {
+			if l := table.Load(now, id); l.Busy != 0 || l.Open != 0 || table.Len() != 0 {
+				t.Fatalf("seed %d: %+v, %d flows", seed, l, table.Len())
+			}
+		}
+	}
+}
+
+// Guards against a table that a flood of opening packets fills until the VM is killed for its memory.
+func TestTableIsBounded(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings()
+	cfg.MaxFlows = 100
+	table, now := New(cfg), pimclock.Instant(time.Hour)
+	for port := range uint16(1000) {
+		newCaller(table, port).open(now, hostA, 0)
+	}
+	is.Equal(table.Len(), cfg.MaxFlows)
+	is.Equal(table.Load(now, hostA).Open, cfg.MaxFlows)
+}
+
+// Guards against allocations for the packets of a known flow.
+func TestPassedAllocatesNothing(t *testing.T) {
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	c := newCaller(table, 1)
+	c.open(now, hostA, 0)
+	p := pimpacket.Packet{Flow: c.flow, Flags: pimpacket.Ack, Seq: 1001, Acked: 50}
+	if n := testing.AllocsPerRun(100, func() { table.Passed(now, &p, hostA) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -16,15 +16,22 @@
 // hundredth is the unit of Busy in a beat.
 const hundredth = 0.01
 
-// Loads sums what the running VMs have told.
+// Loads sums what the running VMs have told lately. In a large data centre, a VM hears from a part of them only; their
+// sum stands for all.
 func (m *Mesh) Loads(now pimclock.Instant) map[pimcatalog.HostID]Load {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	loads := map[pimcatalog.HostID]Load{}
+	running, lately := 0, 0
 	for _, p := range m.peers {
 		if !m.isRunning(now, p) {
 			continue
 		}
+		running++
+		if now.Sub(p.heard) > m.cfg.LoadFor {
+			continue
+		}
+		lately++
 		for id, told := range p.loads {
 			l := loads[id]
 			l.Busy += float64(told.Busy) * hundredth
@@ -33,5 +40,14 @@
 			loads[id] = l
 		}
 	}
+	if lately == 0 || lately == running {
+		return loads
+	}
+	scale := float64(running) / float64(lately)
+	for id, l := range loads {
+		l.Busy *= scale
+		l.Open *= scale
+		loads[id] = l
+	}
 	return loads
 }
--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -33,7 +33,6 @@
 	// heard is when its last beat arrived; zero if only others have named it.
 	heard   pimclock.Instant
 	named   pimclock.Instant
-	canRead bool
 	leaving bool
 	pulled  pimclock.Instant
 	loads   map[pimcatalog.HostID]pimmesh.HostLoad
@@ -50,17 +49,28 @@
 	strangers map[pimid.DataCentre]map[netip.AddrPort]*peer
 	beaten    pimclock.Instant
 	greeted   pimclock.Instant
-	canRead   bool
+	// hash orders the VMs that read the platform; reading is set while this one does.
+	hash             uint64
+	reading, canRead bool
+	readingSince     pimclock.Instant
+	claim            claim
 }
 
 // New returns a mesh that knows nobody.
 func New(cfg Settings, rng *rand.Rand) *Mesh {
 	return &Mesh{
-		cfg: cfg, rng: rng, canRead: true, peers: map[netip.AddrPort]*peer{},
+		cfg: cfg, rng: rng, canRead: true, hash: readerHash(cfg.Name), peers: map[netip.AddrPort]*peer{},
 		strangers: map[pimid.DataCentre]map[netip.AddrPort]*peer{},
 	}
 }
 
+// SetSeeds replaces the seeds; they are greeted at the next beat.
+func (m *Mesh) SetSeeds(seeds []netip.AddrPort) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.cfg.Seeds, m.greeted = seeds, 0
+}
+
 // Tick returns the beats that are due.
 func (m *Mesh) Tick(now pimclock.Instant, v View) (out []Outgoing) {
 	m.mu.Lock()
@@ -90,7 +100,7 @@
 	running := m.running(now)
 	m.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
 	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
-		out = append(out, Outgoing{To: p.address, Message: m.beat(v, m.sample(now, m.peers))})
+		out = append(out, Outgoing{To: p.address, Message: m.beat(now, v, m.sample(now, m.peers))})
 	}
 	return out
 }
@@ -115,17 +125,17 @@
 		if to == m.cfg.Address {
 			continue
 		}
-		msg := m.beat(v, nil)
+		msg := m.beat(now, v, nil)
 		msg.Beat.Hello = true
 		out = append(out, Outgoing{To: to, Message: msg})
 	}
 	return out
 }
 
-func (m *Mesh) beat(v View, peers []pimmesh.PeerAddress) pimmesh.Message {
+func (m *Mesh) beat(now pimclock.Instant, v View, peers []pimmesh.PeerAddress) pimmesh.Message {
 	return pimmesh.Message{Beat: &pimmesh.Beat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
-		Revision: v.Revision, Age: v.Age, CanRead: m.canRead, Loads: v.Loads, Peers: peers,
+		Revision: v.Revision, Age: v.Age, Claim: m.claimToTell(now), Loads: v.Loads, Peers: peers,
 	}}
 }
 
--- /dev/null
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -0,0 +1,284 @@
+package pimgossip
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// vm is a VM of the test fleet: a mesh and the revision and age of its view.
+type vm struct {
+	mesh     *Mesh
+	address  netip.AddrPort
+	revision pimid.Revision
+	asOf     pimclock.Instant
+	// down VMs neither send nor receive; cut VMs cannot read the platform.
+	down, cut bool
+	reads     int
+	// watching is when the answer of the pending watch comes.
+	watching pimclock.Instant
+	bytes    int
+}
+
+// fleet is a data centre whose platform publishes one revision after the other.
+type fleet struct {
+	t        *testing.T
+	rng      *rand.Rand
+	now      pimclock.Instant
+	vms      []*vm
+	revision pimid.Revision
+	// loss is the share of the messages that get lost; severed tells whether two VMs cannot hear each other.
+	loss    float64
+	severed func(from, to *vm) bool
+}
+
+const step = 10 * time.Millisecond
+
+func newFleet(t *testing.T, n int, within time.Duration, seed uint64) *fleet {
+	t.Helper()
+	f := &fleet{t: t, rng: rand.New(rand.NewPCG(seed, 3)), now: pimclock.Instant(time.Hour), revision: 1}
+	for i := range n {
+		cfg := DefaultSettings(within)
+		cfg.Name, cfg.DataCentre = fmt.Sprintf("vm-%d", i), "ikeja"
+		cfg.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(i >> 8), byte(i)}), 7720)
+		for j := range min(3, n) {
+			cfg.Seeds = append(cfg.Seeds, netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(j)}), 7720))
+		}
+		f.vms = append(f.vms, &vm{
+			mesh: New(cfg, rand.New(rand.NewPCG(seed, uint64(i)))), address: cfg.Address, revision: 1, asOf: f.now,
+		})
+	}
+	return f
+}
+
+func (f *fleet) view(v *vm) View { return View{Revision: v.revision, Age: f.now.Sub(v.asOf)} }
+
+// run lets time pass; it reports the longest time for which a running VM that can hear others was behind.
+func (f *fleet) run(d time.Duration) {
+	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		for _, v := range f.vms {
+			if v.down {
+				continue
+			}
+			f.deliver(v, v.mesh.Tick(f.now, f.view(v)))
+			f.read(v)
+		}
+	}
+}
+
+// read lets a VM watch the platform as its rank asks for.
+func (f *fleet) read(v *vm) {
+	if v.watching != 0 {
+		if f.now.Before(v.watching) && (v.cut || v.revision == f.revision) {
+			return
+		}
+		v.watching = 0
+		v.mesh.SetCanRead(!v.cut)
+		if !v.cut {
+			v.asOf = f.now
+			f.learn(v, f.revision)
+		}
+		return
+	}
+	if !v.mesh.Reads(f.now, f.now.Sub(v.asOf)) {
+		return
+	}
+	v.reads++
+	v.watching = f.now.Add(max(step, v.mesh.Hold(f.now.Sub(v.asOf))))
+}
+
+func (f *fleet) learn(v *vm, revision pimid.Revision) {
+	if revision > v.revision {
+		v.revision = revision
+		f.deliver(v, v.mesh.Tell(f.now, f.view(v), false))
+	}
+}
+
+func (f *fleet) deliver(from *vm, out []Outgoing) {
+	for _, o := range out {
+		data, err := pimmesh.Encode(&o.Message)
+		if err != nil {
+			f.t.Fatal(err)
+		}
+		from.bytes += len(data)
+		for _, to := range f.vms {
+			lost := f.rng.Float64() < f.loss || f.severed != nil && f.severed(from, to)
+			if to.address == o.To && !to.down && !lost {
+				f.receive(from, to, o.Message)
+			}
+		}
+	}
+}
+
+func (f *fleet) receive(from, to *vm, msg pimmesh.Message) {
+	switch {
+	case msg.Beat != nil:
+		heard := to.mesh.Beat(f.now, msg.Beat, f.view(to))
+		if heard.Confirms {
+			to.asOf = max(to.asOf, heard.AsOf)
+		}
+		f.deliver(to, heard.Out)
+	case msg.Pull != nil:
+		if to.revision > msg.Pull.Since && !(f.severed != nil && f.severed(to, from)) {
+			f.learn(from, to.revision)
+		}
+	}
+}
+
+// publish changes the configuration and returns the longest time until a running VM that is not alone knows it.
+func (f *fleet) publish(limit time.Duration) (slowest time.Duration) {
+	f.revision++
+	start := f.now
+	for f.now.Sub(start) < limit {
+		f.run(step)
+		behind := 0
+		for _, v := range f.vms {
+			if !v.down && v.revision < f.revision {
+				behind++
+			}
+		}
+		if behind == 0 {
+			return f.now.Sub(start)
+		}
+	}
+	return limit
+}
+
+func (f *fleet) reader() *vm {
+	for _, v := range f.vms {
+		if !v.down && v.mesh.IsReader() {
+			return v
+		}
+	}
+	return nil
+}
+
+func (f *fleet) readers() (n int) {
+	for _, v := range f.vms {
+		if !v.down && v.mesh.IsReader() {
+			n++
+		}
+	}
+	return n
+}
+
+// The bound of the smallest deployment: a change is in force everywhere within 3 s.
+const inForceWithin = 3 * time.Second
+
+// Guards against a fleet in which everybody reads the platform, or nobody.
+func TestOneVMReads(t *testing.T) {
+	// Deployments with large data centres allow more time.
+	for n, within := range map[int]time.Duration{
+		2: inForceWithin, 3: inForceWithin, 8: inForceWithin, 30: 5 * time.Second, 100: 5 * time.Second,
+	} {
+		t.Run(fmt.Sprint(n), func(t *testing.T) {
+			is := is.New(t)
+			f := newFleet(t, n, within, 1)
+			f.run(2 * within)
+			is.Equal(f.readers(), 1)
+			for _, v := range f.vms {
+				v.reads, v.bytes = 0, 0
+			}
+			f.run(30 * time.Second)
+			reads, bytes := 0, 0
+			for _, v := range f.vms {
+				reads += v.reads
+				bytes = max(bytes, v.bytes)
+			}
+			is.True(reads <= 28)        // one watch of 1.2 s after the other, and few that step in
+			is.True(bytes/30 <= 5*1000) // control traffic of a VM a second
+			is.True(f.publish(inForceWithin) < time.Second)
+		})
+	}
+}
+
+// Guards against a change that does not arrive in time because the reader was killed, cut off from the platform or from
+// the others, one way or both, at the worst moment.
+func TestChangesArriveInTimeWhenTheReaderFails(t *testing.T) {
+	faults := map[string]func(f *fleet, reader *vm){
+		"killed":      func(_ *fleet, r *vm) { r.down = true },
+		"cut off":     func(_ *fleet, r *vm) { r.cut = true },
+		"not heard":   func(f *fleet, r *vm) { f.severed = func(from, _ *vm) bool { return from == r } },
+		"not hearing": func(f *fleet, r *vm) { f.severed = func(_, to *vm) bool { return to == r } },
+		"alone":       func(f *fleet, r *vm) { f.severed = func(from, to *vm) bool { return from == r || to == r } },
+		"half of the rest": func(f *fleet, r *vm) {
+			f.severed = func(from, to *vm) bool { return (from.address.Addr().As4()[3]^to.address.Addr().As4()[3])&1 == 1 }
+		},
+	}
+	for name, fault := range faults {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(20) {
+				f := newFleet(t, []int{2, 3, 8, 30}[seed%4], inForceWithin, seed)
+				f.loss = 0.02
+				f.run(5*time.Second + time.Duration(f.rng.IntN(1500))*time.Millisecond)
+				fault(f, f.reader())
+				if took := f.publish(inForceWithin); took >= inForceWithin {
+					t.Fatalf("seed %d: a change is not in force after %v", seed, took)
+				}
+			}
+		})
+	}
+}
+
+// Guards against readers that fail one after the other, and against a fleet that does not settle on one again.
+func TestReadersFailInARow(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30, inForceWithin, 5)
+	f.run(5 * time.Second)
+	for range 10 {
+		f.reader().down = true
+		is.True(f.publish(inForceWithin) < inForceWithin)
+		f.run(2 * time.Second)
+		is.Equal(f.readers(), 1)
+	}
+	for _, v := range f.vms {
+		v.down = false
+	}
+	f.run(15 * time.Second)
+	is.Equal(f.readers(), 1)
+}
+
+// Guards against a VM that stands alone although its seeds were down when it started.
+func TestVMsFindEachOtherThroughSeedsThatComeLate(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 8, inForceWithin, 7)
+	for _, v := range f.vms[:3] {
+		v.down = true
+	}
+	f.run(5 * time.Second)
+	is.Equal(f.readers(), 5) // nobody knows anybody: each reads for itself
+	f.vms[2].down = false
+	f.run(3 * time.Second)
+	is.Equal(f.readers(), 1)
+	is.Equal(f.vms[7].mesh.Running(f.now), 5)
+}
+
+// Guards against chunks of two encodings that are mixed, and against chunks that claim absurd sizes.
+func TestAssembly(t *testing.T) {
+	is := is.New(t)
+	one, two := make([]byte, 3*pimmesh.MaxChunk), make([]byte, 3*pimmesh.MaxChunk)
+	for i := range two {
+		two[i] = byte(i)
+	}
+	a, b := Split(1, 2, one), Split(1, 2, two)
+	var assembly Assembly
+	for _, c := range []pimmesh.Chunk{a[0], b[1], b[2], a[1], a[2], b[0], b[1]} {
+		_, complete := assembly.Add(&c)
+		is.True(!complete)
+	}
+	data, complete := assembly.Add(&b[2])
+	is.True(complete)
+	is.Equal(data, two)
+	for _, bad := range []pimmesh.Chunk{{Count: 0}, {Count: 1 << 30}, {Count: 2, Index: 2}, {Count: 2, Index: -1}} {
+		_, complete := assembly.Add(&bad)
+		is.True(!complete)
+	}
+}
--- a/internal/coordination/pimgossip/reader.go
+++ b/internal/coordination/pimgossip/reader.go
@@ -1,52 +1,97 @@
 package pimgossip
 
 import (
+	"math"
 	"slices"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
-// Reads reports whether this VM should read the platform now. One VM of a data centre reads, and the others hear of the
-// changes from it. The one with the highest hash among those that are heard and can read is the first; the others step
-// in, one after the other, if their view gets older than a reader that works would let it become. A VM that hears
-// nobody is the first.
-func (m *Mesh) Reads(now pimclock.Instant, age time.Duration) bool {
-	rank := m.Rank(now)
-	if rank == 0 {
-		return true
-	}
-	wait := time.Duration(min(rank, m.cfg.TakeOverRanks)-1) * m.cfg.TakeOverStep
-	return age > m.cfg.TakeOver+wait
+// claim is the news that a VM reads the platform.
+type claim struct {
+	hash uint64
+	// at is when the VM said so.
+	at pimclock.Instant
 }
 
-// Rank returns the number of VMs that read the platform rather than this one.
-func (m *Mesh) Rank(now pimclock.Instant) (rank int) {
+// Reads reports whether this VM reads the platform now. One VM of a data centre reads, and the others hear of changes,
+// and that there are none, from beat to beat. If two read, the one with the lower hash stops; the last news
+// of a reader that has failed stops nobody, since it is older than the view that made another VM step in. A VM whose view gets older
+// than a working reader would let it become steps in; the hash spreads those moments, so that few step in at once.
+func (m *Mesh) Reads(now pimclock.Instant, age time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	own := readerHash(m.cfg.Name)
-	if !m.canRead {
-		own = 0
+	switch {
+	case age > m.cfg.TakeOver+m.jitter():
+		m.reading, m.readingSince = true, now
+	case m.reading && m.claim.hash > m.hash && m.readingSince.Before(m.claim.at):
+		m.reading = false
 	}
-	for _, p := range m.running(now) {
-		if p.canRead && readerHash(p.name) > own {
-			rank++
-		}
+	return m.reading
+}
+
+// jitter is this VM's part of the time over which the others step in.
+func (m *Mesh) jitter() time.Duration {
+	return time.Duration(float64(m.cfg.TakeOverSpread) * (float64(m.hash) / math.MaxUint64))
+}
+
+// Hold is how long the next watch may wait: a VM that steps in wants to know at once.
+func (m *Mesh) Hold(age time.Duration) time.Duration {
+	if age > m.cfg.TakeOver {
+		return time.Millisecond
 	}
-	return rank
+	return m.cfg.WatchFor
 }
 
-// SetCanRead records whether the last read of the platform succeeded.
+// SetCanRead records whether the last read of the platform succeeded. A VM that cannot read claims nothing.
 func (m *Mesh) SetCanRead(ok bool) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.canRead = ok
 }
 
-func readerHash(name string) uint64 { return xxhash.Sum64String(name) }
+// IsReader reports whether this VM reads the platform for its data centre.
+func (m *Mesh) IsReader() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.reading && m.canRead
+}
+
+// isClaimed reports whether a VM has said lately that it reads.
+func (m *Mesh) isClaimed(now pimclock.Instant) bool {
+	return m.claim.hash != 0 && now.Sub(m.claim.at) <= m.cfg.ClaimFor
+}
+
+// claimToTell returns the own claim, or the one heard.
+func (m *Mesh) claimToTell(now pimclock.Instant) *pimmesh.Claim {
+	switch {
+	case m.reading && m.canRead:
+		return &pimmesh.Claim{Hash: m.hash}
+	case m.isClaimed(now):
+		return &pimmesh.Claim{Hash: m.claim.hash, Age: now.Sub(m.claim.at)}
+	default:
+		return nil
+	}
+}
+
+// hearClaim takes the claim of a beat: the highest hash counts, and of that the latest news.
+func (m *Mesh) hearClaim(now pimclock.Instant, told *pimmesh.Claim) {
+	if told == nil || told.Hash == m.hash || told.Age < 0 {
+		return
+	}
+	heard := claim{hash: told.Hash, at: now.Add(-told.Age)}
+	isNewer := heard.hash == m.claim.hash && m.claim.at.Before(heard.at)
+	if !m.isClaimed(now) || heard.hash > m.claim.hash || isNewer {
+		m.claim = heard
+	}
+}
+
+func readerHash(name string) uint64 { return max(1, xxhash.Sum64String(name)) }
 
 // Names returns the names of the running VMs of the data centre, sorted.
 func (m *Mesh) Names(now pimclock.Instant) (names []string) {
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -31,6 +31,7 @@
 	p, isNew := m.remember(now, b)
 	if b.DataCentre == m.cfg.DataCentre {
 		m.rememberNamed(now, b.Peers)
+		m.hearClaim(now, b.Claim)
 	}
 	switch {
 	case b.Leaving:
@@ -54,7 +55,7 @@
 	if b.DataCentre != m.cfg.DataCentre {
 		known = m.strangers[b.DataCentre]
 	}
-	return Outgoing{To: b.Address, Message: m.beat(v, m.sample(now, known))}
+	return Outgoing{To: b.Address, Message: m.beat(now, v, m.sample(now, known))}
 }
 
 // remember notes the sender of a beat.
@@ -72,7 +73,7 @@
 		of[b.Address] = p
 	}
 	isNew = !m.isRunning(now, p)
-	p.name, p.address, p.heard, p.canRead, p.leaving = b.Name, b.Address, now, b.CanRead, b.Leaving
+	p.name, p.address, p.heard, p.leaving = b.Name, b.Address, now, b.Leaving
 	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
 	for _, load := range b.Loads {
 		p.loads[load.ID] = load
--- a/internal/coordination/pimgossip/settings.go
+++ b/internal/coordination/pimgossip/settings.go
@@ -25,20 +25,28 @@
 	RememberFor time.Duration
 	// PullEvery is the time between two requests for the same changes.
 	PullEvery time.Duration
-	// TakeOver is the age of the view at which the second reader steps in; each further one waits for TakeOverStep
-	// more, up to TakeOverRanks.
-	TakeOver, TakeOverStep time.Duration
-	TakeOverRanks          int
+	// WatchFor is how long the reader lets the platform hold a watch.
+	WatchFor time.Duration
+	// TakeOver is the age of the view at which a VM steps in for the reader; the VMs of a data centre do so spread over
+	// TakeOverSpread.
+	TakeOver, TakeOverSpread time.Duration
+	// ClaimFor is how long the news that a VM reads counts.
+	ClaimFor time.Duration
+	// LoadFor is how long what a VM has told of the backend servers counts.
+	LoadFor time.Duration
 }
 
-// DefaultSettings returns the times for changes that have to be in force within 3 s. A reader confirms its view every
-// 1.5 s, and the last reader to step in does so before 2.7 s.
-func DefaultSettings() Settings {
+// DefaultSettings returns the times for changes that have to be in force within the given time. A reader confirms its
+// view when the platform answers its watch; the news needs about a second to reach the VMs of a large data centre; and
+// the last VM to step in has time left to read.
+func DefaultSettings(inForceWithin time.Duration) Settings {
 	return Settings{
 		Every: 250 * time.Millisecond, Fanout: 3,
 		HelloEvery: 500 * time.Millisecond, GreetEvery: 10 * time.Second,
-		AliveFor: time.Second, RememberFor: time.Minute,
+		AliveFor: 5 * time.Second, RememberFor: time.Minute,
 		PullEvery: 150 * time.Millisecond,
-		TakeOver:  1900 * time.Millisecond, TakeOverStep: 200 * time.Millisecond, TakeOverRanks: 4,
+		WatchFor:  inForceWithin * 2 / 5,
+		TakeOver:  inForceWithin * 2 / 3, TakeOverSpread: inForceWithin / 5,
+		ClaimFor: 1500 * time.Millisecond, LoadFor: 1500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -35,7 +35,9 @@
 	}}
 }
 
-func newRegistry(clock pimclock.Clock) *Registry { return New(DefaultSettings(), clock, nil) }
+func newRegistry(clock pimclock.Clock) *Registry {
+	return New(DefaultSettings(3*time.Second), clock, nil)
+}
 
 // Guards against a route that stays in force, or a backend server that stays listed, because the VM that told the
 // changes had started after it was removed. Found by hunts (seeds 47657438101 and hunt-1f5f-27): a VM went back to an
@@ -54,7 +56,7 @@
 	is.NoErr(behind.Merge(late.Since(behind.Revision())))
 	is.Equal(behind.Revision(), pimid.Revision(20))
 	is.Equal(behind.Catalog().Routes.Route(route(2, 0).Address), nil)
-	clock.Advance(DefaultSettings().ReturnWithin)
+	clock.Advance(DefaultSettings(3 * time.Second).ReturnWithin)
 	is.True(behind.Catalog().Host(pimcatalog.HostID(8).Tag()).Gone(clock.Now()))
 	is.True(!behind.Catalog().Host(pimcatalog.HostID(7).Tag()).Gone(clock.Now()))
 }
@@ -187,7 +189,7 @@
 			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
-	clock.Advance(DefaultSettings().ReturnWithin)
+	clock.Advance(DefaultSettings(3 * time.Second).ReturnWithin)
 	for i, r := range fleet {
 		c := r.Catalog()
 		for id := pimcatalog.HostID(1); id <= 6; id++ {
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -21,10 +21,10 @@
 	ReturnWithin time.Duration
 }
 
-// DefaultSettings returns times for a platform that is read at least every two seconds.
-func DefaultSettings() Settings {
+// DefaultSettings returns the times for changes that have to be in force within the given time.
+func DefaultSettings(inForceWithin time.Duration) Settings {
 	return Settings{
-		FreshFor: 3 * time.Second,
+		FreshFor: inForceWithin,
 		// Backend servers renew lapsed entries within 2 s of the end of an outage; the rest is the delay of the watch.
 		ReturnWithin: 2500 * time.Millisecond,
 	}
@@ -38,7 +38,9 @@
 
 // The decisions.
 const (
-	Applied    Decision = "applied"
+	Applied Decision = "applied"
+	// Listed is Applied for the entries of the first list.
+	Listed     Decision = "listed"
 	Outdated   Decision = "outdated"
 	Unreadable Decision = "unreadable"
 	Lapsed     Decision = "lapsed"
@@ -67,6 +69,8 @@
 	// removed holds the revision at which an entry disappeared, so that a late copy does not bring it back.
 	removed map[pimcatalog.HostID]pimid.Revision
 	contact contact
+	// isFirstList is set while the first list is taken.
+	isFirstList bool
 
 	catalog atomic.Pointer[pimcatalog.Catalog]
 	lastOK  atomic.Int64
@@ -131,10 +135,12 @@
 	}
 	now := r.clock.Now()
 	listed := make(map[pimcatalog.HostID]bool, len(s.Changes))
+	r.isFirstList = r.revision == 0
 	for _, c := range s.Changes {
 		listed[c.ID] = true
 		r.change(now, c)
 	}
+	r.isFirstList = false
 	r.removeUntold(now, listed, s.Revision)
 	r.base, r.revision = s.Revision, s.Revision
 	r.publish()
@@ -217,6 +223,10 @@
 	}
 	delete(r.removed, h.ID)
 	r.hosts[h.ID] = &h
+	if r.isFirstList {
+		r.notify(c, Listed)
+		return
+	}
 	r.notify(c, Applied)
 }
 
--- /dev/null
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -0,0 +1,164 @@
+package pimregistry
+
+import (
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// start returns a registry that has read a configuration with one route and backend servers 7 and 8.
+func start(t *testing.T, clock pimclock.Clock) *Registry {
+	t.Helper()
+	r := newRegistry(clock)
+	r.Reached()
+	if err := r.Restore(Snapshot{Revision: 10, Changes: []Change{
+		configChange(5, 3, route(1, time.Second)), hostChange(6, 7), hostChange(7, 8),
+	}}); err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func apply(t *testing.T, r *Registry, changes ...Change) {
+	t.Helper()
+	to := r.Revision()
+	for _, c := range changes {
+		to = max(to, c.Revision)
+	}
+	if err := r.Apply(Batch{From: r.Revision(), To: to, Changes: changes}); err != nil {
+		t.Fatal(err)
+	}
+}
+
+func host(r *Registry, id pimcatalog.HostID) *pimcatalog.Host { return r.Catalog().Host(id.Tag()) }
+
+// Guards against a configuration that goes back: a rewound entry, an unreadable one, a list that is older, or a platform
+// that lost its history.
+func TestConfigurationNeverGoesBack(t *testing.T) {
+	is := is.New(t)
+	r := start(t, &pimclock.Manual{})
+	version := func() pimcatalog.Version { return r.Catalog().Routes.Version }
+	apply(t, r, configChange(11, 2, route(9, time.Second))) // rewound
+	is.Equal(version(), pimcatalog.Version(3))
+	apply(t, r, Change{Revision: 12, Fault: errors.New("not json")})
+	is.Equal(version(), pimcatalog.Version(3))
+	is.True(errors.Is(r.Restore(Snapshot{Revision: 9, Changes: []Change{configChange(9, 4)}}), ErrStale))
+	is.True(errors.Is(r.Apply(Batch{From: 12, To: 4}), ErrStale))
+	is.Equal(version(), pimcatalog.Version(3))
+	apply(t, r, configChange(13, 8, route(2, time.Second))) // versions have gaps
+	is.Equal(version(), pimcatalog.Version(8))
+	is.Equal(r.Catalog().Routes.Route(route(1, 0).Address), nil)
+}
+
+// Guards against a mass of backend servers taken for dead because their entries lapsed while the platform was away, and
+// against dead ones that are used for longer than they may take to return.
+func TestEntriesThatLapseInAnOutageMayReturn(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	clock.Advance(time.Minute)
+	r.Lost()
+	clock.Advance(20 * time.Second)
+	r.Reached()
+	apply(t, r, Change{Revision: 11, ID: 7, Removed: true}, Change{Revision: 12, ID: 8, Removed: true})
+	is.True(host(r, 7).Open(clock.Now()))
+	clock.Advance(2 * time.Second)
+	apply(t, r, hostChange(13, 7))
+	clock.Advance(500 * time.Millisecond)
+	is.True(host(r, 7).Open(clock.Now()))
+	is.True(host(r, 8).Gone(clock.Now()))
+}
+
+// Guards against new flows at a backend server whose entry has expired although the platform is well.
+func TestEntryThatExpiresWhileThePlatformIsWellHasEnded(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	clock.Advance(time.Minute)
+	r.Reached()
+	apply(t, r, Change{Revision: 11, ID: 7, Removed: true})
+	is.True(host(r, 7).Gone(clock.Now()))
+}
+
+// Guards against waiting for a backend server that has announced its end.
+func TestLeavingEntryThatDisappearsInAnOutageHasEnded(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	leaving := hostChange(11, 7)
+	leaving.Host.Leaving = true
+	apply(t, r, leaving)
+	is.True(!host(r, 7).Open(clock.Now()))
+	is.True(!host(r, 7).Gone(clock.Now())) // its open flows go on
+	r.Lost()
+	r.Reached()
+	apply(t, r, Change{Revision: 12, ID: 7, Removed: true})
+	is.True(host(r, 7).Gone(clock.Now()))
+}
+
+// Guards against packets for a backend server that is gone and whose address has another one.
+func TestReusedAddressEndsTheOlderBackendServer(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	successor := hostChange(11, 9)
+	successor.Host.Address, successor.Host.Service = host(r, 7).Address, "store"
+	apply(t, r, successor)
+	is.True(host(r, 7).Gone(clock.Now()))
+	is.True(!host(r, 9).Gone(clock.Now()))
+}
+
+// Guards against an entry of another writer that crashes the VM, or that goes on to attract flows.
+func TestUnreadableEntryGetsNoNewFlows(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	apply(t, r, Change{Revision: 11, ID: 7, Fault: errors.New("a field is missing")})
+	is.True(!host(r, 7).Open(clock.Now()))
+	is.True(!host(r, 7).Gone(clock.Now()))
+	apply(t, r, Change{Revision: 12, ID: 99, Fault: errors.New("a field is missing")})
+	is.Equal(host(r, 99), nil)
+}
+
+// Guards against a late copy of an entry that brings back a backend server, after a watch was repeated.
+func TestRepeatedChangesAreIgnored(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := start(t, clock)
+	clock.Advance(time.Minute)
+	apply(t, r, Change{Revision: 12, ID: 7, Removed: true})
+	is.NoErr(r.Apply(Batch{From: 10, To: 14, Changes: []Change{hostChange(11, 7), hostChange(13, 9)}}))
+	is.True(host(r, 7).Gone(clock.Now()))
+	is.True(host(r, 9).Open(clock.Now()))
+}
+
+// Guards against a view that counts as current while neither the platform nor another VM confirms it, and against a
+// verdict on unknown backend servers before entries had time to return.
+func TestFreshness(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	clock.Advance(time.Hour)
+	r := newRegistry(clock)
+	is.True(!r.Fresh(clock.Now()))
+	r.Reached()
+	is.True(r.Fresh(clock.Now()))
+	is.True(!r.Settled(clock.Now()))
+	clock.Advance(DefaultSettings(3 * time.Second).ReturnWithin)
+	r.Reached()
+	is.True(r.Settled(clock.Now()))
+	clock.Advance(4 * time.Second)
+	is.True(!r.Fresh(clock.Now()))
+	r.Confirm(5, clock.Now().Add(-time.Second))
+	is.True(r.Fresh(clock.Now()))
+	is.True(!r.Settled(clock.Now())) // the silence counts as an outage
+	is.NoErr(r.Restore(Snapshot{Revision: 10}))
+	r.Confirm(9, clock.Now()) // a VM that is behind confirms nothing
+	is.Equal(r.Age(clock.Now()), time.Second)
+	is.Equal(r.Revision(), pimid.Revision(10))
+}
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -19,6 +19,9 @@
 	Drop
 )
 
+// String returns the name of the action in logs.
+func (a Action) String() string { return [...]string{"forward", "reset", "drop"}[a] }
+
 // Reason says why.
 type Reason uint8
 
--- /dev/null
+++ b/internal/coordination/pimsteer/steer_test.go
@@ -0,0 +1,114 @@
+package pimsteer
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+var (
+	published = netip.MustParseAddrPort("198.18.0.1:443")
+	unknown   = netip.MustParseAddrPort("198.18.0.9:443")
+	caller    = netip.MustParseAddrPort("100.64.0.7:40001")
+)
+
+// first places flows on the first open backend server.
+type first struct{}
+
+func (first) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) *pimcatalog.Host {
+	for _, h := range c.Service(r.Shares[0].Service) {
+		if h.Open(now) {
+			return h
+		}
+	}
+	return nil
+}
+
+func catalog(hosts ...*pimcatalog.Host) *pimcatalog.Catalog {
+	return pimcatalog.NewCatalog(3, pimcatalog.NewRouteTable(&pimcatalog.Config{
+		Services: []pimcatalog.Service{"desk"},
+		Routes:   []pimcatalog.Route{{Address: published, Shares: []pimcatalog.Share{{Service: "desk", Weight: 1}}}},
+	}), hosts)
+}
+
+// Guards against a refusal by a view that may be wrong, a packet of an open flow at another backend server, and silence
+// where the caller can be told at once.
+func TestSteer(t *testing.T) {
+	const now = pimclock.Instant(time.Hour)
+	ready := &pimcatalog.Host{ID: 7, Service: "desk"}
+	leaving := &pimcatalog.Host{ID: 8, Service: "desk", Leaving: true}
+	gone := &pimcatalog.Host{ID: 9, Service: "desk", Unlisted: true}
+	dark := &pimcatalog.Host{ID: 10, Service: "desk", Leaving: true}
+	full := catalog(ready, leaving, gone, dark)
+	open := func(route netip.AddrPort) pimpacket.Packet {
+		return pimpacket.Packet{Flow: pimpacket.Flow{Caller: caller, Route: route}, Flags: pimpacket.Open}
+	}
+	data := func(tag pimcatalog.Tag) pimpacket.Packet {
+		return pimpacket.Packet{Flow: pimpacket.Flow{Caller: caller, Route: published}, Flags: pimpacket.Ack, Tag: tag, Data: 10}
+	}
+	ack := data(dark.Tag())
+	ack.Data = 0
+	reset := data(77)
+	reset.Flags = pimpacket.Reset
+	fresh := View{Catalog: full, Fresh: true, Settled: true}
+	for name, tc := range map[string]struct {
+		view   View
+		packet pimpacket.Packet
+		action Action
+		reason Reason
+		host   *pimcatalog.Host
+	}{
+		"new flow":                          {fresh, open(published), Forward, ReasonPlaced, ready},
+		"no configuration":                  {View{Catalog: pimcatalog.NewCatalog(0, nil, nil), Fresh: true}, open(published), Drop, ReasonNoView, nil},
+		"no route":                          {fresh, open(unknown), Reset, ReasonNoRoute, nil},
+		"no route, old view":                {View{Catalog: full}, open(unknown), Drop, ReasonViewBehind, nil},
+		"no host":                           {View{Catalog: catalog(leaving, gone), Fresh: true}, open(published), Reset, ReasonNoHost, nil},
+		"no host, old view":                 {View{Catalog: catalog(leaving, gone)}, open(published), Drop, ReasonViewBehind, nil},
+		"old view, known route":             {View{Catalog: full}, open(published), Forward, ReasonPlaced, ready},
+		"open flow":                         {fresh, data(ready.Tag()), Forward, ReasonEstablished, ready},
+		"open flow, host leaving":           {fresh, data(leaving.Tag()), Forward, ReasonEstablished, leaving},
+		"open flow, host gone":              {fresh, data(gone.Tag()), Reset, ReasonHostGone, gone},
+		"open flow, unknown host":           {fresh, data(77), Reset, ReasonUnknownHost, nil},
+		"open flow, unknown host, just up":  {View{Catalog: full, Fresh: true}, data(77), Drop, ReasonViewBehind, nil},
+		"open flow, unknown host, old view": {View{Catalog: full}, data(77), Drop, ReasonViewBehind, nil},
+		"reset of an unknown flow":          {fresh, reset, Drop, ReasonUnknownHost, nil},
+		"without a tag":                     {fresh, data(pimcatalog.NoTag), Drop, ReasonUntagged, nil},
+		"request to a dark host":            {fresh, data(dark.Tag()), Reset, ReasonHostDark, dark},
+		"confirmation to a dark host":       {fresh, ack, Forward, ReasonEstablished, dark},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			tc.view.Dark = func(id pimcatalog.HostID) bool { return id == dark.ID }
+			got := Steer(now, tc.view, first{}, &tc.packet)
+			is.Equal(got.Action, tc.action)
+			is.Equal(got.Reason, tc.reason)
+			is.Equal(got.Host, tc.host)
+		})
+	}
+}
+
+// Guards against a tag that names two backend servers, and against one that moves to another while flows use it.
+func TestTagKeepsItsMeaning(t *testing.T) {
+	is := is.New(t)
+	older := &pimcatalog.Host{ID: 7, Service: "desk", Created: 1}
+	same := &pimcatalog.Host{ID: 7, Service: "desk", Created: 2}
+	c := catalog(same, older)
+	is.Equal(c.Host(older.Tag()), older)
+	is.Equal(len(c.Service("desk")), 1)
+}
+
+// Guards against allocations on the path of each packet.
+func TestEstablishedAllocatesNothing(t *testing.T) {
+	h := &pimcatalog.Host{ID: 7, Service: "desk"}
+	view := View{Catalog: catalog(h), Fresh: true, Settled: true}
+	p := pimpacket.Packet{Flow: pimpacket.Flow{Caller: caller, Route: published}, Flags: pimpacket.Ack, Tag: h.Tag()}
+	if n := testing.AllocsPerRun(100, func() { Steer(0, view, first{}, &p) }); n != 0 {
+		t.Fatalf("%v allocations", n)
+	}
+}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -13,6 +13,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimlog"
 )
 
 // hostPrefixBytes is the room in front of a packet for the number of its backend server.
@@ -39,12 +40,14 @@
 	buf      [hostPrefixBytes + maxPacket]byte
 	reset    []byte
 	reported pimclock.Instant
+	// lines bounds the log lines about flows.
+	lines *pimlog.Bucket
 }
 
 func newEdge(n *Node, conn *net.UDPConn, view *observer, placer *pimplace.Placer) *edge {
 	e := &edge{
 		node: n, conn: conn, table: view.table, observer: view, placer: placer, counters: newEdgeCounters(n.set),
-		dark: map[pimcatalog.HostID]bool{},
+		dark: map[pimcatalog.HostID]bool{}, lines: pimlog.NewBucket(lineBurst, linesPerSecond),
 	}
 	if err := conn.SetReadBuffer(receiveBuffer); err != nil {
 		n.log.Warn().Err(err).Msg("receive buffer not set")
@@ -54,7 +57,11 @@
 
 // start begins to read packets; the first complete view calls it.
 func (e *edge) start() {
-	e.once.Do(func() { e.wg.Go(e.loop) })
+	e.once.Do(func() {
+		c := e.node.registry.Catalog()
+		e.node.log.Info().Uint64("revision", uint64(c.Revision)).Int("hosts", len(c.Hosts())).Msg("first view")
+		e.wg.Go(e.loop)
+	})
 }
 
 func (e *edge) close() {
@@ -100,6 +107,7 @@
 	e.report(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
+	e.logVerdict(now, view, &p, verdict)
 	switch verdict.Action {
 	case pimsteer.Forward:
 		if p.IsOpen() {
--- /dev/null
+++ b/internal/pimentry/log.go
@@ -0,0 +1,63 @@
+package pimentry
+
+import (
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// The bounds of the lines about flows: a line costs about as much as forwarding a packet, and a VM with a tenth of a
+// core forwards some hundred a second.
+const (
+	lineBurst      = 50
+	linesPerSecond = 20
+)
+
+// logVerdict writes a line about each decision that opens, refuses or ends a flow, as far as the bucket allows.
+func (e *edge) logVerdict(now pimclock.Instant, v pimsteer.View, p *pimpacket.Packet, verdict pimsteer.Verdict) {
+	if verdict.Reason == pimsteer.ReasonEstablished || verdict.Reason == pimsteer.ReasonUntagged {
+		return
+	}
+	omitted, ok := e.lines.Allow(now)
+	if !ok {
+		return
+	}
+	line := e.node.log.Info().
+		Stringer("caller", p.Flow.Caller).Stringer("route", p.Flow.Route).
+		Stringer("action", verdict.Action).Stringer("reason", verdict.Reason).
+		Uint64("revision", uint64(v.Catalog.Revision)).Int64("view_age_ms", e.node.registry.Age(now).Milliseconds())
+	if p.IsOpen() {
+		line.Int("attempt", p.Attempt)
+	} else {
+		line.Uint32("tag", uint32(p.Tag))
+	}
+	if verdict.Host != nil {
+		load := e.observer.Load(now, verdict.Host.ID)
+		line.Str("host", verdict.Host.Name).Int("busy", load.Busy).Int("open", load.Open).Int("misses", load.Misses)
+	}
+	if omitted > 0 {
+		line.Int("omitted_lines", omitted)
+	}
+	line.Msg("flow")
+}
+
+// logDecision writes what the registry did with one published change. The entries of the first list are counted only.
+func (n *Node) logDecision(c pimregistry.Change, d pimregistry.Decision) {
+	if d == pimregistry.Outdated || d == pimregistry.Listed {
+		return
+	}
+	level := n.log.Info()
+	if d == pimregistry.Unreadable {
+		level = n.log.Warn().Err(c.Fault)
+	}
+	event := level.Str("decision", string(d)).Uint64("revision", uint64(c.Revision))
+	if c.Config != nil {
+		event.Uint64("version", uint64(c.Config.Version)).Int("routes", len(c.Config.Routes)).Msg("configuration")
+		return
+	}
+	if c.Host != nil {
+		event.Str("host", c.Host.Name).Str("service", string(c.Host.Service)).Bool("leaving", c.Host.Leaving)
+	}
+	event.Bool("removed", c.Removed).Msg("backend server")
+}
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -26,6 +26,7 @@
 	conn     *net.UDPConn
 	sealer   *pimseal.Sealer
 	gossip   *pimgossip.Mesh
+	every    time.Duration
 	assembly pimgossip.Assembly
 	// reports is what the edge sees of the backend servers.
 	reports atomic.Pointer[[]pimflow.Report]
@@ -56,11 +57,11 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	cfg := pimgossip.DefaultSettings()
+	cfg := pimgossip.DefaultSettings(time.Duration(n.cfg.Platform.InForceWithin))
 	cfg.Name, cfg.DataCentre = n.cfg.Node.Name, n.cfg.Node.DataCentre
 	cfg.Address, cfg.Seeds = n.cfg.Peer.Address, n.cfg.Peer.SeedAddresses()
 	m = &mesh{
-		node: n, conn: conn, sealer: sealer, gossip: pimgossip.New(cfg, rng), stop: make(chan struct{}),
+		node: n, conn: conn, sealer: sealer, gossip: pimgossip.New(cfg, rng), every: cfg.Every, stop: make(chan struct{}),
 		counts: meshCounters{
 			sent:      n.set.NewCounter("pimentoyard_peer_messages_sent_total"),
 			received:  n.set.NewCounter("pimentoyard_peer_messages_received_total"),
@@ -87,7 +88,7 @@
 }
 
 func (m *mesh) runTicker() {
-	ticker := time.NewTicker(pimgossip.DefaultSettings().Every)
+	ticker := time.NewTicker(m.every)
 	defer ticker.Stop()
 	m.sendAll(m.gossip.Tick(m.node.clock.Now(), m.view()))
 	for {
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -58,6 +58,8 @@
 	edge     *edge
 	mesh     *mesh
 	stopping atomic.Bool
+	// linger is the time in nanoseconds for which a stopping VM goes on to forward.
+	linger   atomic.Int64
 	wg       sync.WaitGroup
 	cleanups []func()
 }
@@ -68,7 +70,8 @@
 ) (n *Node, cleanup func(), err error) {
 	defer func() { err = oops.In("pimentry").Wrapf(err, "start vm") }()
 	n = &Node{cfg: cfg, platform: p, log: log, clock: clock, started: clock.Now(), set: metrics.NewSet()}
-	n.registry = pimregistry.New(pimregistry.DefaultSettings(), clock, n.logDecision)
+	n.linger.Store(int64(cfg.Drain.Linger))
+	n.registry = pimregistry.New(pimregistry.DefaultSettings(time.Duration(cfg.Platform.InForceWithin)), clock, n.logDecision)
 	if err = n.start(ctx); err != nil {
 		n.close()
 		return nil, nil, err
@@ -158,12 +161,20 @@
 // isReady reports whether the fabric may send new flows here.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.registry.Catalog().Ready() }
 
+// Reload applies changed settings to a running VM: the seeds and the time of a planned stop. Addresses take effect at the
+// next start.
+func (n *Node) Reload(cfg pimsettings.Entry) {
+	n.mesh.gossip.SetSeeds(cfg.Peer.SeedAddresses())
+	n.linger.Store(int64(cfg.Drain.Linger))
+	n.log.Info().Int("seeds", len(cfg.Peer.Seeds)).Msg("settings reloaded")
+}
+
 // Shutdown tells the fabric that the VM leaves and goes on to forward packets until the fabric has noticed or the
 // context ends.
 func (n *Node) Shutdown(ctx context.Context) {
 	n.stopping.Store(true)
 	n.mesh.tell(true)
-	timer := time.NewTimer(time.Duration(n.cfg.Drain.Linger))
+	timer := time.NewTimer(time.Duration(n.linger.Load()))
 	defer timer.Stop()
 	select {
 	case <-timer.C:
@@ -193,13 +204,8 @@
 	return !n.registry.Catalog().Ready() || n.mesh.gossip.Reads(now, n.registry.Age(now))
 }
 
-// hold says how long a watch may wait: a VM that steps in for the reader wants to know at once.
-func (n *Node) hold() time.Duration {
-	if n.mesh.gossip.Rank(n.clock.Now()) > 0 && n.registry.Catalog().Ready() {
-		return time.Millisecond
-	}
-	return time.Duration(n.cfg.Platform.WatchFor)
-}
+// hold says how long a watch may wait.
+func (n *Node) hold() time.Duration { return n.mesh.gossip.Hold(n.registry.Age(n.clock.Now())) }
 
 func (n *Node) defers(f func()) { n.cleanups = append(n.cleanups, f) }
 
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -1,7 +1,6 @@
 package pimentry
 
 import (
-	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -16,10 +15,10 @@
 	ViewAgeMs  int64              `json:"view_age_ms"`
 	UptimeMs   int64              `json:"uptime_ms"`
 	Routes     int                `json:"routes"`
-	// Rank is the number of VMs that read the platform rather than this one.
-	Rank  int          `json:"reader_rank"`
-	Peers []string     `json:"peers"`
-	Hosts []HostStatus `json:"hosts"`
+	// Reader is set if this VM reads the platform for its data centre.
+	Reader bool         `json:"reader"`
+	Peers  []string     `json:"peers"`
+	Hosts  []HostStatus `json:"hosts"`
 }
 
 // HostStatus is what a VM believes of one backend server.
@@ -40,7 +39,7 @@
 	s := Status{
 		Name: n.cfg.Node.Name, DataCentre: n.cfg.Node.DataCentre, Ready: n.isReady(), Revision: c.Revision,
 		ViewAgeMs: n.registry.Age(now).Milliseconds(), UptimeMs: now.Sub(n.started).Milliseconds(),
-		Rank: n.mesh.gossip.Rank(now), Peers: n.mesh.gossip.Names(now),
+		Reader: n.mesh.gossip.IsReader(), Peers: n.mesh.gossip.Names(now),
 	}
 	if c.Ready() {
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
@@ -53,20 +52,3 @@
 	}
 	return s
 }
-
-// logDecision logs what the registry did with one published change.
-func (n *Node) logDecision(c pimregistry.Change, d pimregistry.Decision) {
-	level := n.log.Info()
-	if d == pimregistry.Unreadable {
-		level = n.log.Warn().Err(c.Fault)
-	}
-	event := level.Str("decision", string(d)).Uint64("revision", uint64(c.Revision))
-	if c.Config != nil {
-		event.Uint64("version", uint64(c.Config.Version)).Int("routes", len(c.Config.Routes)).Msg("configuration")
-		return
-	}
-	if c.Host != nil {
-		event.Str("host", c.Host.Name).Bool("leaving", c.Host.Leaving)
-	}
-	event.Bool("removed", c.Removed).Msg("backend server")
-}
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -43,10 +43,9 @@
 	Address netip.AddrPort `toml:"address"`
 	// Timeout bounds one call that does not wait for a change.
 	Timeout pimcontract.Duration `toml:"timeout"`
-	// WatchFor is how long the platform holds a call that waits for a change.
-	WatchFor pimcontract.Duration `toml:"watch_for"`
-	// WatchTimeout bounds such a call, so that a silent connection is noticed.
-	WatchTimeout pimcontract.Duration `toml:"watch_timeout"`
+	// InForceWithin is the time within which a change has to be in force. How long a call may wait for a change, and
+	// when another VM steps in for the one that reads, follow from it.
+	InForceWithin pimcontract.Duration `toml:"in_force_within"`
 }
 
 // EntryPeer says how this VM finds the others.
@@ -76,10 +75,8 @@
 	return Entry{
 		Platform: EntryPlatform{
 			Timeout: pimcontract.Duration(time.Second),
-			// With the timeout below, a silent connection is replaced within 2.5 s, so that a change is in force
-			// within 3 s of the time when the platform can be read again.
-			WatchFor:     pimcontract.Duration(1500 * time.Millisecond),
-			WatchTimeout: pimcontract.Duration(2500 * time.Millisecond),
+			// The shortest bound of the deployments in operation.
+			InForceWithin: pimcontract.Duration(3 * time.Second),
 		},
 		Log: Log{Level: "info"},
 		// The fabric asks twice a second and takes a VM out after two misses.
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -28,8 +28,8 @@
 	Revision   pimid.Revision   `cbor:"4,keyasint"`
 	// Age is the time since the platform was known to have nothing newer.
 	Age time.Duration `cbor:"5,keyasint"`
-	// CanRead is unset if the last read of the platform by this VM failed.
-	CanRead bool `cbor:"6,keyasint,omitempty"`
+	// Claim is the news that a VM of the data centre reads the platform.
+	Claim *Claim `cbor:"6,keyasint,omitempty"`
 	// Hello asks for an answer, since the sender knows nobody in its data centre.
 	Hello bool       `cbor:"7,keyasint,omitempty"`
 	Loads []HostLoad `cbor:"8,keyasint,omitempty"`
@@ -39,6 +39,13 @@
 	Leaving bool `cbor:"10,keyasint,omitempty"`
 }
 
+// Claim says that a VM reads the platform.
+type Claim struct {
+	// Hash identifies and ranks the VM, Age is the time since it said so.
+	Hash uint64        `cbor:"1,keyasint"`
+	Age  time.Duration `cbor:"2,keyasint,omitempty"`
+}
+
 // PeerAddress names a VM.
 type PeerAddress struct {
 	Name    string         `cbor:"1,keyasint"`
--- a/internal/protocol/pimpacket/packet.go
+++ b/internal/protocol/pimpacket/packet.go
@@ -20,8 +20,6 @@
 	Close
 	// Reset says that the flow has ended.
 	Reset
-	// Relayed says that another VM has passed the packet on.
-	Relayed
 )
 
 // Has reports whether all given bits are set.
@@ -69,8 +67,6 @@
 	Decode(datagram []byte) (Packet, error)
 	// SetTag writes the tag into an opening packet.
 	SetTag(datagram []byte, tag pimcatalog.Tag)
-	// SetRelayed marks a packet as passed on by another VM, or removes the mark.
-	SetRelayed(datagram []byte, relayed bool)
 	// AppendHost appends the prefix by which a backend server recognises its datagrams.
 	AppendHost(dst []byte, id pimcatalog.HostID) []byte
 	// AppendReset appends a packet that ends the flow of p at its caller.
--- /dev/null
+++ b/internal/transport/pimlog/bucket.go
@@ -0,0 +1,36 @@
+package pimlog
+
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// Bucket bounds the lines about single flows; it is owned by one goroutine.
+type Bucket struct {
+	burst  float64
+	perSec float64
+	tokens float64
+	at     pimclock.Instant
+	// omitted counts the lines since the last one that was allowed.
+	omitted int
+}
+
+// NewBucket returns a full bucket.
+func NewBucket(burst, linesPerSecond float64) *Bucket {
+	return &Bucket{burst: burst, perSec: linesPerSecond, tokens: burst}
+}
+
+// Allow reports whether a line may be written, and how many were left out since the last one.
+func (b *Bucket) Allow(now pimclock.Instant) (omitted int, ok bool) {
+	elapsed := max(0, now.Sub(b.at))
+	b.at = now
+	b.tokens = min(b.burst, b.tokens+b.perSec*float64(elapsed)/float64(time.Second))
+	if b.tokens < 1 {
+		b.omitted++
+		return 0, false
+	}
+	b.tokens--
+	omitted, b.omitted = b.omitted, 0
+	return omitted, true
+}
--- /dev/null
+++ b/internal/transport/pimlog/logger_test.go
@@ -0,0 +1,42 @@
+package pimlog
+
+import (
+	"bytes"
+	"encoding/json"
+	"sync"
+	"testing"
+
+	"github.com/matryer/is"
+	"github.com/rs/zerolog"
+)
+
+// stuck is a reader that takes nothing until it is released.
+type stuck struct {
+	release chan struct{}
+	mu      sync.Mutex
+	buf     bytes.Buffer
+}
+
+func (s *stuck) Write(p []byte) (int, error) {
+	<-s.release
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.buf.Write(p)
+}
+
+// Guards against a VM that stops forwarding because nobody reads its log, and against lines lost at the end.
+func TestLoggerDoesNotWaitForItsReader(t *testing.T) {
+	is := is.New(t)
+	w := &stuck{release: make(chan struct{})}
+	log, cleanup := New(w, zerolog.InfoLevel)
+	for i := range 3 * bufferLines { // would never return if a line waited
+		log.Info().Int("line", i).Msg("forwarded")
+	}
+	close(w.release)
+	cleanup()
+	lines := bytes.Split(bytes.TrimSpace(w.buf.Bytes()), []byte("\n"))
+	is.True(len(lines) > 1)
+	for _, line := range lines {
+		is.True(json.Valid(line))
+	}
+}
