fix: find the VMs of the own data centre through seeds elsewhere

The seeds are VMs of other data centres; they forgot strangers that had been silent for 5 s, and a VM took names only from beats of its own data centre. Ruled out: claims that do not spread (TestOneVMReads with 100 VMs).

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -100,7 +100,7 @@
 	running := m.running(now)
 	m.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
 	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
-		out = append(out, Outgoing{To: p.address, Message: m.beat(now, v, m.sample(now, m.peers))})
+		out = append(out, Outgoing{To: p.address, Message: m.beat(now, v, m.sample(m.peers, func(p *peer) bool { return m.isRunning(now, p) }))})
 	}
 	return out
 }
@@ -115,7 +115,11 @@
 		return nil
 	}
 	m.greeted = now
-	targets := slices.Clone(m.cfg.Seeds)
+	var targets []netip.AddrPort
+	if alone || m.rng.IntN(len(m.running(now))) < m.cfg.Fanout {
+		// Some VMs of a data centre greet for all, so that seeds hear as much from a large one as from a small one.
+		targets = slices.Clone(m.cfg.Seeds)
+	}
 	for _, p := range m.peers {
 		if !m.isRunning(now, p) {
 			targets = append(targets, p.address)
@@ -142,11 +146,11 @@
 // sampleSize is the number of VMs that a beat names.
 const sampleSize = 6
 
-// sample names some running VMs.
-func (m *Mesh) sample(now pimclock.Instant, of map[netip.AddrPort]*peer) (names []pimmesh.PeerAddress) {
+// sample names some VMs that were heard.
+func (m *Mesh) sample(of map[netip.AddrPort]*peer, wanted func(*peer) bool) (names []pimmesh.PeerAddress) {
 	for _, p := range of {
 		// The order of a map is random enough.
-		if m.isRunning(now, p) {
+		if wanted(p) {
 			names = append(names, pimmesh.PeerAddress{Name: p.name, Address: p.address})
 		}
 		if len(names) == sampleSize {
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -30,9 +30,10 @@
 	}
 	p, isNew := m.remember(now, b)
 	if b.DataCentre == m.cfg.DataCentre {
-		m.rememberNamed(now, b.Peers)
 		m.hearClaim(now, b.Claim)
 	}
+	// Beats name VMs of the receiver's data centre.
+	m.rememberNamed(now, b.Peers)
 	switch {
 	case b.Leaving:
 		return h
@@ -49,13 +50,15 @@
 	return h
 }
 
-// welcome answers a greeting with VMs of the sender's data centre.
+// welcome answers a greeting with VMs of the sender's data centre. Those of other data centres are heard rarely, so all
+// that are remembered are named.
 func (m *Mesh) welcome(now pimclock.Instant, b *pimmesh.Beat, v View) Outgoing {
-	known := m.peers
-	if b.DataCentre != m.cfg.DataCentre {
-		known = m.strangers[b.DataCentre]
+	if b.DataCentre == m.cfg.DataCentre {
+		running := func(p *peer) bool { return m.isRunning(now, p) && p.address != b.Address }
+		return Outgoing{To: b.Address, Message: m.beat(now, v, m.sample(m.peers, running))}
 	}
-	return Outgoing{To: b.Address, Message: m.beat(now, v, m.sample(now, known))}
+	others := func(p *peer) bool { return p.heard != 0 && !p.leaving && p.address != b.Address }
+	return Outgoing{To: b.Address, Message: m.beat(now, v, m.sample(m.strangers[b.DataCentre], others))}
 }
 
 // remember notes the sender of a beat.
