--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -43,6 +43,10 @@
 // readerCheck is how often a VM that does not read the platform checks whether it should.
 const readerCheck = 100 * time.Millisecond
 
+// watchPause lets changes that come in a row, such as the start of many backend servers, share a call to the platform. It
+// is short against the seconds in which a change has to be in force.
+const watchPause = 150 * time.Millisecond
+
 // headerTimeout bounds the wait for the header of a readiness check.
 const headerTimeout = 2 * time.Second
 
@@ -94,7 +98,7 @@
 	n.mesh.start()
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
 		Source: n.platform.Source, Sink: n.registry, Changed: n.changed, Observe: n.observe,
-		Enabled: n.reads, Hold: n.hold, IdleCheck: readerCheck,
+		Enabled: n.reads, Hold: n.hold, IdleCheck: readerCheck, Pause: watchPause,
 		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, rng), Log: n.log,
 	})
 	n.defers(stop)
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -47,6 +47,9 @@
 	Hold func() time.Duration
 	// IdleCheck is how often a VM that is not a reader checks whether it has become one; zero means one second.
 	IdleCheck time.Duration
+	// Pause is the time between a watch that told changes and the next one, so that changes that come in a row are told
+	// together; zero means none.
+	Pause time.Duration
 	// Changed is called after each change of the sink; nil means that nobody asks.
 	Changed func()
 	// Observe hears the result of each read before it is applied; nil means that nobody asks.
@@ -106,9 +109,12 @@
 	if !f.cfg.Enabled() {
 		return f.cfg.IdleCheck
 	}
-	err := f.read(ctx)
+	changed, err := f.read(ctx)
 	if err == nil {
 		f.cfg.Backoff.Reset()
+		if changed {
+			return f.cfg.Pause
+		}
 		return 0
 	}
 	if ctx.Err() != nil {
@@ -119,23 +125,20 @@
 }
 
 // read watches from the current revision. It reads all keys if the events are gone or if nothing was read yet.
-func (f *Follower[B, S]) read(ctx context.Context) error {
+func (f *Follower[B, S]) read(ctx context.Context) (changed bool, err error) {
 	from := f.cfg.Sink.Revision()
 	if from == 0 {
-		return f.readAll(ctx)
+		return true, f.readAll(ctx)
 	}
 	b, err := f.cfg.Source.Watch(ctx, from, f.cfg.Hold())
 	if errors.Is(err, ErrCompacted) {
-		return f.readAll(ctx)
+		return true, f.readAll(ctx)
 	}
 	f.cfg.Observe(err)
-	if err != nil {
-		return err
-	}
-	if b.End() == from {
-		return nil
+	if err != nil || b.End() == from {
+		return false, err
 	}
-	return f.applied(f.cfg.Sink.Apply(b))
+	return true, f.applied(f.cfg.Sink.Apply(b))
 }
 
 func (f *Follower[B, S]) readAll(ctx context.Context) error {
