fix: give each owner its own random numbers

Cause: the race detector found that the placement, the beats and the back-off shared a source, which serves one goroutine. Before, after: TestFlowSurvivesReplacementOfAllVMs with -race failed, passes. Also what the linter asks of the new tests.

--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -134,7 +134,8 @@
 		}
 		f.deliver(to, heard.Out)
 	case msg.Pull != nil:
-		if to.revision > msg.Pull.Since && !(f.severed != nil && f.severed(to, from)) {
+		answerLost := f.severed != nil && f.severed(to, from)
+		if to.revision > msg.Pull.Since && !answerLost {
 			f.learn(from, to.revision)
 		}
 	}
@@ -216,7 +217,7 @@
 		"not heard":   func(f *fleet, r *vm) { f.severed = func(from, _ *vm) bool { return from == r } },
 		"not hearing": func(f *fleet, r *vm) { f.severed = func(_, to *vm) bool { return to == r } },
 		"alone":       func(f *fleet, r *vm) { f.severed = func(from, to *vm) bool { return from == r || to == r } },
-		"half of the rest": func(f *fleet, r *vm) {
+		"half of the rest": func(f *fleet, _ *vm) {
 			f.severed = func(from, to *vm) bool { return (from.address.Addr().As4()[3]^to.address.Addr().As4()[3])&1 == 1 }
 		},
 	}
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -105,6 +105,33 @@
 	}
 }
 
+// act publishes a change, or lets a VM list the platform, watch it, or hear from another VM.
+func (w *world) act(rng *rand.Rand, r, other *Registry) {
+	switch rng.IntN(5) {
+	case 0, 1:
+		w.step(rng)
+	case 2:
+		r.Reached()
+		_ = r.Restore(w.snapshot()) // an old list is refused
+	case 3:
+		if b := w.since(r.Revision()); b.From > 0 {
+			_ = r.Apply(b) // what is known already is ignored
+		}
+	case 4:
+		_ = r.Merge(other.Since(r.Revision())) // a gap is refused
+	}
+}
+
+func (w *world) since(from pimid.Revision) Batch {
+	b := Batch{From: from, To: w.revision}
+	for _, c := range w.log {
+		if c.Revision > from {
+			b.Changes = append(b.Changes, c)
+		}
+	}
+	return b
+}
+
 func (w *world) config() Change {
 	var routes []pimcatalog.Route
 	for _, r := range w.routes {
@@ -142,32 +169,12 @@
 		for range steps {
 			clock.Advance(50 * time.Millisecond)
 			i, j := rng.IntN(vms), rng.IntN(vms)
-			before := fleet[i].Catalog()
-			switch rng.IntN(6) {
-			case 0, 1:
-				w.step(rng)
-			case 2:
-				fleet[i].Reached()
-				_ = fleet[i].Restore(w.snapshot())
-			case 3:
-				from := fleet[i].Revision()
-				var changes []Change
-				for _, c := range w.log {
-					if c.Revision > from {
-						changes = append(changes, c)
-					}
-				}
-				if from > 0 {
-					_ = fleet[i].Apply(Batch{From: from, To: w.revision, Changes: changes})
-				}
-			case 4:
-				_ = fleet[i].Merge(fleet[j].Since(fleet[i].Revision()))
-			case 5:
-				if rng.IntN(4) == 0 {
-					fleet[i] = newRegistry(clock)
-					continue
-				}
+			if rng.IntN(24) == 0 {
+				fleet[i] = newRegistry(clock)
+				continue
 			}
+			before := fleet[i].Catalog()
+			w.act(rng, fleet[i], fleet[j])
 			after := fleet[i].Catalog()
 			if after.Revision < before.Revision || before.Ready() && after.Routes.Version < before.Routes.Version {
 				t.Fatalf("seed %d: went back from %d to %d", seed, before.Revision, after.Revision)
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -84,14 +84,13 @@
 }
 
 func (n *Node) start(ctx context.Context) error {
-	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	// The socket is open before the first read of the platform, so that packets wait instead of being lost.
-	if err := n.listen(rng); err != nil {
+	if err := n.listen(); err != nil {
 		return err
 	}
 	var err error
 	var closeMesh func()
-	if n.mesh, closeMesh, err = newMesh(n, rng); err != nil {
+	if n.mesh, closeMesh, err = newMesh(n, newRand()); err != nil {
 		return err
 	}
 	n.defers(closeMesh)
@@ -99,7 +98,7 @@
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
 		Source: n.platform.Source, Sink: n.registry, Changed: n.changed, Observe: n.observe,
 		Enabled: n.reads, Hold: n.hold, IdleCheck: readerCheck, Pause: watchPause,
-		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, rng), Log: n.log,
+		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), Log: n.log,
 	})
 	n.defers(stop)
 	if err := n.serveReadiness(ctx); err != nil {
@@ -108,19 +107,22 @@
 	return n.serveOperators(ctx)
 }
 
-func (n *Node) listen(rng *rand.Rand) error {
+func (n *Node) listen() error {
 	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(n.cfg.Edge.PacketAddress))
 	if err != nil {
 		return err
 	}
 	table := pimflow.New(pimflow.DefaultSettings())
 	view := &observer{table: table}
-	placer := pimplace.New(n.cfg.Node.DataCentre, view, pimpick.LeastLoaded{}, rng)
+	placer := pimplace.New(n.cfg.Node.DataCentre, view, pimpick.LeastLoaded{}, newRand())
 	n.edge = newEdge(n, conn, view, placer)
 	n.defers(n.edge.close)
 	return nil
 }
 
+// newRand returns random numbers for one owner, since a source serves one goroutine.
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
 func (n *Node) serveReadiness(ctx context.Context) error {
 	listener, err := new(net.ListenConfig).Listen(ctx, "tcp", n.cfg.Edge.ReadinessAddress.String())
 	if err != nil {
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -71,7 +71,8 @@
 	f := &fleet{World: world, t: t, nodes: map[int]*pimentry.Node{}, ends: map[int]func(){}}
 	is.NoErr(world.Configure(
 		platformtest.RouteConfig{Address: deskRoute, Service: "desk"},
-		platformtest.RouteConfig{Address: videoRoute, Service: "video"}))
+		platformtest.RouteConfig{Address: videoRoute, Service: "video"},
+	))
 	for _, service := range []string{"desk", "desk", "video", "video"} {
 		_, err = world.AddHost(service, "ikeja", time.Millisecond)
 		is.NoErr(err)
