fix: only open flows without an answer make a backend server dark

Logs show three reasons: VMs that did not keep up with their packets blamed most backend servers (misses on dozens of them at once); single losses at many VMs were added up (1 own, 3 elsewhere); and backend servers that took no new flows served their open ones. Ruled out: cut links (the VMs were in touch) and frozen VMs (no gap in their loops). Now three flows in a row of this VM must have had no answer, two of them open ones; no other VM may have seen life since; half or more of those tried lately must answer; and a VM that has read packets for 30 ms without a pause doubts what it sees.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -16,7 +16,9 @@
 	// and the last was noticed at missedAt.
 	misses               int
 	missedFrom, missedAt pimclock.Instant
-	suspectUntil         pimclock.Instant
+	// repeated counts those of them on open flows.
+	repeated     int
+	suspectUntil pimclock.Instant
 	// busyArea is the integral of busy since busyFrom, up to busyAt.
 	busyArea         time.Duration
 	busyFrom, busyAt pimclock.Instant
@@ -36,6 +38,10 @@
 	// their packets was sent.
 	Misses     int
 	MissedFrom pimclock.Instant
+	// Repeated is the number of those that were open: only they show that open flows get no answer.
+	Repeated int
+	// AliveAt is the last sign of life.
+	AliveAt pimclock.Instant
 }
 
 func (t *Table) host(now pimclock.Instant, id pimcatalog.HostID) *host {
@@ -53,7 +59,8 @@
 	if h == nil {
 		return Load{}
 	}
-	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom}
+	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
+		Repeated: h.repeated, AliveAt: h.alive}
 }
 
 // Keep forgets the backend servers that are not in the catalog any more.
@@ -72,7 +79,7 @@
 }
 
 // forgive forgets the packets without an answer.
-func (h *host) forgive() { h.misses, h.missedFrom, h.suspectUntil = 0, 0, 0 }
+func (h *host) forgive() { h.misses, h.repeated, h.missedFrom, h.suspectUntil = 0, 0, 0, 0 }
 
 // currentMisses forgets misses that nothing has added to for twice the longest time without a try.
 func (h *host) currentMisses(now pimclock.Instant, suspectMax time.Duration) int {
@@ -83,7 +90,7 @@
 }
 
 // missed records a packet without an answer.
-func (h *host) missed(now, sent pimclock.Instant, cfg *Settings) {
+func (h *host) missed(now, sent pimclock.Instant, cause Cause, cfg *Settings) {
 	const maxDoublings = 8
 	if h.misses == 0 || sent.Before(h.missedFrom) {
 		h.missedFrom = sent
@@ -91,6 +98,9 @@
 	h.missedAt = now
 	h.suspectUntil = now.Add(min(cfg.SuspectMin<<min(h.misses, maxDoublings), cfg.SuspectMax))
 	h.misses++
+	if cause == CauseRepeated {
+		h.repeated++
+	}
 }
 
 // setBusy changes the number of running requests.
@@ -118,8 +128,7 @@
 	// Busy is the mean number of running requests since the last report.
 	Busy float64
 	Open int
-	// Misses is the number of flows without an answer since the last sign of life, which was SilentFor ago.
-	Misses    int
+	// SilentFor is the time since the last sign of life.
 	SilentFor time.Duration
 }
 
@@ -127,10 +136,7 @@
 func (t *Table) Report(now pimclock.Instant) (reports []Report) {
 	for id, h := range t.hosts {
 		r := Report{ID: id, Busy: h.meanBusy(now), Open: h.open, SilentFor: now.Sub(h.alive)}
-		if now.Before(h.suspectUntil) {
-			r.Misses = h.misses
-		}
-		if r.Busy > 0 || r.Open > 0 || r.Misses > 0 {
+		if r.Busy > 0 || r.Open > 0 {
 			reports = append(reports, r)
 		}
 	}
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -218,7 +218,7 @@
 		return
 	}
 	r.missed = true
-	h.missed(now, sent, &t.cfg)
+	h.missed(now, sent, cause, &t.cfg)
 	t.suspicions = append(t.suspicions, Suspicion{Host: r.host, Cause: cause, Misses: h.misses})
 }
 
@@ -285,6 +285,10 @@
 	}
 }
 
+// Busy tells the table that this VM does not keep up with its packets: they have waited, so what callers repeat says
+// nothing of the backend servers.
+func (t *Table) Busy(now pimclock.Instant) { t.doubtUntil = max(t.doubtUntil, now.Add(t.cfg.DoubtFor)) }
+
 // doubt notices that this VM stood still: then its own silence made the callers repeat their packets.
 func (t *Table) doubt(now pimclock.Instant) {
 	stood := t.expired != 0 && now.Sub(t.expired) > t.cfg.StallAfter
--- a/internal/coordination/pimflow/table_test.go
+++ b/internal/coordination/pimflow/table_test.go
@@ -154,6 +154,20 @@
 	is.Equal(len(table.Suspicions()), 0)
 }
 
+// Guards against a VM that does not keep up with its packets and blames the backend servers for their delay.
+func TestBusyVMDoubtsWhatItSees(t *testing.T) {
+	is := is.New(t)
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	table.Expire(now)
+	for port := range uint16(5) {
+		newCaller(table, port).open(now, hostA, 0)
+	}
+	now = now.Add(100 * time.Millisecond)
+	table.Busy(now)
+	table.Expire(now)
+	is.Equal(table.Load(now, hostA).Misses, 0)
+}
+
 // Guards against a backend server that stays condemned although nobody has tried it for seconds.
 func TestMissesAreForgotten(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -9,8 +9,7 @@
 type Load struct {
 	// Busy is the mean number of running requests, Open the number of flows.
 	Busy, Open float64
-	// Misses is the number of flows to which the backend server has not answered, AliveAt its last sign of life.
-	Misses  int
+	// AliveAt is the last sign of life.
 	AliveAt pimclock.Instant
 }
 
@@ -37,7 +36,6 @@
 			l := loads[id]
 			l.Busy += float64(told.Busy) * hundredth
 			l.Open += float64(told.Open)
-			l.Misses += told.Misses
 			l.AliveAt = max(l.AliveAt, p.heard.Add(-told.SilentFor-transit))
 			loads[id] = l
 		}
--- a/internal/coordination/pimplace/darkness.go
+++ b/internal/coordination/pimplace/darkness.go
@@ -1,47 +1,45 @@
 package pimplace
 
 import (
+	"time"
+
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
-const (
-	// darkMisses is the number of flows of this VM without an answer that show that a backend server answers nobody.
-	// At a loss of 0.1% of the packets, three in a row without a sign of life happen by chance once in 10^8 flows.
-	darkMisses = 3
-	// darkMissesTogether is the number that is enough together with those of other VMs.
-	darkMissesTogether = 4
-)
+// darkMisses is the number of flows in a row without an answer that show that a backend server answers nobody. At a loss
+// of 0.1% of the packets, three in a row happen by chance once in 10^8 flows.
+const darkMisses = 3
+
+// darkRepeated is how many of them must be open flows whose data is not confirmed: a backend server that takes no new
+// flows may well serve the open ones.
+const darkRepeated = 2
 
-// IsDark reports whether a backend server answers nobody. If more than half of its service seems to, the fault is taken
-// to be on this side, and none of them is dark.
+// triedFor is how long ago a backend server may have answered to count as one that this VM has tried.
+const triedFor = 2 * time.Second
+
+// IsDark reports whether a backend server answers nobody. If half or more of those that this VM has tried lately do not
+// answer, the fault is taken to be on this side, and none of them is dark.
 func (p *Placer) IsDark(now pimclock.Instant, c *pimcatalog.Catalog, id pimcatalog.HostID) bool {
-	if !p.seemsDark(now, id) {
-		return false
-	}
 	h := c.Host(id.Tag())
-	if h == nil {
+	if h == nil || !p.seemsDark(now, id) {
 		return false
 	}
-	listed, dark := 0, 0
-	for _, other := range c.Service(h.Service) {
-		if other.Gone(now) {
-			continue
-		}
-		listed++
-		if p.seemsDark(now, other.ID) {
-			dark++
+	answer, silent := 0, 0
+	for _, other := range c.Hosts() {
+		switch load := p.observer.Load(now, other.ID); {
+		case load.Misses > 0:
+			silent++
+		case load.AliveAt != 0 && now.Sub(load.AliveAt) <= triedFor:
+			answer++
 		}
 	}
-	return 2*dark <= listed
+	return silent < answer
 }
 
 // seemsDark counts the flows without an answer. A sign of life that another VM saw afterwards outweighs them: then the
 // fault is between this VM and the backend server, or its own.
 func (p *Placer) seemsDark(now pimclock.Instant, id pimcatalog.HostID) bool {
 	load := p.observer.Load(now, id)
-	if load.Misses > 0 && load.MissedFrom.Before(load.AliveElsewhere) {
-		return false
-	}
-	return load.Misses >= darkMisses || load.Misses > 0 && load.Misses+load.MissesElsewhere >= darkMissesTogether
+	return load.Misses >= darkMisses && load.Repeated >= darkRepeated && !load.MissedFrom.Before(load.AliveElsewhere)
 }
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -16,9 +16,8 @@
 	pimflow.Load
 	// BusyElsewhere and OpenElsewhere are the running requests and flows that the other VMs of the data centre see.
 	BusyElsewhere, OpenElsewhere float64
-	// MissesElsewhere is the number of their flows without an answer, AliveElsewhere the last sign of life that they saw.
-	MissesElsewhere int
-	AliveElsewhere  pimclock.Instant
+	// AliveElsewhere is the last sign of life that they saw.
+	AliveElsewhere pimclock.Instant
 }
 
 // Observer tells what was observed of flows and backend servers.
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -77,13 +77,27 @@
 // wakeEvery is the longest time without a look at packets that have had no answer.
 const wakeEvery = 100 * time.Millisecond
 
+// pauseAtLeast is how long a read must have waited to show that no packet was there.
+const pauseAtLeast = 200 * time.Microsecond
+
+// busyAfter is the time without a pause after which packets have waited for too long to tell when they arrived.
+const busyAfter = 30 * time.Millisecond
+
 func (e *edge) loop() {
+	idle := e.node.clock.Now()
 	for {
+		asked := e.node.clock.Now()
 		if err := e.conn.SetReadDeadline(time.Now().Add(wakeEvery)); err != nil {
 			return
 		}
 		n, _, err := e.conn.ReadFromUDPAddrPort(e.buf[hostPrefixBytes:])
 		now := e.node.clock.Now()
+		if now.Sub(asked) >= pauseAtLeast {
+			idle = now
+		}
+		if now.Sub(idle) > busyAfter {
+			e.table.Busy(now)
+		}
 		e.table.Expire(now)
 		e.suspect(now)
 		e.report(now)
@@ -131,8 +145,8 @@
 	}
 }
 
-// suspect acts on packets without an answer: the others hear of them at once, and the callers that wait for a backend
-// server that answers nobody are told to try elsewhere.
+// suspect acts on packets without an answer: callers that wait for a backend server that answers nobody are told to try
+// elsewhere.
 func (e *edge) suspect(now pimclock.Instant) {
 	suspicions := e.table.Suspicions()
 	for _, s := range suspicions {
@@ -140,8 +154,6 @@
 			Msg("backend server does not answer")
 	}
 	if len(suspicions) > 0 {
-		e.publish(now)
-		e.node.mesh.tell(false)
 		e.abandon(now)
 	}
 }
@@ -181,16 +193,12 @@
 	if now.Sub(e.reported) < reportEvery {
 		return
 	}
-	e.publish(now)
-	e.observer.elsewhere = e.node.mesh.gossip.Loads(now)
-	e.table.Keep(e.node.registry.Catalog())
-	e.abandon(now)
-}
-
-func (e *edge) publish(now pimclock.Instant) {
 	e.reported = now
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
+	e.observer.elsewhere = e.node.mesh.gossip.Loads(now)
+	e.table.Keep(e.node.registry.Catalog())
+	e.abandon(now)
 }
 
 func (e *edge) forward(framed []byte, h *pimcatalog.Host) {
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -121,8 +121,7 @@
 	const hundredths = 100
 	for _, r := range reports[:min(len(reports), maxLoads)] {
 		told = append(told, pimmesh.HostLoad{
-			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, Misses: r.Misses,
-			SilentFor: r.SilentFor.Round(time.Millisecond),
+			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, SilentFor: r.SilentFor.Round(time.Millisecond),
 		})
 	}
 	return told
--- a/internal/pimentry/observer.go
+++ b/internal/pimentry/observer.go
@@ -20,8 +20,7 @@
 func (o *observer) Load(now pimclock.Instant, id pimcatalog.HostID) pimplace.Load {
 	told := o.elsewhere[id]
 	return pimplace.Load{
-		Load: o.table.Load(now, id), BusyElsewhere: told.Busy, OpenElsewhere: told.Open, MissesElsewhere: told.Misses,
-		AliveElsewhere: told.AliveAt,
+		Load: o.table.Load(now, id), BusyElsewhere: told.Busy, OpenElsewhere: told.Open, AliveElsewhere: told.AliveAt,
 	}
 }
 
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -58,10 +58,8 @@
 	// Busy is the mean number of running requests since the last beat, in hundredths.
 	Busy int `cbor:"2,keyasint,omitempty"`
 	Open int `cbor:"3,keyasint,omitempty"`
-	// Misses is the number of flows to which the backend server has not answered since its last sign of life.
-	Misses int `cbor:"4,keyasint,omitempty"`
 	// SilentFor is the time since its last sign of life.
-	SilentFor time.Duration `cbor:"5,keyasint,omitempty"`
+	SilentFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
 // Pull asks for all changes after a revision.
