--- /dev/null
+++ b/internal/soak/pimsoak/faults.go
@@ -0,0 +1,169 @@
+package pimsoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"syscall"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/platform/platformtest"
+)
+
+// fault is one kind of fault: it returns how to end it.
+type fault func(r *run, rng *rand.Rand) (heal func())
+
+// faults are all kinds; several may be on at the same time.
+var faults = map[string]fault{
+	"kill": func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
+		v.signal(syscall.SIGCONT)
+		v.signal(syscall.SIGKILL)
+		return func() { r.startAgain(v) }
+	},
+	"kill_all": func(r *run, _ *rand.Rand) func() {
+		for _, v := range r.vms {
+			v.signal(syscall.SIGCONT)
+			v.signal(syscall.SIGKILL)
+		}
+		return func() {
+			for _, v := range r.vms {
+				r.startAgain(v)
+			}
+		}
+	},
+	"pause": func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
+		v.signal(syscall.SIGSTOP)
+		return func() { v.signal(syscall.SIGCONT) }
+	},
+	"planned_stop": func(r *run, rng *rand.Rand) func() {
+		v := r.anyVM(rng)
+		v.signal(syscall.SIGTERM)
+		return func() { r.startAgain(v) }
+	},
+	"hangup": func(r *run, rng *rand.Rand) func() {
+		for range 1 + rng.IntN(5) {
+			r.anyVM(rng).signal(syscall.SIGHUP)
+		}
+		return nil
+	},
+	"platform_busy":   platformFault(platformtest.Fault{Busy: true}),
+	"platform_silent": platformFault(platformtest.Fault{Silent: true}),
+	"platform_reset":  platformFault(platformtest.Fault{Reset: true}),
+	"platform_slow":   platformFault(platformtest.Fault{Delay: 300 * time.Millisecond}),
+	"platform_compact": func(r *run, _ *rand.Rand) func() {
+		r.world.Store.Compact()
+		return nil
+	},
+	"delay":    proxyFault(weather{Delay: 200 * time.Millisecond}),
+	"refuse":   proxyFault(weather{Refuse: true}),
+	"cut_up":   proxyFault(weather{DropUp: true}),
+	"cut_down": proxyFault(weather{DropDown: true}),
+	"cut":      proxyFault(weather{DropUp: true, DropDown: true}),
+	"reset": func(r *run, rng *rand.Rand) func() {
+		r.anyVM(rng).proxy.reset()
+		return nil
+	},
+	"host_crash": func(r *run, rng *rand.Rand) func() {
+		h := r.anyHost(rng)
+		if h == nil {
+			return nil
+		}
+		r.world.Crash(h)
+		r.hostChanged(h)
+		return func() {
+			r.world.Store.Delete("servers/" + h.Name())
+			r.addHost(h.Service())
+		}
+	},
+	"host_leaves": func(r *run, rng *rand.Rand) func() {
+		h := r.anyHost(rng)
+		if h == nil {
+			return nil
+		}
+		r.drain(h)
+		r.addHost(h.Service())
+		return func() {
+			r.world.Store.Delete("servers/" + h.Name())
+			r.world.Crash(h)
+			r.hostChanged(h)
+		}
+	},
+	"config":  func(r *run, rng *rand.Rand) func() { r.changeConfig(rng); return nil },
+	"garbage": func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
+}
+
+// platformFault is a failure of the store that all or some VMs see.
+func platformFault(f platformtest.Fault) fault {
+	return func(r *run, rng *rand.Rand) func() {
+		r.world.Store.SetFault(f)
+		_ = rng
+		return func() { r.world.Store.SetFault(platformtest.Fault{}) }
+	}
+}
+
+func proxyFault(w weather) fault {
+	return func(r *run, rng *rand.Rand) func() {
+		p := r.anyVM(rng).proxy
+		p.set(w)
+		return func() { p.set(weather{}) }
+	}
+}
+
+// FaultNames returns the names of all kinds, sorted.
+func FaultNames() (names []string) {
+	for name := range faults {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	return names
+}
+
+// The pace of faults: a new one every half second on average, each for up to three seconds, so that they overlap.
+const (
+	faultEvery  = 500 * time.Millisecond
+	faultLength = 3 * time.Second
+)
+
+// runFaults injects faults until the context ends, and ends them all.
+func (r *run) runFaults(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, 1))
+	names := r.cfg.Faults
+	if len(names) == 0 {
+		names = FaultNames()
+	}
+	var heals []func()
+	for ctx.Err() == nil {
+		wait(ctx, time.Duration(rng.ExpFloat64()*float64(faultEvery)))
+		name := names[rng.IntN(len(names))]
+		length := time.Duration(rng.Float64() * float64(faultLength))
+		r.note("fault", fmt.Sprintf("%s for %v", name, length.Round(time.Millisecond)))
+		heal := faults[name](r, rng)
+		if heal == nil {
+			continue
+		}
+		healed := make(chan struct{})
+		heals = append(heals, func() { <-healed })
+		go func() {
+			defer close(healed)
+			wait(ctx, length)
+			heal()
+			r.note("healed", name)
+		}()
+	}
+	for _, finish := range heals {
+		finish()
+	}
+}
+
+// wait sleeps until the duration has passed or the context ends.
+func wait(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/soak/pimsoak/load.go
@@ -0,0 +1,111 @@
+package pimsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/platform/platformtest"
+)
+
+const (
+	requestTimeout = 3 * time.Second
+	keptPause      = 50 * time.Millisecond
+	shortPause     = 20 * time.Millisecond
+)
+
+// runKeptFlow sends request after request on one flow and opens another one when it ends.
+func (r *run) runKeptFlow(ctx context.Context, caller *platformtest.Caller, n int) {
+	service := services[n%len(services)]
+	var flow *platformtest.CallerFlow
+	for i := 0; ctx.Err() == nil; i++ {
+		if flow == nil {
+			opened, err := caller.Open(kept[service])
+			r.count("open", err)
+			if err != nil {
+				continue
+			}
+			flow = opened
+		}
+		text := fmt.Sprintf("kept-%d-%d", n, i)
+		began := time.Now()
+		if err := r.request(flow, service, text); err != nil {
+			r.checkReset(flow, began, err)
+			flow.Close()
+			flow = nil
+		}
+		wait(ctx, keptPause)
+	}
+}
+
+// checkReset notes a reset by a VM while no fault was near: nothing may break a flow then.
+func (r *run) checkReset(flow *platformtest.CallerFlow, began time.Time, err error) {
+	if !errors.Is(err, platformtest.ErrReset) || !flow.ResetBySystem {
+		return
+	}
+	r.mu.Lock()
+	calm := began.Sub(r.lastFault) > calmAfter
+	r.report.ResetsBySystem++
+	r.mu.Unlock()
+	if calm {
+		r.violate("reset_in_calm", "a kept flow was reset %v after the last fault", began.Sub(r.lastFault).Round(time.Millisecond))
+	}
+}
+
+// runShortFlows opens a flow for each request, now and then to a route that changes.
+func (r *run) runShortFlows(ctx context.Context, caller *platformtest.Caller, n int) {
+	rng := rand.New(rand.NewPCG(r.cfg.Seed, uint64(100+n)))
+	for ctx.Err() == nil {
+		address, service := r.anyRoute(rng)
+		r.shortFlow(caller, address, service)
+		wait(ctx, shortPause)
+	}
+}
+
+func (r *run) anyRoute(rng *rand.Rand) (address netip.AddrPort, service string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	n := rng.IntN(len(r.routes))
+	for address, service = range r.routes {
+		if n--; n < 0 {
+			break
+		}
+	}
+	return address, service
+}
+
+// shortFlow sends one request on a flow of its own and reports whether it was answered.
+func (r *run) shortFlow(caller *platformtest.Caller, address netip.AddrPort, service string) bool {
+	flow, err := caller.Open(address)
+	r.count("open", err)
+	if err != nil {
+		return false
+	}
+	defer flow.Close()
+	return r.request(flow, service, "short-"+address.String()) == nil
+}
+
+// request sends a request and checks that its answer is the one to it, from a backend server of the right service. A
+// route that has just moved to another service may still be served by the old one.
+func (r *run) request(flow *platformtest.CallerFlow, service, text string) error {
+	began := time.Now()
+	answer, err := flow.Request([]byte(text), requestTimeout)
+	r.count("request", err)
+	if err != nil {
+		return err
+	}
+	r.took(time.Since(began))
+	if string(answer) == service+" "+text {
+		return nil
+	}
+	for _, other := range services {
+		if string(answer) == other+" "+text && text[0] == 's' {
+			return nil
+		}
+	}
+	r.violate("wrong_answer", "asked %q of %s, got %q", text, service, answer)
+	return nil
+}
--- /dev/null
+++ b/internal/soak/pimsoak/proxy.go
@@ -0,0 +1,136 @@
+package pimsoak
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+)
+
+// weather is what a proxy does to the connections of a VM to the platform.
+type weather struct {
+	// Delay is added to each part that passes.
+	Delay time.Duration
+	// DropUp and DropDown swallow what goes to the platform and what comes back.
+	DropUp, DropDown bool
+	// Refuse closes new connections at once.
+	Refuse bool
+}
+
+// proxy stands between one VM and the platform.
+type proxy struct {
+	listener net.Listener
+	target   string
+
+	mu      sync.Mutex
+	weather weather
+	conns   map[net.Conn]bool
+	wg      sync.WaitGroup
+}
+
+// newProxy listens on the given address; cleanup ends all connections.
+func newProxy(ctx context.Context, at netip.Addr, target netip.AddrPort) (p *proxy, cleanup func(), err error) {
+	listener, err := new(net.ListenConfig).Listen(ctx, "tcp4", netip.AddrPortFrom(at, 0).String())
+	if err != nil {
+		return nil, nil, err
+	}
+	p = &proxy{listener: listener, target: target.String(), conns: map[net.Conn]bool{}}
+	p.wg.Go(p.loop)
+	return p, p.close, nil
+}
+
+func (p *proxy) address() string { return p.listener.Addr().String() }
+
+func (p *proxy) close() {
+	_ = p.listener.Close() // ends the loop
+	p.reset()
+	p.wg.Wait()
+}
+
+func (p *proxy) set(w weather) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.weather = w
+}
+
+func (p *proxy) now() weather {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.weather
+}
+
+// reset ends all open connections.
+func (p *proxy) reset() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for c := range p.conns {
+		if tcp, ok := c.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a reset instead of an orderly end
+		}
+		_ = c.Close() // the copies end
+	}
+}
+
+func (p *proxy) loop() {
+	for {
+		conn, err := p.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue
+		}
+		p.wg.Go(func() { p.serve(conn) })
+	}
+}
+
+func (p *proxy) serve(down net.Conn) {
+	defer p.forget(down)
+	if p.now().Refuse {
+		return
+	}
+	up, err := net.DialTimeout("tcp4", p.target, time.Second)
+	if err != nil {
+		return
+	}
+	defer p.forget(up)
+	p.mu.Lock()
+	p.conns[down], p.conns[up] = true, true
+	p.mu.Unlock()
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		p.copy(up, down, func(w weather) bool { return w.DropUp })
+		_ = up.Close() // the other copy ends
+	}()
+	p.copy(down, up, func(w weather) bool { return w.DropDown })
+	_ = down.Close() // the other copy ends
+	<-done
+}
+
+func (p *proxy) forget(c net.Conn) {
+	_ = c.Close() // closing twice does no harm
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.conns, c)
+}
+
+func (p *proxy) copy(to io.Writer, from io.Reader, dropped func(weather) bool) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		w := p.now()
+		if n > 0 && !dropped(w) {
+			time.Sleep(w.Delay)
+			if _, err := to.Write(buf[:n]); err != nil {
+				return
+			}
+		}
+		if err != nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/internal/soak/pimsoak/report.go
@@ -0,0 +1,103 @@
+package pimsoak
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Violation is a broken promise.
+type Violation struct {
+	AtMs int64  `json:"at_ms"`
+	Kind string `json:"kind"`
+	Text string `json:"text"`
+}
+
+// Note is something that happened.
+type Note struct {
+	AtMs int64  `json:"at_ms"`
+	Kind string `json:"kind"`
+	Text string `json:"text"`
+}
+
+// Report is the result of one run.
+type Report struct {
+	Seed uint64 `json:"seed"`
+	// Counts has an entry for each step of a request and how it ended.
+	Counts         map[string]int `json:"counts"`
+	ResetsBySystem int            `json:"resets_by_system"`
+	P50Ms          float64        `json:"p50_ms"`
+	P99Ms          float64        `json:"p99_ms"`
+	MaxMs          float64        `json:"max_ms"`
+	Violations     []Violation    `json:"violations"`
+	Notes          []Note         `json:"notes"`
+
+	times *hdrhistogram.Histogram
+}
+
+const (
+	longestTimeUs = 60_000_000
+	timeDigits    = 3
+)
+
+func newReport(seed uint64) Report {
+	return Report{Seed: seed, Counts: map[string]int{}, times: hdrhistogram.New(1, longestTimeUs, timeDigits)}
+}
+
+// violate records a broken promise.
+func (r *run) violate(kind, format string, args ...any) {
+	v := Violation{AtMs: time.Since(r.start).Milliseconds(), Kind: kind, Text: fmt.Sprintf(format, args...)}
+	r.mu.Lock()
+	r.report.Violations = append(r.report.Violations, v)
+	r.mu.Unlock()
+	r.cfg.Log.Error().Uint64("seed", r.cfg.Seed).Int64("at_ms", v.AtMs).Str("kind", kind).Msg(v.Text)
+}
+
+// note records a fault or its end.
+func (r *run) note(kind, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lastFault = time.Now()
+	r.report.Notes = append(r.report.Notes, Note{AtMs: time.Since(r.start).Milliseconds(), Kind: kind, Text: text})
+}
+
+func (r *run) count(step string, err error) {
+	end := "ok"
+	if err != nil {
+		end = err.Error()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.report.Counts[step+": "+end]++
+}
+
+func (r *run) took(d time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	// A time beyond the range is counted as the longest.
+	_ = r.report.times.RecordValue(min(d.Microseconds(), longestTimeUs))
+	const usPerMs = 1000
+	r.report.P50Ms = float64(r.report.times.ValueAtQuantile(50)) / usPerMs
+	r.report.P99Ms = float64(r.report.times.ValueAtQuantile(99)) / usPerMs
+	r.report.MaxMs = float64(r.report.times.Max()) / usPerMs
+}
+
+// Write writes the report as text.
+func (r *Report) Write(w io.Writer) {
+	_, _ = fmt.Fprintf(w, "seed %d: %d violations, %d faults, p50 %.1f ms, p99 %.1f ms, max %.0f ms, %d resets\n",
+		r.Seed, len(r.Violations), len(r.Notes), r.P50Ms, r.P99Ms, r.MaxMs, r.ResetsBySystem)
+	var keys []string
+	for k := range r.Counts {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	for _, k := range keys {
+		_, _ = fmt.Fprintf(w, "  %-28s %d\n", k, r.Counts[k])
+	}
+	for _, v := range r.Violations {
+		_, _ = fmt.Fprintf(w, "  %6d ms %s: %s\n", v.AtMs, v.Kind, v.Text)
+	}
+}
--- /dev/null
+++ b/internal/soak/pimsoak/run.go
@@ -0,0 +1,319 @@
+package pimsoak
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/samber/oops"
+
+	"github.com/pimentoyard/pimentoyard/platform/platformtest"
+)
+
+// run is one soak.
+type run struct {
+	cfg   Config
+	world *platformtest.World
+	http  *http.Client
+	vms   []*vm
+	start time.Time
+
+	mu sync.Mutex
+	// lastFault is when the last fault began or ended.
+	lastFault time.Time
+	// changedAt is when a backend server crashed or ended, drainedAt when its drain was published.
+	changedAt, drainedAt map[*platformtest.Host]time.Time
+	routes               map[netip.AddrPort]string
+	report               Report
+}
+
+// services are the two services; their names are the first word of each answer.
+var services = []string{"desk", "video"}
+
+// kept are the routes that no change drops, by service.
+var kept = map[string]netip.AddrPort{
+	"desk": netip.MustParseAddrPort("198.18.0.1:443"), "video": netip.MustParseAddrPort("198.18.0.1:8443"),
+}
+
+// Run plays one soak; the error is that of the set-up. Violations are in the report.
+func Run(ctx context.Context, cfg Config) (report Report, err error) {
+	defer func() { err = oops.In("pimsoak").Wrapf(err, "seed %d", cfg.Seed) }()
+	world, cleanup, err := platformtest.NewWorld(cfg.Network)
+	if err != nil {
+		return report, err
+	}
+	defer cleanup()
+	world.Spray = cfg.Spray
+	r := &run{
+		cfg: cfg, world: world, start: time.Now(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
+		changedAt: map[*platformtest.Host]time.Time{}, drainedAt: map[*platformtest.Host]time.Time{},
+		routes: map[netip.AddrPort]string{}, report: newReport(cfg.Seed),
+	}
+	defer r.endVMs()
+	if err = r.setUp(ctx); err != nil {
+		return report, err
+	}
+	r.play(ctx)
+	r.settle(ctx)
+	r.checkHosts()
+	return r.report, nil
+}
+
+func (r *run) setUp(ctx context.Context) error {
+	for service, address := range kept {
+		r.routes[address] = service
+	}
+	if err := r.publishConfig(); err != nil {
+		return err
+	}
+	for _, service := range services {
+		for range r.cfg.HostsPerService {
+			r.addHost(service)
+		}
+	}
+	for n := 1; n <= r.cfg.VMs; n++ {
+		p, end, err := newProxy(ctx, r.world.VMAddress(n), r.world.StoreAddress)
+		if err != nil {
+			return err
+		}
+		defer func() { context.AfterFunc(ctx, end) }()
+		v, err := newVM(r, n, p)
+		if err != nil {
+			return err
+		}
+		r.vms = append(r.vms, v)
+		if err = v.start(); err != nil {
+			return err
+		}
+	}
+	return r.await(ctx, "all vms ready", func() bool {
+		for _, v := range r.vms {
+			if !v.isReady(ctx) {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// play runs load, fabric and faults side by side.
+func (r *run) play(ctx context.Context) {
+	faulty, stopFaults := context.WithTimeout(ctx, r.cfg.Length)
+	defer stopFaults()
+	loaded, stopLoad := context.WithCancel(ctx)
+	var load, rest sync.WaitGroup
+	r.rotate(ctx)
+	rest.Go(func() { r.runFabric(loaded) })
+	rest.Go(func() { r.runWatch(loaded) })
+	for n := 1; n <= r.cfg.Callers; n++ {
+		caller, err := r.world.NewCaller(n)
+		if err != nil {
+			r.cfg.Log.Error().Err(err).Msg("caller not started")
+			continue
+		}
+		load.Go(func() { r.runKeptFlow(loaded, caller, n) })
+		load.Go(func() { r.runShortFlows(loaded, caller, n) })
+	}
+	r.runFaults(faulty)
+	wait(ctx, 2*calmAfter)
+	stopLoad()
+	load.Wait()
+	rest.Wait()
+}
+
+// settle checks that all VMs end up with the same view and serve.
+func (r *run) settle(ctx context.Context) {
+	r.rotate(ctx)
+	err := r.await(ctx, "all vms agree", func() bool {
+		var first status
+		for i, v := range r.vms {
+			s, err := v.status(ctx)
+			if err != nil || i > 0 && s != first {
+				return false
+			}
+			first = s
+		}
+		return true
+	})
+	if err != nil {
+		r.violate("no_agreement", "%v", err)
+	}
+	caller, err := r.world.NewCaller(r.cfg.Callers + 1)
+	if err != nil {
+		r.cfg.Log.Error().Err(err).Msg("caller not started")
+		return
+	}
+	for service, address := range kept {
+		if err = r.await(ctx, service+" serves", func() bool { return r.shortFlow(caller, address, service) }); err != nil {
+			r.violate("not_served", "%v", err)
+		}
+	}
+}
+
+// runFabric keeps the VMs in rotation that answer the readiness check; two misses take one out.
+func (r *run) runFabric(ctx context.Context) {
+	misses := make([]int, len(r.vms))
+	for ctx.Err() == nil {
+		var in []netip.Addr
+		for i, v := range r.vms {
+			if v.isReady(ctx) {
+				misses[i] = 0
+			} else {
+				misses[i]++
+			}
+			if misses[i] < 2 {
+				in = append(in, v.address)
+			}
+		}
+		if 2*len(in) < len(r.vms) {
+			in = r.addresses()
+		}
+		r.world.SetVMs(in...)
+		wait(ctx, 500*time.Millisecond)
+	}
+}
+
+func (r *run) rotate(context.Context) { r.world.SetVMs(r.addresses()...) }
+
+func (r *run) addresses() (all []netip.Addr) {
+	for _, v := range r.vms {
+		all = append(all, v.address)
+	}
+	return all
+}
+
+// runWatch asks the VMs for their status, so that a configuration that goes back is seen.
+func (r *run) runWatch(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, v := range r.vms {
+			if _, err := v.status(ctx); err != nil {
+				r.cfg.Log.Debug().Err(err).Int("vm", v.n).Msg("no status")
+			}
+		}
+		wait(ctx, 200*time.Millisecond)
+	}
+}
+
+func (r *run) endVMs() {
+	for _, v := range r.vms {
+		v.end()
+	}
+}
+
+func (r *run) startAgain(v *vm) {
+	v.mu.Lock()
+	done, runs := v.done, v.cmd != nil
+	v.mu.Unlock()
+	if runs {
+		<-done // a planned stop takes its time
+	}
+	if err := v.start(); err != nil {
+		r.cfg.Log.Error().Err(err).Int("vm", v.n).Msg("vm not started")
+	}
+}
+
+func (r *run) anyVM(rng *rand.Rand) *vm { return r.vms[rng.IntN(len(r.vms))] }
+
+// anyHost returns a backend server whose service has another one that is not leaving, or nil.
+func (r *run) anyHost(rng *rand.Rand) *platformtest.Host {
+	hosts := r.world.Hosts()
+	for _, i := range rng.Perm(len(hosts)) {
+		r.mu.Lock()
+		_, leaving := r.drainedAt[hosts[i]]
+		r.mu.Unlock()
+		others := 0
+		for _, h := range hosts {
+			if h.Service() == hosts[i].Service() {
+				others++
+			}
+		}
+		if !leaving && others > 1 {
+			return hosts[i]
+		}
+	}
+	return nil
+}
+
+func (r *run) addHost(service string) {
+	const work = 2 * time.Millisecond
+	if _, err := r.world.AddHost(service, "ikeja", work); err != nil {
+		r.cfg.Log.Error().Err(err).Msg("backend server not started")
+	}
+}
+
+func (r *run) drain(h *platformtest.Host) {
+	h.Drain()
+	if err := r.world.Publish(h); err != nil {
+		r.cfg.Log.Error().Err(err).Msg("drain not published")
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.drainedAt[h] = time.Now()
+}
+
+func (r *run) hostChanged(h *platformtest.Host) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changedAt[h] = time.Now()
+}
+
+// changeConfig adds or drops one route.
+func (r *run) changeConfig(rng *rand.Rand) {
+	r.mu.Lock()
+	address := netip.AddrPortFrom(netip.MustParseAddr("198.18.0.2"), uint16(1+rng.IntN(20)))
+	if _, ok := r.routes[address]; ok {
+		delete(r.routes, address)
+	} else {
+		r.routes[address] = services[rng.IntN(len(services))]
+	}
+	r.mu.Unlock()
+	if err := r.publishConfig(); err != nil {
+		r.cfg.Log.Error().Err(err).Msg("configuration not published")
+	}
+}
+
+func (r *run) publishConfig() error {
+	r.mu.Lock()
+	var routes []platformtest.RouteConfig
+	for address, service := range r.routes {
+		routes = append(routes, platformtest.RouteConfig{Address: address, Service: service})
+	}
+	r.mu.Unlock()
+	return r.world.Configure(routes...)
+}
+
+func (r *run) sendGarbage() {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for _, v := range r.vms {
+		platformtest.SendGarbage(ctx, netip.AddrPortFrom(v.address, r.world.PacketPort), netip.AddrPortFrom(v.address, r.world.PeerPort))
+	}
+}
+
+// checkHosts looks at what backend servers have seen.
+func (r *run) checkHosts() {
+	for _, h := range r.world.Hosts() {
+		if c := h.Counts(); c.Forged > 0 || c.Foreign > 0 {
+			r.violate("packet", "%s got %d changed packets and %d of others", h.Name(), c.Forged, c.Foreign)
+		}
+	}
+}
+
+// errNotYet means that a state was not reached.
+var errNotYet = errors.New("not reached in time")
+
+func (r *run) await(ctx context.Context, what string, ok func() bool) error {
+	deadline := time.Now().Add(patience)
+	for !ok() {
+		if ctx.Err() != nil || time.Now().After(deadline) {
+			return fmt.Errorf("%w: %s", errNotYet, what)
+		}
+		wait(ctx, 50*time.Millisecond)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/soak/pimsoak/vm.go
@@ -0,0 +1,202 @@
+package pimsoak
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"text/template"
+	"time"
+
+	"github.com/samber/oops"
+)
+
+// settingsText is the settings file of a VM.
+var settingsText = template.Must(template.New("settings").Parse(`[node]
+name = "vm-{{.N}}"
+data_centre = "ikeja"
+[edge]
+packet_address = "{{.Packets}}"
+readiness_address = "{{.Ready}}"
+[peer]
+address = "{{.Peer}}"
+seeds = [{{range $i, $s := .Seeds}}{{if $i}}, {{end}}"{{$s}}"{{end}}]
+[cluster]
+secret = "0123456789abcdef0123456789abcdef0123456789abcdef0123456789abcdef"
+[platform]
+address = "{{.Platform}}"
+timeout = "500ms"
+[operator]
+address = "{{.Ops}}"
+`))
+
+// vm is one process of the program under test.
+type vm struct {
+	n       int
+	address netip.Addr
+	file    string
+	run     *run
+	proxy   *proxy
+
+	mu  sync.Mutex
+	cmd *exec.Cmd
+	// expected is set while the soak itself ends the process.
+	expected bool
+	paused   bool
+	done     chan struct{}
+	log      *os.File
+	// version is the highest configuration that this process has shown.
+	version uint64
+	started time.Time
+}
+
+func newVM(r *run, n int, p *proxy) (v *vm, err error) {
+	defer func() { err = oops.In("pimsoak").Wrapf(err, "prepare vm %d", n) }()
+	v = &vm{n: n, address: r.world.VMAddress(n), run: r, proxy: p}
+	v.file = filepath.Join(r.cfg.Directory, fmt.Sprintf("vm-%d.toml", n))
+	at := func(address netip.Addr, port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
+	var seeds []netip.AddrPort
+	for i := 1; i <= min(3, r.cfg.VMs); i++ {
+		seeds = append(seeds, at(r.world.VMAddress(i), r.world.OpsPort))
+	}
+	var text bytes.Buffer
+	err = settingsText.Execute(&text, map[string]any{
+		"N": n, "Packets": at(v.address, r.world.PacketPort), "Ready": at(v.address, r.world.ReadyPort),
+		"Peer": at(v.address, r.world.PeerPort), "Ops": at(v.address, r.world.OpsPort),
+		"Platform": p.address(), "Seeds": seeds,
+	})
+	if err != nil {
+		return nil, err
+	}
+	if err = os.WriteFile(v.file, text.Bytes(), 0o600); err != nil {
+		return nil, err
+	}
+	v.log, err = os.Create(filepath.Join(r.cfg.Directory, fmt.Sprintf("vm-%d.log", n)))
+	return v, err
+}
+
+// start runs the process; it does nothing if it runs already.
+func (v *vm) start() (err error) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cmd != nil {
+		return nil
+	}
+	cmd := exec.Command(v.run.cfg.Binary, "run", "--settings", v.file)
+	cmd.Stdout, cmd.Stderr = v.log, v.log
+	if err = cmd.Start(); err != nil {
+		return err
+	}
+	v.cmd, v.expected, v.paused, v.version, v.started = cmd, false, false, 0, time.Now()
+	v.done = make(chan struct{})
+	go v.watch(cmd, v.done)
+	return nil
+}
+
+// watch notices a process that ends by itself.
+func (v *vm) watch(cmd *exec.Cmd, done chan struct{}) {
+	err := cmd.Wait()
+	v.mu.Lock()
+	if !v.expected {
+		v.run.violate("own_exit", "vm %d ended by itself: %v", v.n, err)
+	}
+	v.cmd = nil
+	v.mu.Unlock()
+	close(done)
+}
+
+// signal sends a signal to the process, if it runs; it returns a channel that is closed when the process has ended.
+func (v *vm) signal(sig syscall.Signal) (done chan struct{}) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if v.cmd == nil {
+		return nil
+	}
+	switch sig {
+	case syscall.SIGKILL, syscall.SIGTERM:
+		v.expected = true
+	case syscall.SIGSTOP:
+		v.paused = true
+	case syscall.SIGCONT:
+		v.paused = false
+	}
+	if err := v.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		v.run.cfg.Log.Warn().Err(err).Int("vm", v.n).Msg("signal not sent")
+	}
+	return v.done
+}
+
+// end stops the process for good and closes its log.
+func (v *vm) end() {
+	v.signal(syscall.SIGCONT)
+	if done := v.signal(syscall.SIGKILL); done != nil {
+		<-done
+	}
+	if err := v.log.Close(); err != nil {
+		v.run.cfg.Log.Warn().Err(err).Msg("log not closed")
+	}
+}
+
+// isReady asks the readiness check, as the fabric does.
+func (v *vm) isReady(ctx context.Context) bool {
+	_, err := v.get(ctx, v.run.world.ReadyPort, "/pimentoyard/readyz", 300*time.Millisecond)
+	return err == nil
+}
+
+// status is the part of the status of a VM that is checked.
+type status struct {
+	Revision uint64 `json:"revision"`
+	Version  uint64 `json:"config_version"`
+}
+
+// status returns what the VM believes, and checks that its configuration does not go back.
+func (v *vm) status(ctx context.Context) (s status, err error) {
+	v.mu.Lock()
+	before, done := v.version, v.done
+	v.mu.Unlock()
+	text, err := v.get(ctx, v.run.world.OpsPort, "/status", time.Second)
+	if err != nil {
+		return s, err
+	}
+	if err = json.Unmarshal(text, &s); err != nil {
+		return s, err
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if done != v.done {
+		return s, nil // another process has answered
+	}
+	if s.Version < before {
+		v.run.violate("config_went_back", "vm %d shows version %d after %d", v.n, s.Version, before)
+	}
+	v.version = max(v.version, s.Version)
+	return s, nil
+}
+
+func (v *vm) get(ctx context.Context, port uint16, path string, timeout time.Duration) (text []byte, err error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	url := fmt.Sprintf("http://%s%s", netip.AddrPortFrom(v.address, port), path)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, http.NoBody)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := v.run.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer func() { err = errors.Join(err, resp.Body.Close()) }()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("vm %d answered %d", v.n, resp.StatusCode)
+	}
+	return io.ReadAll(resp.Body)
+}
