fix: beats that waited for a VM that stood still confirm nothing

Ruled out: darkness (no such line) and the clock (its own age had grown by the freeze). A beat now tells the sender's clock; the receiver compares it with the fastest beat of that run and adds the difference to the age. Besides, a backend server counts as ended for open flows only if that was so when the view was last confirmed.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -59,8 +59,10 @@
 	if h == nil {
 		return Load{}
 	}
-	return Load{Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
-		Repeated: h.repeated, AliveAt: h.alive}
+	return Load{
+		Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
+		Repeated: h.repeated, AliveAt: h.alive,
+	}
 }
 
 // Keep forgets the backend servers that are not in the catalog any more.
--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -34,8 +34,13 @@
 	heard   pimclock.Instant
 	named   pimclock.Instant
 	leaving bool
-	pulled  pimclock.Instant
-	loads   map[pimcatalog.HostID]pimmesh.HostLoad
+	run     uint64
+	// offset is the smallest difference between the own clock at the arrival of a beat and the sender's when it left;
+	// beats counts them.
+	offset time.Duration
+	beats  int
+	pulled pimclock.Instant
+	loads  map[pimcatalog.HostID]pimmesh.HostLoad
 }
 
 // Mesh holds what a VM knows of the others; it is safe for concurrent use.
@@ -53,13 +58,14 @@
 	hash             uint64
 	reading, canRead bool
 	readingSince     pimclock.Instant
+	run              uint64
 	claim            claim
 }
 
 // New returns a mesh that knows nobody.
 func New(cfg Settings, rng *rand.Rand) *Mesh {
 	return &Mesh{
-		cfg: cfg, rng: rng, canRead: true, hash: readerHash(cfg.Name), peers: map[netip.AddrPort]*peer{},
+		cfg: cfg, rng: rng, run: rng.Uint64(), canRead: true, hash: readerHash(cfg.Name), peers: map[netip.AddrPort]*peer{},
 		strangers: map[pimid.DataCentre]map[netip.AddrPort]*peer{},
 	}
 }
@@ -140,6 +146,7 @@
 	return pimmesh.Message{Beat: &pimmesh.Beat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToTell(now), Loads: v.Loads, Peers: peers,
+		SentAt: time.Duration(now), Run: m.run,
 	}}
 }
 
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -292,6 +292,42 @@
 	}
 }
 
+// Guards against a VM that stood still and takes the beats that waited for it for news: it would count its old view as
+// current (old-view on ambmn-yard: a VM that had been frozen for 3 s reset flows of backend servers that were new).
+func TestBeatsThatWaitedConfirmNothing(t *testing.T) {
+	is := is.New(t)
+	now := pimclock.Instant(time.Hour)
+	newMesh := func(n byte) (*Mesh, netip.AddrPort) {
+		cfg := DefaultSettings(inForceWithin)
+		cfg.Name, cfg.DataCentre = fmt.Sprintf("vm-%d", n), "ikeja"
+		cfg.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, n}), 7720)
+		return New(cfg, rand.New(rand.NewPCG(1, uint64(n)))), cfg.Address
+	}
+	// The clocks of two VMs have nothing in common.
+	const ahead = 77 * time.Minute
+	sender, senderAddress := newMesh(1)
+	receiver, receiverAddress := newMesh(2)
+	view := View{Revision: 5, Age: 100 * time.Millisecond}
+	hello := sender.Beat(now.Add(ahead), &pimmesh.Beat{Name: "vm-2", DataCentre: "ikeja", Address: receiverAddress, Hello: true}, view)
+	is.Equal(len(hello.Out), 1)
+	hear := func(at pimclock.Instant, waited time.Duration) Heard {
+		out := sender.Tell(at.Add(ahead-waited), view, false)
+		is.Equal(len(out), 1)
+		return receiver.Beat(at, out[0].Message.Beat, view)
+	}
+
+	is.True(!hear(now, 0).Confirms) // the first one may have waited
+	heard := hear(now.Add(250*time.Millisecond), 0)
+	is.True(heard.Confirms)
+	is.True(now.Add(250*time.Millisecond).Sub(heard.AsOf) < 200*time.Millisecond)
+	woken := now.Add(4 * time.Second)
+	sender.beaten = 0
+	receiver.peers[senderAddress].heard = woken // still remembered
+	sender.peers[receiverAddress].heard = woken.Add(ahead)
+	heard = hear(woken, 3*time.Second)
+	is.True(woken.Sub(heard.AsOf) >= 3*time.Second)
+}
+
 // Guards against chunks of two encodings that are mixed, and against chunks that claim absurd sizes.
 func TestAssembly(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -18,6 +18,18 @@
 	AsOf     pimclock.Instant
 }
 
+// waited returns how much longer than the fastest beat of the same run this one was under way: it may have waited in a
+// queue while this VM stood still.
+func (p *peer) waited(now pimclock.Instant, b *pimmesh.Beat) time.Duration {
+	offset := time.Duration(now) - b.SentAt
+	if p.run != b.Run || p.beats == 0 {
+		p.run, p.offset, p.beats = b.Run, offset, 0
+	}
+	p.beats++
+	p.offset = min(p.offset, offset)
+	return offset - p.offset
+}
+
 // transit is the time that a beat may have been under way; it makes a relayed view look older, never younger.
 const transit = 20 * time.Millisecond
 
@@ -29,8 +41,9 @@
 		return h
 	}
 	p, isNew := m.remember(now, b)
+	waited := p.waited(now, b)
 	if b.DataCentre == m.cfg.DataCentre {
-		m.hearClaim(now, b.Claim)
+		m.hearClaim(now.Add(-waited), b.Claim)
 	}
 	// Beats name VMs of the receiver's data centre.
 	m.rememberNamed(now, b.Peers)
@@ -44,8 +57,8 @@
 		p.pulled = now
 		h.Out = append(h.Out, Outgoing{To: b.Address, Message: pimmesh.Message{Pull: &pimmesh.Pull{Since: v.Revision}}})
 	}
-	if b.Revision == v.Revision && b.Age >= 0 {
-		h.Confirms, h.AsOf = true, now.Add(-b.Age-transit)
+	if b.Revision == v.Revision && b.Age >= 0 && p.beats > 1 {
+		h.Confirms, h.AsOf = true, now.Add(-b.Age-waited-transit)
 	}
 	return h
 }
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -299,7 +299,7 @@
 				case tc.misses[i] > 0:
 					l.Load = pimflow.Load{Misses: tc.misses[i], MissedFrom: missed, Repeated: tc.misses[i], AliveAt: before}
 					if tc.refusing {
-						l.Load.Repeated = 1
+						l.Repeated = 1
 					}
 				case tc.misses[i] == 0:
 					l.Load = pimflow.Load{AliveAt: lately}
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -85,6 +85,8 @@
 	Fresh bool
 	// Settled is set if, besides, a backend server that the view does not know has ended.
 	Settled bool
+	// AsOf is when the view was last known to be current.
+	AsOf pimclock.Instant
 	// Dark reports whether a backend server answers nobody; nil means that none is.
 	Dark func(id pimcatalog.HostID) bool
 }
@@ -103,7 +105,7 @@
 	case p.IsOpen():
 		return open(now, v, placer, p)
 	default:
-		return established(now, v, p)
+		return established(v, p)
 	}
 }
 
@@ -124,7 +126,7 @@
 
 // established forwards a packet to the backend server that its tag names, whatever the configuration says now: a new
 // configuration does not move open flows.
-func established(now pimclock.Instant, v View, p *pimpacket.Packet) Verdict {
+func established(v View, p *pimpacket.Packet) Verdict {
 	if p.Tag == pimcatalog.NoTag {
 		return Verdict{Action: Drop, Reason: ReasonUntagged}
 	}
@@ -134,7 +136,8 @@
 		return Verdict{Action: Drop, Reason: ReasonUnknownHost}
 	case host == nil:
 		return refuse(v.Settled, ReasonUnknownHost)
-	case host.Gone(now):
+	case host.Gone(v.AsOf):
+		// An end that only the clock suggests, in a view that nobody has confirmed since, is not certain.
 		return Verdict{Action: Reset, Reason: ReasonHostGone, Host: host}
 	case p.Data > 0 && v.Dark != nil && v.Dark(host.ID):
 		// The request cannot be served there, so the caller may try elsewhere at once.
--- a/internal/coordination/pimsteer/steer_test.go
+++ b/internal/coordination/pimsteer/steer_test.go
@@ -56,7 +56,8 @@
 	ack.Data = 0
 	reset := data(77)
 	reset.Flags = pimpacket.Reset
-	fresh := View{Catalog: full, Fresh: true, Settled: true}
+	fresh := View{Catalog: full, Fresh: true, Settled: true, AsOf: now}
+	lapsing := &pimcatalog.Host{ID: 11, Service: "desk", Unlisted: true, GoneAt: now.Add(-time.Second)}
 	for name, tc := range map[string]struct {
 		view   View
 		packet pimpacket.Packet
@@ -64,23 +65,25 @@
 		reason Reason
 		host   *pimcatalog.Host
 	}{
-		"new flow":                          {fresh, open(published), Forward, ReasonPlaced, ready},
-		"no configuration":                  {View{Catalog: pimcatalog.NewCatalog(0, nil, nil), Fresh: true}, open(published), Drop, ReasonNoView, nil},
-		"no route":                          {fresh, open(unknown), Reset, ReasonNoRoute, nil},
-		"no route, old view":                {View{Catalog: full}, open(unknown), Drop, ReasonViewBehind, nil},
-		"no host":                           {View{Catalog: catalog(leaving, gone), Fresh: true}, open(published), Reset, ReasonNoHost, nil},
-		"no host, old view":                 {View{Catalog: catalog(leaving, gone)}, open(published), Drop, ReasonViewBehind, nil},
-		"old view, known route":             {View{Catalog: full}, open(published), Forward, ReasonPlaced, ready},
-		"open flow":                         {fresh, data(ready.Tag()), Forward, ReasonEstablished, ready},
-		"open flow, host leaving":           {fresh, data(leaving.Tag()), Forward, ReasonEstablished, leaving},
-		"open flow, host gone":              {fresh, data(gone.Tag()), Reset, ReasonHostGone, gone},
-		"open flow, unknown host":           {fresh, data(77), Reset, ReasonUnknownHost, nil},
-		"open flow, unknown host, just up":  {View{Catalog: full, Fresh: true}, data(77), Drop, ReasonViewBehind, nil},
-		"open flow, unknown host, old view": {View{Catalog: full}, data(77), Drop, ReasonViewBehind, nil},
-		"reset of an unknown flow":          {fresh, reset, Drop, ReasonUnknownHost, nil},
-		"without a tag":                     {fresh, data(pimcatalog.NoTag), Drop, ReasonUntagged, nil},
-		"request to a dark host":            {fresh, data(dark.Tag()), Reset, ReasonHostDark, dark},
-		"confirmation to a dark host":       {fresh, ack, Forward, ReasonEstablished, dark},
+		"new flow":                             {fresh, open(published), Forward, ReasonPlaced, ready},
+		"no configuration":                     {View{Catalog: pimcatalog.NewCatalog(0, nil, nil), Fresh: true}, open(published), Drop, ReasonNoView, nil},
+		"no route":                             {fresh, open(unknown), Reset, ReasonNoRoute, nil},
+		"no route, old view":                   {View{Catalog: full}, open(unknown), Drop, ReasonViewBehind, nil},
+		"no host":                              {View{Catalog: catalog(leaving, gone), Fresh: true}, open(published), Reset, ReasonNoHost, nil},
+		"no host, old view":                    {View{Catalog: catalog(leaving, gone)}, open(published), Drop, ReasonViewBehind, nil},
+		"old view, known route":                {View{Catalog: full}, open(published), Forward, ReasonPlaced, ready},
+		"open flow":                            {fresh, data(ready.Tag()), Forward, ReasonEstablished, ready},
+		"open flow, host leaving":              {fresh, data(leaving.Tag()), Forward, ReasonEstablished, leaving},
+		"open flow, host gone":                 {fresh, data(gone.Tag()), Reset, ReasonHostGone, gone},
+		"open flow, host may have ended since": {View{Catalog: catalog(lapsing), Fresh: true, Settled: true, AsOf: now.Add(-2 * time.Second)}, data(lapsing.Tag()), Forward, ReasonEstablished, lapsing},
+		"open flow, host has ended since":      {View{Catalog: catalog(lapsing), Fresh: true, Settled: true, AsOf: now}, data(lapsing.Tag()), Reset, ReasonHostGone, lapsing},
+		"open flow, unknown host":              {fresh, data(77), Reset, ReasonUnknownHost, nil},
+		"open flow, unknown host, just up":     {View{Catalog: full, Fresh: true}, data(77), Drop, ReasonViewBehind, nil},
+		"open flow, unknown host, old view":    {View{Catalog: full}, data(77), Drop, ReasonViewBehind, nil},
+		"reset of an unknown flow":             {fresh, reset, Drop, ReasonUnknownHost, nil},
+		"without a tag":                        {fresh, data(pimcatalog.NoTag), Drop, ReasonUntagged, nil},
+		"request to a dark host":               {fresh, data(dark.Tag()), Reset, ReasonHostDark, dark},
+		"confirmation to a dark host":          {fresh, ack, Forward, ReasonEstablished, dark},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -125,6 +125,7 @@
 	catalog := e.node.registry.Catalog()
 	view := pimsteer.View{
 		Catalog: catalog, Fresh: e.node.registry.Fresh(now), Settled: e.node.registry.Settled(now),
+		AsOf: now.Add(-e.node.registry.Age(now)),
 		Dark: func(id pimcatalog.HostID) bool { return len(e.dark) > 0 && e.placer.IsDark(now, catalog, id) },
 	}
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -37,6 +37,10 @@
 	Peers []PeerAddress `cbor:"9,keyasint,omitempty"`
 	// Leaving is set by a VM that stops.
 	Leaving bool `cbor:"10,keyasint,omitempty"`
+	// SentAt is the time of the sender's clock, and Run identifies the run of the sender. With them, the receiver tells a
+	// beat that has waited from one that comes at once, though the clocks have nothing in common.
+	SentAt time.Duration `cbor:"11,keyasint"`
+	Run    uint64        `cbor:"12,keyasint"`
 }
 
 // Claim says that a VM reads the platform.
--- a/internal/soak/pimsoak/config.go
+++ b/internal/soak/pimsoak/config.go
@@ -27,10 +27,7 @@
 	Log    zerolog.Logger
 }
 
-// The checked bounds come from the settings of the VMs.
 const (
-	// inForceWithin is the bound for a change of the configuration.
-	inForceWithin = 3 * time.Second
 	// calmAfter is the time after a fault before bounds hold again.
 	calmAfter = 4 * time.Second
 	// patience bounds the wait for a state at the end; no verdict depends on how long it takes within it.
--- a/internal/soak/pimsoak/proxy.go
+++ b/internal/soak/pimsoak/proxy.go
@@ -92,7 +92,9 @@
 	if p.now().Refuse {
 		return
 	}
-	up, err := net.DialTimeout("tcp4", p.target, time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	up, err := new(net.Dialer).DialContext(ctx, "tcp4", p.target)
 	if err != nil {
 		return
 	}
--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -191,9 +191,8 @@
 func (r *run) runWatch(ctx context.Context) {
 	for ctx.Err() == nil {
 		for _, v := range r.vms {
-			if _, err := v.status(ctx); err != nil {
-				r.cfg.Log.Debug().Err(err).Int("vm", v.n).Msg("no status")
-			}
+			// A VM that is down, paused or starting has no status.
+			_, _ = v.status(ctx)
 		}
 		wait(ctx, 200*time.Millisecond)
 	}
--- a/internal/soak/pimsoak/vm.go
+++ b/internal/soak/pimsoak/vm.go
@@ -63,7 +63,7 @@
 	defer func() { err = oops.In("pimsoak").Wrapf(err, "prepare vm %d", n) }()
 	v = &vm{n: n, address: r.world.VMAddress(n), run: r, proxy: p}
 	v.file = filepath.Join(r.cfg.Directory, fmt.Sprintf("vm-%d.toml", n))
-	at := func(address netip.Addr, port uint16) netip.AddrPort { return netip.AddrPortFrom(address, port) }
+	at := netip.AddrPortFrom
 	var seeds []netip.AddrPort
 	for i := 1; i <= min(3, r.cfg.VMs); i++ {
 		seeds = append(seeds, at(r.world.VMAddress(i), r.world.OpsPort))
@@ -91,7 +91,8 @@
 	if v.cmd != nil {
 		return nil
 	}
-	cmd := exec.Command(v.run.cfg.Binary, "run", "--settings", v.file)
+	// The context is not that of the run, so that a process ends only by the signals of the soak.
+	cmd := exec.CommandContext(context.Background(), v.run.cfg.Binary, "run", "--settings", v.file)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
 	if err = cmd.Start(); err != nil {
 		return err
