docs: what a VM that steers opaque flows costs

TestOneVMReads prints its figures, and its bound on reads follows from the time of a watch (it was 28 for all sizes, now 28, 28, 28, 18, 18).

--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -201,7 +201,9 @@
 				reads += v.reads
 				bytes = max(bytes, v.bytes)
 			}
-			is.True(reads <= 28)        // one watch of 1.2 s after the other, and few that step in
+			t.Logf("%d VMs: %d reads in 30 s, at most %d bytes a second from a VM", n, reads, bytes/30)
+			const steppedIn = 3
+			is.True(reads <= int(30*time.Second/DefaultSettings(within).WatchFor)+steppedIn)
 			is.True(bytes/30 <= 5*1000) // control traffic of a VM a second
 			is.True(f.publish(inForceWithin) < time.Second)
 		})
