fix: one place runs subcommands, and the settings use the product's own name

Cause: the two programs had the same code for arguments, texts and exit codes, and the setting of the readiness check had the platform's name.

--- a/cmd/pimentoyard/check.go
+++ b/cmd/pimentoyard/check.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 )
@@ -16,15 +17,15 @@
 		Files []string `positional-arg-name:"FILE" required:"1"`
 	} `positional-args:"yes"`
 
-	out output
+	out pimcli.Output
 }
 
-func newCheck(out output) command {
-	return command{
-		name: "check", short: "Validate contract, fleet or settings files",
-		long: "Validates contract and fleet files together, or settings files one by one, and prints each fault as " +
+func newCheck(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "check", Short: "Validate contract, fleet or settings files",
+		Long: "Validates contract and fleet files together, or settings files one by one, and prints each fault as " +
 			"file:line: key: reason. The exit code is 1 if there are faults.",
-		data: &checkCommand{out: out},
+		Data: &checkCommand{out: out},
 	}
 }
 
@@ -35,12 +36,12 @@
 		return err
 	}
 	if c.JSON {
-		err = writeJSON(c.out.stdout, append(pimcontract.Faults{}, faults...))
+		err = writeJSON(c.out.Stdout, append(pimcontract.Faults{}, faults...))
 	} else {
 		err = c.print(faults)
 	}
 	if err == nil && len(faults) > 0 {
-		err = errReported
+		err = pimcli.ErrReported
 	}
 	return err
 }
@@ -73,10 +74,10 @@
 
 func (c *checkCommand) print(faults pimcontract.Faults) (err error) {
 	for _, f := range faults {
-		if _, err = fmt.Fprintln(c.out.stdout, f); err != nil {
+		if _, err = fmt.Fprintln(c.out.Stdout, f); err != nil {
 			return err
 		}
 	}
-	_, err = fmt.Fprintf(c.out.stdout, "files: %d, faults: %d\n", len(c.Args.Files), len(faults))
+	_, err = fmt.Fprintf(c.out.Stdout, "files: %d, faults: %d\n", len(c.Args.Files), len(faults))
 	return err
 }
--- a/cmd/pimentoyard/commands_test.go
+++ b/cmd/pimentoyard/commands_test.go
@@ -11,6 +11,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -36,19 +38,19 @@
 		args string
 		code int
 	}{
-		{"usage", "plan", exitUsage},
-		{"check_ok", "check " + contracts + " testdata/changed/fleet.toml", exitOK},
-		{"check_faults", "check ../../pkg/pimcontract/testdata/types.toml " + contracts, exitFault},
-		{"check_json", "check --json ../../pkg/pimcontract/testdata/syntax.toml", exitFault},
-		{"check_settings", "check --settings ../../internal/pimsettings/testdata/faults.toml", exitFault},
-		{"check_missing", "check testdata/none.toml", exitFault},
-		{"plan", plan, exitOK},
-		{"plan_all", plan + " --all", exitOK},
-		{"plan_json", plan + " --json", exitOK},
-		{"plan_time", plan + " --at noon", exitFault},
-		{"status", "status --address " + address, exitOK},
-		{"status_json", "status --json --address " + address, exitOK},
-		{"status_address", "status --address nowhere", exitFault},
+		{"usage", "plan", pimcli.ExitUsage},
+		{"check_ok", "check " + contracts + " testdata/changed/fleet.toml", pimcli.ExitOK},
+		{"check_faults", "check ../../pkg/pimcontract/testdata/types.toml " + contracts, pimcli.ExitFault},
+		{"check_json", "check --json ../../pkg/pimcontract/testdata/syntax.toml", pimcli.ExitFault},
+		{"check_settings", "check --settings ../../internal/pimsettings/testdata/faults.toml", pimcli.ExitFault},
+		{"check_missing", "check testdata/none.toml", pimcli.ExitFault},
+		{"plan", plan, pimcli.ExitOK},
+		{"plan_all", plan + " --all", pimcli.ExitOK},
+		{"plan_json", plan + " --json", pimcli.ExitOK},
+		{"plan_time", plan + " --at noon", pimcli.ExitFault},
+		{"status", "status --address " + address, pimcli.ExitOK},
+		{"status_json", "status --json --address " + address, pimcli.ExitOK},
+		{"status_address", "status --address nowhere", pimcli.ExitFault},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			is := is.New(t)
--- a/cmd/pimentoyard/plan.go
+++ b/cmd/pimentoyard/plan.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 	"github.com/pimentoyard/pimentoyard/internal/pimplan"
 )
 
@@ -15,14 +16,14 @@
 	All  bool   `long:"all" description:"also print rows that do not change"`
 	JSON bool   `long:"json" description:"print JSON"`
 
-	out output
+	out pimcli.Output
 }
 
-func newPlan(out output) command {
-	return command{
-		name: "plan", short: "Show the effect of a change before it is published",
-		long: "Compares the contract and fleet files of two directories: limits, slots, owners, flows and warnings.",
-		data: &planCommand{out: out},
+func newPlan(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "plan", Short: "Show the effect of a change before it is published",
+		Long: "Compares the contract and fleet files of two directories: limits, slots, owners, flows and warnings.",
+		Data: &planCommand{out: out},
 	}
 }
 
@@ -46,7 +47,7 @@
 	}
 	report := pimplan.Compare(&before, &after, at, pimplan.Rendezvous)
 	if c.JSON {
-		return writeJSON(c.out.stdout, report)
+		return writeJSON(c.out.Stdout, report)
 	}
-	return report.WriteText(c.out.stdout, c.All)
+	return report.WriteText(c.out.Stdout, c.All)
 }
--- a/cmd/pimentoyard/run.go
+++ b/cmd/pimentoyard/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 	"github.com/pimentoyard/pimentoyard/internal/pimnode"
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 )
@@ -17,14 +18,14 @@
 type runCommand struct {
 	Settings string `long:"settings" short:"s" required:"yes" description:"settings file in TOML"`
 
-	out output
+	out pimcli.Output
 }
 
-func newRun(out output) command {
-	return command{
-		name: "run", short: "Run one VM",
-		long: "Runs one VM. SIGTERM stops it gracefully; a second signal ends it at once.",
-		data: &runCommand{out: out},
+func newRun(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "run", Short: "Run one VM",
+		Long: "Runs one VM. SIGTERM stops it gracefully; a second signal ends it at once.",
+		Data: &runCommand{out: out},
 	}
 }
 
@@ -61,11 +62,11 @@
 	return nil
 }
 
-func newLogger(out output, settings pimsettings.Settings) (zerolog.Logger, error) {
+func newLogger(out pimcli.Output, settings pimsettings.Settings) (zerolog.Logger, error) {
 	level, err := zerolog.ParseLevel(settings.Log.Level)
 	if err != nil {
 		return zerolog.Nop(), err
 	}
-	return zerolog.New(out.stderr).Level(level).With().Timestamp().
+	return zerolog.New(out.Stderr).Level(level).With().Timestamp().
 		Uint16("vm", uint16(settings.Node.ID)).Str("data_centre", string(settings.Node.DataCentre)).Logger(), nil
 }
--- a/cmd/pimentoyard/status.go
+++ b/cmd/pimentoyard/status.go
@@ -10,6 +10,8 @@
 	"net/netip"
 	"net/url"
 	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 )
 
 // maxStatusBytes bounds the answer of a VM, which is about 100 KB in the largest data centre.
@@ -24,14 +26,14 @@
 	Timeout time.Duration `long:"timeout" default:"5s" description:"longest wait for the answer"`
 	JSON    bool          `long:"json" description:"print JSON"`
 
-	out output
+	out pimcli.Output
 }
 
-func newStatus(out output) command {
-	return command{
-		name: "status", short: "Print what a running VM believes and why",
-		long: "Fetches GET /status from the operator address of a VM.",
-		data: &statusCommand{out: out},
+func newStatus(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "status", Short: "Print what a running VM believes and why",
+		Long: "Fetches GET /status from the operator address of a VM.",
+		Data: &statusCommand{out: out},
 	}
 }
 
@@ -47,9 +49,9 @@
 		return err
 	}
 	if c.JSON {
-		return writeJSON(c.out.stdout, status)
+		return writeJSON(c.out.Stdout, status)
 	}
-	return writeStatus(c.out.stdout, status)
+	return writeStatus(c.out.Stdout, status)
 }
 
 // fetchStatus returns the status as a decoded JSON object.
--- a/cmd/pimentoyard/version.go
+++ b/cmd/pimentoyard/version.go
@@ -4,20 +4,22 @@
 	"fmt"
 	"runtime"
 	"runtime/debug"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 )
 
 // versionCommand prints the version of the program.
 type versionCommand struct {
 	JSON bool `long:"json" description:"print JSON"`
 
-	out output
+	out pimcli.Output
 }
 
-func newVersion(out output) command {
-	return command{
-		name: "version", short: "Print the version",
-		long: "Prints the version of the program and of the Go release that built it.",
-		data: &versionCommand{out: out},
+func newVersion(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "version", Short: "Print the version",
+		Long: "Prints the version of the program and of the Go release that built it.",
+		Data: &versionCommand{out: out},
 	}
 }
 
@@ -28,8 +30,8 @@
 		version = info.Main.Version
 	}
 	if c.JSON {
-		return writeJSON(c.out.stdout, map[string]string{"version": version, "go": runtime.Version()})
+		return writeJSON(c.out.Stdout, map[string]string{"version": version, "go": runtime.Version()})
 	}
-	_, err := fmt.Fprintf(c.out.stdout, "pimentoyard %s %s\n", version, runtime.Version())
+	_, err := fmt.Fprintf(c.out.Stdout, "pimentoyard %s %s\n", version, runtime.Version())
 	return err
 }
--- a/cmd/pimentry/commands_test.go
+++ b/cmd/pimentry/commands_test.go
@@ -8,6 +8,8 @@
 	"testing"
 
 	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 )
 
 var update = flag.Bool("update", false, "rewrite the golden files")
@@ -18,14 +20,14 @@
 		args []string
 		code int
 	}{
-		"help":          {[]string{"--help"}, exitOK},
-		"check_help":    {[]string{"check", "--help"}, exitOK},
-		"check_ok":      {[]string{"check", "--settings", "testdata/good.toml"}, exitOK},
-		"check_faults":  {[]string{"check", "--settings", "testdata/faults.toml"}, exitFault},
-		"check_missing": {[]string{"check", "--settings", "testdata/missing.toml"}, exitFault},
-		"run_faults":    {[]string{"run", "--settings", "testdata/faults.toml"}, exitFault},
-		"no_settings":   {[]string{"run"}, exitUsage},
-		"unknown":       {[]string{"walk"}, exitUsage},
+		"help":          {[]string{"--help"}, pimcli.ExitOK},
+		"check_help":    {[]string{"check", "--help"}, pimcli.ExitOK},
+		"check_ok":      {[]string{"check", "--settings", "testdata/good.toml"}, pimcli.ExitOK},
+		"check_faults":  {[]string{"check", "--settings", "testdata/faults.toml"}, pimcli.ExitFault},
+		"check_missing": {[]string{"check", "--settings", "testdata/missing.toml"}, pimcli.ExitFault},
+		"run_faults":    {[]string{"run", "--settings", "testdata/faults.toml"}, pimcli.ExitFault},
+		"no_settings":   {[]string{"run"}, pimcli.ExitUsage},
+		"unknown":       {[]string{"walk"}, pimcli.ExitUsage},
 	} {
 		t.Run(name, func(t *testing.T) {
 			is := is.New(t)
--- a/cmd/pimentry/run.go
+++ b/cmd/pimentry/run.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/pimentoyard/pimentoyard/internal/pimcli"
 	"github.com/pimentoyard/pimentoyard/internal/pimentry"
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -20,7 +21,15 @@
 type runCommand struct {
 	Settings string `long:"settings" short:"s" required:"yes" description:"settings file in TOML"`
 
-	out output
+	out pimcli.Output
+}
+
+func newRun(out pimcli.Output) pimcli.Command {
+	return pimcli.Command{
+		Name: "run", Short: "Run one VM",
+		Long: "Runs one VM. SIGTERM stops it gracefully, a second signal ends it at once, SIGHUP reads the settings again.",
+		Data: &runCommand{out: out},
+	}
 }
 
 // Execute runs the command.
@@ -66,12 +75,12 @@
 	return nil
 }
 
-func newLogger(out output, cfg pimsettings.Entry) (log zerolog.Logger, cleanup func(), err error) {
+func newLogger(out pimcli.Output, cfg pimsettings.Entry) (log zerolog.Logger, cleanup func(), err error) {
 	level, err := zerolog.ParseLevel(cfg.Log.Level)
 	if err != nil {
 		return zerolog.Nop(), nil, err
 	}
-	log, cleanup = pimlog.New(out.stdout, level)
+	log, cleanup = pimlog.New(out.Stdout, level)
 	log = log.With().Str("vm", cfg.Node.Name).Str("data_centre", string(cfg.Node.DataCentre)).Logger()
 	return log, cleanup, nil
 }
--- /dev/null
+++ b/internal/pimcli/doc.go
@@ -0,0 +1,2 @@
+// Package pimcli runs the subcommands of a program and turns their errors into texts and exit codes.
+package pimcli
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -34,8 +34,8 @@
 type EntryEdge struct {
 	// PacketAddress receives the packets of callers; its port is also that of the callers.
 	PacketAddress netip.AddrPort `toml:"packet_address"`
-	// ReadinessAddress answers the readiness check.
-	ReadinessAddress netip.AddrPort `toml:"readiness_address"`
+	// ReadinessAddress answers the readiness check of the fabric.
+	ReadinessAddress netip.AddrPort `toml:"check_address"`
 }
 
 // EntryPlatform says where the published configuration is.
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -41,7 +41,7 @@
 	v.check(s.Node.Name != "", "node.name", "is required")
 	v.check(s.Node.DataCentre != "", "node.data_centre", "is required")
 	v.address(s.Edge.PacketAddress, "edge.packet_address")
-	v.address(s.Edge.ReadinessAddress, "edge.readiness_address")
+	v.address(s.Edge.ReadinessAddress, "edge.check_address")
 	v.address(s.Peer.Address, "peer.address")
 	v.cluster(s.Cluster)
 	v.address(s.Platform.Address, "platform.address")
--- a/internal/soak/pimsoak/vm.go
+++ b/internal/soak/pimsoak/vm.go
@@ -26,7 +26,7 @@
 data_centre = "ikeja"
 [edge]
 packet_address = "{{.Packets}}"
-readiness_address = "{{.Ready}}"
+check_address = "{{.Ready}}"
 [peer]
 address = "{{.Peer}}"
 seeds = [{{range $i, $s := .Seeds}}{{if $i}}, {{end}}"{{$s}}"{{end}}]
