fix: remove what nothing reads and let the observed answer times be a metric

pimflow computed a smoothed time of work that nothing used, and pimsteer had a reason that no decision gave. The times from request to first sign of an answer are the histogram pimentoyard_answer_seconds now. No decision changes; the test checks the time as before.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -22,16 +22,12 @@
 	// busyArea is the integral of busy since busyFrom, up to busyAt.
 	busyArea         time.Duration
 	busyFrom, busyAt pimclock.Instant
-	// work is the smoothed time of a request without the wait for others.
-	work time.Duration
 }
 
 // Load is what a VM has observed of a backend server.
 type Load struct {
 	// Busy counts running requests and Open the flows.
 	Busy, Open int
-	// Work is the smoothed time of a request; zero means that none was seen.
-	Work time.Duration
 	// Suspect is set while the backend server does not answer.
 	Suspect bool
 	// Misses is the number of flows without an answer since the last sign of life, and MissedFrom is when the first of
@@ -60,7 +56,7 @@
 		return Load{}
 	}
 	return Load{
-		Busy: h.busy, Open: h.open, Work: h.work, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
+		Busy: h.busy, Open: h.open, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
 		Repeated: h.repeated, AliveAt: h.alive,
 	}
 }
@@ -144,17 +140,3 @@
 	}
 	return reports
 }
-
-// smoothing is the weight of an older value against a new one: about the last eight requests count.
-const smoothing = 8
-
-// took records the time of a request that found others running; with the usual two slots, each two of them double it.
-func (h *host) took(d time.Duration, ahead int) {
-	const slots = 2
-	own := d * slots / time.Duration(slots+max(0, ahead-slots+1))
-	if h.work == 0 {
-		h.work = own
-		return
-	}
-	h.work += (own - h.work) / smoothing
-}
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -25,6 +25,8 @@
 	// StallAfter is the time between two calls of Expire that shows that this VM stood still. For DoubtFor after that,
 	// what callers repeat says nothing of the backend servers.
 	StallAfter, DoubtFor time.Duration
+	// Answered hears the time from each request to the first sign of its answer; nil means that nobody asks.
+	Answered func(d time.Duration)
 	// MaxFlows bounds the table; flows beyond it are steered by their tags all the same.
 	MaxFlows int
 }
@@ -59,8 +61,6 @@
 	runningSince pimclock.Instant
 	// missed is set once the flow has counted as a packet without an answer, so that it counts once.
 	missed bool
-	// ahead is the number of running requests that the backend server had before this one.
-	ahead int
 }
 
 // Table learns from the packets of callers; it is owned by one goroutine.
@@ -186,7 +186,7 @@
 	if r.running {
 		return
 	}
-	r.running, r.runningSince, r.ahead = true, now, h.busy
+	r.running, r.runningSince = true, now
 	h.setBusy(now, h.busy+1)
 	t.unfinished.push(p.Flow, now)
 }
@@ -198,7 +198,9 @@
 	}
 	r.running = false
 	h.setBusy(now, h.busy-1)
-	h.took(now.Sub(r.runningSince), r.ahead)
+	if t.cfg.Answered != nil {
+		t.cfg.Answered(now.Sub(r.runningSince))
+	}
 }
 
 // leave takes a flow out of the counts of its backend server.
--- a/internal/coordination/pimflow/table_test.go
+++ b/internal/coordination/pimflow/table_test.go
@@ -50,7 +50,10 @@
 // Guards against requests that are counted twice, never, or for ever.
 func TestLoadFollowsRequests(t *testing.T) {
 	is := is.New(t)
-	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	cfg := DefaultSettings()
+	var answers []time.Duration
+	cfg.Answered = func(d time.Duration) { answers = append(answers, d) }
+	table, now := New(cfg), pimclock.Instant(time.Hour)
 	c := newCaller(table, 1)
 	load := func() (busy, open int) {
 		l := table.Load(now, hostA)
@@ -68,7 +71,7 @@
 	c.pass(now, hostA, 0, 0) // the first sign of the answer
 	busy, _ = load()
 	is.Equal(busy, 0)
-	is.Equal(table.Load(now, hostA).Work, 30*time.Millisecond)
+	is.Equal(answers, []time.Duration{30 * time.Millisecond})
 	c.pass(now, hostA, 100, 0)
 	now = now.Add(DefaultSettings().AnsweredFor)
 	table.Expire(now) // an answer of one packet is not seen
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -45,8 +45,6 @@
 	ReasonNoView
 	// ReasonUntagged means that the packet of an open flow has no tag.
 	ReasonUntagged
-	// ReasonOverload means that the queues of all backend servers are taken to be full.
-	ReasonOverload
 	// ReasonHostDark means that the backend server of the flow answers nobody.
 	ReasonHostDark
 	reasons
@@ -54,7 +52,7 @@
 
 var reasonNames = [reasons]string{
 	"placed", "established", "no_route", "no_host", "host_gone", "unknown_host", "view_behind", "no_view", "untagged",
-	"overload", "host_dark",
+	"host_dark",
 }
 
 // String returns the name of the reason in logs and metrics.
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -112,7 +112,10 @@
 	if err != nil {
 		return err
 	}
-	table := pimflow.New(pimflow.DefaultSettings())
+	cfg := pimflow.DefaultSettings()
+	answers := n.set.NewHistogram("pimentoyard_answer_seconds")
+	cfg.Answered = func(d time.Duration) { answers.Update(d.Seconds()) }
+	table := pimflow.New(cfg)
 	view := &observer{table: table}
 	placer := pimplace.New(n.cfg.Node.DataCentre, view, pimpick.LeastLoaded{}, newRand())
 	n.edge = newEdge(n, conn, view, placer)
