fix: a handover tells the origins of a chain in the order of their stops

Cause: a stopping VM handed over its own records and those that it had adopted in the random order of a map. If its own came first, the successor accepted its tokens already, so the router followed the chain vm 1 -> vm 2 -> itself and ran a request of vm 1 here, while the records of vm 1 were still on their way: unknown, home_lost.

--- a/internal/coordination/pimonce/handover.go
+++ b/internal/coordination/pimonce/handover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/samber/oops"
@@ -22,6 +23,8 @@
 type adoption struct {
 	// complete is set when all records have arrived; only then may new requests of the origin run.
 	complete bool
+	// position counts the transfers that were complete before this one.
+	position int
 	// until is when the last permit of the origin has surely ended.
 	until pimclock.Instant
 }
@@ -123,14 +126,26 @@
 	return notices
 }
 
-// batches splits the records by origin and size; the lock is held.
-func (h *Home) batches(now pimclock.Instant) (batches []Batch) {
-	open := map[Origin]*batchWriter{h.self: {origin: h.self}}
+// origins returns the origins whose records this home hands over, in the order of their stops and the own one last. A
+// request of the first VM of a chain is sent along the chain to the first home that accepts one of its origins, so a
+// successor must not accept a later origin before an earlier one. The lock is held.
+func (h *Home) origins(now pimclock.Instant) (origins []Origin) {
 	for o, a := range h.adopted {
 		if a.complete && now.Before(a.until) {
-			open[o] = &batchWriter{origin: o}
+			origins = append(origins, o)
 		}
 	}
+	slices.SortFunc(origins, func(a, b Origin) int { return h.adopted[a].position - h.adopted[b].position })
+	return append(origins, h.self)
+}
+
+// batches splits the records by origin and size; the lock is held.
+func (h *Home) batches(now pimclock.Instant) (batches []Batch) {
+	origins := h.origins(now)
+	open := map[Origin]*batchWriter{}
+	for _, o := range origins {
+		open[o] = &batchWriter{origin: o}
+	}
 	for k, r := range h.store.records {
 		if w := open[k.origin]; w != nil {
 			w.add(Record{Key: k.key, Reply: r.reply, Keep: r.expires.Sub(now)}, r.size())
@@ -141,8 +156,8 @@
 			w.add(Record{Key: k.key, Reply: r.reply(), Keep: r.expires.Sub(now)}, recordBytes)
 		}
 	}
-	for _, w := range open {
-		batches = append(batches, w.finish()...)
+	for _, o := range origins {
+		batches = append(batches, open[o].finish()...)
 	}
 	return batches
 }
@@ -191,7 +206,10 @@
 			return ErrStore
 		}
 	}
-	a.complete = a.complete || b.Last
+	if b.Last && !a.complete {
+		h.transfers++
+		a.complete, a.position = true, h.transfers
+	}
 	return nil
 }
 
--- /dev/null
+++ b/internal/coordination/pimonce/handover_test.go
@@ -0,0 +1,34 @@
+package pimonce
+
+import (
+	"testing"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// Guards against a chain of planned stops in which a VM accepts the tokens of its predecessor before those that the
+// predecessor had adopted: a request of the first VM of the chain is then sent along the chain to a home that does not
+// hold its records yet.
+func TestHandoverKeepsTheOrderOfTheChain(t *testing.T) {
+	is := is.New(t)
+	const length = 6
+	clock := &pimclock.Manual{}
+	origin := func(i int) Origin { return Origin{Node: pimid.NodeID(i), Incarnation: 1} }
+	home := newHome(clock, origin(1), DefaultConfig(), 0)
+	for i := 2; i <= length; i++ {
+		home.Stop()
+		batches, err := home.Export(origin(i))
+		is.NoErr(err)
+		next := newHome(clock, origin(i), DefaultConfig(), 0)
+		for _, b := range batches {
+			is.NoErr(next.Import(b))
+			for earlier := 1; earlier < int(b.Origin.Node); earlier++ {
+				is.True(next.Accepts(origin(earlier))) // stopped before the origin of this batch
+			}
+		}
+		home = next
+	}
+}
--- a/internal/coordination/pimonce/home.go
+++ b/internal/coordination/pimonce/home.go
@@ -17,7 +17,9 @@
 	mu      sync.Mutex
 	store   *store
 	adopted map[Origin]*adoption
-	running int
+	// transfers counts the complete transfers of predecessors.
+	transfers int
+	running   int
 	// idle is closed when no request is running; it is nil while nobody waits.
 	idle      chan struct{}
 	stopped   bool
