fix: one VM at a time is asked for changes, and one that can tell the difference

Cause: every beat with a newer revision made a VM ask its sender, once in 150 ms for each sender. While backend servers start, all beats tell newer revisions, so a VM of a large data centre asked up to twelve others a second for the same changes; and the VMs that had listed the platform lately can only tell everything (3,000 backend servers: 400 KB), whose chunks replaced each other. Change: a beat tells since which revision its sender can tell changes; a VM has one question open at a time and asks for everything only without any view, or if it cannot read the platform; it asks another data centre for everything only then. Ruled out: missing beats (the VMs heard twelve a second) and the reader (others had the change after 0.4 s).

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -22,8 +22,10 @@
 // View is what this VM tells of itself.
 type View struct {
 	Revision pimid.Revision
-	Age      time.Duration
-	Loads    []pimmesh.HostLoad
+	// Base is the oldest revision since which this VM can tell the changes.
+	Base  pimid.Revision
+	Age   time.Duration
+	Loads []pimmesh.HostLoad
 }
 
 // peer is what is known of another VM of the data centre.
@@ -39,7 +41,6 @@
 	// beats counts them.
 	offset time.Duration
 	beats  int
-	pulled pimclock.Instant
 	loads  map[pimcatalog.HostID]pimmesh.HostLoad
 }
 
@@ -60,6 +61,9 @@
 	readingSince     pimclock.Instant
 	run              uint64
 	claim            claim
+	// pulled is when changes after pulledSince were asked for, pulledAll when everything was.
+	pulled, pulledAll pimclock.Instant
+	pulledSince       pimid.Revision
 }
 
 // New returns a mesh that knows nobody.
@@ -146,7 +150,7 @@
 	return pimmesh.Message{Beat: &pimmesh.Beat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToTell(now), Loads: v.Loads, Peers: peers,
-		SentAt: time.Duration(now), Run: m.run,
+		SentAt: time.Duration(now), Run: m.run, Base: v.Base,
 	}}
 }
 
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -26,6 +26,9 @@
 	// watching is when the answer of the pending watch comes.
 	watching pimclock.Instant
 	bytes    int
+	// base is the revision of the last complete list, told the number of changes that others have told.
+	base pimid.Revision
+	told int
 }
 
 // fleet is a data centre whose platform publishes one revision after the other.
@@ -38,6 +41,16 @@
 	// loss is the share of the messages that get lost; severed tells whether two VMs cannot hear each other.
 	loss    float64
 	severed func(from, to *vm) bool
+	// answerTime is how long the answer to a pull takes; answers holds those under way.
+	answerTime time.Duration
+	answers    []answer
+}
+
+// answer is what one VM tells another one that has pulled.
+type answer struct {
+	at       pimclock.Instant
+	to       *vm
+	revision pimid.Revision
 }
 
 const step = 10 * time.Millisecond
@@ -66,11 +79,14 @@
 	return f
 }
 
-func (f *fleet) view(v *vm) View { return View{Revision: v.revision, Age: f.now.Sub(v.asOf)} }
+func (f *fleet) view(v *vm) View {
+	return View{Revision: v.revision, Base: v.base, Age: f.now.Sub(v.asOf)}
+}
 
 // run lets time pass; it reports the longest time for which a running VM that can hear others was behind.
 func (f *fleet) run(d time.Duration) {
 	for end := f.now.Add(d); f.now.Before(end); f.now = f.now.Add(step) {
+		f.arrive()
 		for _, v := range f.vms {
 			if v.down {
 				continue
@@ -136,11 +152,30 @@
 	case msg.Pull != nil:
 		answerLost := f.severed != nil && f.severed(to, from)
 		if to.revision > msg.Pull.Since && !answerLost {
-			f.learn(from, to.revision)
+			f.tell(to, from, msg.Pull.Since)
 		}
 	}
 }
 
+// tell lets one VM answer the pull of another; a VM whose list is newer than the question tells everything.
+func (f *fleet) tell(from, to *vm, since pimid.Revision) {
+	if since < from.base {
+		since = 0
+	}
+	to.told += int(from.revision - since)
+	f.answers = append(f.answers, answer{at: f.now.Add(f.answerTime), to: to, revision: from.revision})
+	f.arrive()
+}
+
+// arrive hands over the answers that are due.
+func (f *fleet) arrive() {
+	for len(f.answers) > 0 && !f.now.Before(f.answers[0].at) {
+		a := f.answers[0]
+		f.answers = f.answers[1:]
+		f.learn(a.to, a.revision)
+	}
+}
+
 // publish changes the configuration and returns the longest time until a running VM that is not alone knows it.
 func (f *fleet) publish(limit time.Duration) (slowest time.Duration) {
 	f.revision++
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -53,8 +53,7 @@
 	case b.Hello || isNew && b.DataCentre == m.cfg.DataCentre:
 		h.Out = append(h.Out, m.welcome(now, b, v))
 	}
-	if b.Revision > v.Revision && now.Sub(p.pulled) >= m.cfg.PullEvery {
-		p.pulled = now
+	if m.shouldPull(now, b, v) {
 		h.Out = append(h.Out, Outgoing{To: b.Address, Message: pimmesh.Message{Pull: &pimmesh.Pull{Since: v.Revision}}})
 	}
 	if b.Revision == v.Revision && b.Age >= 0 && p.beats > 1 {
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -103,6 +103,13 @@
 	return r.revision
 }
 
+// Base returns the oldest revision since which this VM can tell the changes.
+func (r *Registry) Base() pimid.Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.base
+}
+
 // Apply takes a batch of a watch; the error is ErrStale if the platform went back.
 func (r *Registry) Apply(b Batch) (err error) {
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d", b.To) }()
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -107,7 +107,8 @@
 }
 
 func (m *mesh) view() pimgossip.View {
-	v := pimgossip.View{Revision: m.node.registry.Revision(), Age: m.node.registry.Age(m.node.clock.Now())}
+	r := m.node.registry
+	v := pimgossip.View{Revision: r.Revision(), Base: r.Base(), Age: r.Age(m.node.clock.Now())}
 	if reports := m.reports.Load(); reports != nil {
 		v.Loads = loads(*reports)
 	}
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -41,6 +41,8 @@
 	// beat that has waited from one that comes at once, though the clocks have nothing in common.
 	SentAt time.Duration `cbor:"11,keyasint"`
 	Run    uint64        `cbor:"12,keyasint"`
+	// Base is the oldest revision since which the sender can tell the changes.
+	Base pimid.Revision `cbor:"13,keyasint,omitempty"`
 }
 
 // Claim says that a VM reads the platform.
