feat: the soak compares two commits, plots its runs and tells how far it is

Ruled out: reading two reports of earlier runs, since the same seeds should meet the same load of the machine. Before: no comparison.

--- a/cmd/pimbench/soak.go
+++ b/cmd/pimbench/soak.go
@@ -3,8 +3,8 @@
 import (
 	"context"
 	"errors"
+	"io"
 	"os"
-	"os/exec"
 	"os/signal"
 	"path/filepath"
 	"strings"
@@ -29,6 +29,7 @@
 	Spray   bool          `long:"spray" description:"hand any packet of a flow to any VM"`
 	Faults  string        `long:"faults" description:"kinds of faults, separated by commas; default all"`
 	Binary  string        `long:"binary" description:"pimentry program; default: built from this tree"`
+	Compare string        `long:"compare" description:"commit whose program plays the same seeds"`
 	log     zerolog.Logger
 }
 
@@ -40,56 +41,70 @@
 	return "Run real processes under faults: " + strings.Join(pimsoak.FaultNames(), " ")
 }
 
+// program is a program under test.
+type program struct {
+	name, binary string
+	reports      []pimsoak.Report
+}
+
 // Execute implements flags.Commander.
 func (c *soakCommand) Execute([]string) error {
 	ctx, cancel := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer cancel()
-	if err := c.build(ctx); err != nil {
+	programs, err := c.programs(ctx)
+	if err != nil {
 		return err
 	}
-	var reports []pimsoak.Report
 	var text strings.Builder
-	broken := false
 	for seed := c.First; seed < c.First+c.Seeds && ctx.Err() == nil; seed++ {
-		report, err := c.run(ctx, seed)
-		if err != nil {
-			return err
+		for _, p := range programs {
+			report, err := c.run(ctx, seed, p)
+			if err != nil {
+				return err
+			}
+			_, _ = io.WriteString(io.MultiWriter(os.Stderr, &text), p.name+", ")
+			report.Write(io.MultiWriter(os.Stderr, &text))
+			p.reports = append(p.reports, report)
 		}
-		report.Write(os.Stderr)
-		report.Write(&text)
-		broken = broken || len(report.Violations) > 0
-		reports = append(reports, report)
 	}
-	if err := c.writeReport("soak", reports, text.String()); err != nil {
+	return c.conclude(programs, &text)
+}
+
+// conclude writes the reports, the table of all programs and the plots.
+func (c *soakCommand) conclude(programs []*program, text *strings.Builder) error {
+	var summaries []pimsoak.Summary
+	var reports []pimsoak.Report
+	for _, p := range programs {
+		summaries = append(summaries, pimsoak.Summarize(p.name, p.reports))
+		reports = append(reports, p.reports...)
+	}
+	pimsoak.WriteTable(text, summaries)
+	if err := c.writeReport("soak", soakReport{Summaries: summaries, Runs: reports}, text.String()); err != nil {
+		return err
+	}
+	if err := plotSoak(c.path("soak-seconds.svg"), c.path("soak-times.svg"), summaries); err != nil {
 		return err
 	}
-	if broken {
+	// Only the program of this tree has to keep the promises.
+	if summaries[0].Violations > 0 {
 		return errViolations
 	}
 	return nil
 }
 
-// build builds the program under test unless one was named.
-func (c *soakCommand) build(ctx context.Context) error {
-	if c.Binary != "" {
-		return nil
-	}
-	if err := os.MkdirAll(c.Directory, 0o755); err != nil {
-		return err
-	}
-	c.Binary = c.path("pimentry")
-	build := exec.CommandContext(ctx, "go", "build", "-o", c.Binary, "./cmd/pimentry")
-	build.Stderr = os.Stderr
-	return build.Run()
+// soakReport is the report of all runs.
+type soakReport struct {
+	Summaries []pimsoak.Summary `json:"summaries"`
+	Runs      []pimsoak.Report  `json:"runs"`
 }
 
-func (c *soakCommand) run(ctx context.Context, seed uint64) (pimsoak.Report, error) {
+func (c *soakCommand) run(ctx context.Context, seed uint64, p *program) (pimsoak.Report, error) {
 	const networks = 50
 	directory, err := os.MkdirTemp(c.Directory, "soak-")
 	if err != nil {
 		return pimsoak.Report{}, err
 	}
-	binary, err := filepath.Abs(c.Binary)
+	binary, err := filepath.Abs(p.binary)
 	if err != nil {
 		return pimsoak.Report{}, err
 	}
--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -95,11 +95,10 @@
 	"garbage": func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
 }
 
-// platformFault is a failure of the store that all or some VMs see.
+// platformFault is a failure of the store that all VMs see.
 func platformFault(f platformtest.Fault) fault {
-	return func(r *run, rng *rand.Rand) func() {
+	return func(r *run, _ *rand.Rand) func() {
 		r.world.Store.SetFault(f)
-		_ = rng
 		return func() { r.world.Store.SetFault(platformtest.Fault{}) }
 	}
 }
--- a/internal/soak/pimsoak/load.go
+++ b/internal/soak/pimsoak/load.go
@@ -95,6 +95,7 @@
 	answer, err := flow.Request([]byte(text), requestTimeout)
 	r.count("request", err)
 	if err != nil {
+		r.failed()
 		return err
 	}
 	r.took(time.Since(began))
--- a/internal/soak/pimsoak/report.go
+++ b/internal/soak/pimsoak/report.go
@@ -1,6 +1,7 @@
 package pimsoak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"slices"
@@ -34,12 +35,21 @@
 	MaxMs          float64        `json:"max_ms"`
 	Violations     []Violation    `json:"violations"`
 	Notes          []Note         `json:"notes"`
+	// Seconds are the requests by the second in which they ended.
+	Seconds []Second `json:"seconds"`
 
 	times *hdrhistogram.Histogram
 }
 
+// Second counts the requests that ended in one second of a run.
+type Second struct {
+	Answered int `json:"answered"`
+	Failed   int `json:"failed"`
+}
+
 const (
 	longestTimeUs = 60_000_000
+	usPerMs       = 1000
 	timeDigits    = 3
 )
 
@@ -74,17 +84,47 @@
 	r.report.Counts[step+": "+end]++
 }
 
+// second returns the counts of the current second; the lock is held.
+func (r *run) second() *Second {
+	n := int(time.Since(r.start) / time.Second)
+	for len(r.report.Seconds) <= n {
+		r.report.Seconds = append(r.report.Seconds, Second{})
+	}
+	return &r.report.Seconds[n]
+}
+
+// failed counts a request without an answer.
+func (r *run) failed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.second().Failed++
+}
+
 func (r *run) took(d time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.second().Answered++
 	// A time beyond the range is counted as the longest.
 	_ = r.report.times.RecordValue(min(d.Microseconds(), longestTimeUs))
-	const usPerMs = 1000
 	r.report.P50Ms = float64(r.report.times.ValueAtQuantile(50)) / usPerMs
 	r.report.P99Ms = float64(r.report.times.ValueAtQuantile(99)) / usPerMs
 	r.report.MaxMs = float64(r.report.times.Max()) / usPerMs
 }
 
+// progressEvery is the time between two lines about a run that goes on.
+const progressEvery = 5 * time.Second
+
+// runProgress tells how far the run is.
+func (r *run) runProgress(ctx context.Context) {
+	for wait(ctx, progressEvery); ctx.Err() == nil; wait(ctx, progressEvery) {
+		r.mu.Lock()
+		r.cfg.Log.Info().Uint64("seed", r.cfg.Seed).Int64("at_ms", time.Since(r.start).Milliseconds()).
+			Int64("answered", r.report.times.TotalCount()).Int("faults", len(r.report.Notes)).
+			Int("violations", len(r.report.Violations)).Msg("soak goes on")
+		r.mu.Unlock()
+	}
+}
+
 // Write writes the report as text.
 func (r *Report) Write(w io.Writer) {
 	_, _ = fmt.Fprintf(w, "seed %d: %d violations, %d faults, p50 %.1f ms, p99 %.1f ms, max %.0f ms, %d resets\n",
--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -111,6 +111,7 @@
 	r.rotate(ctx)
 	rest.Go(func() { r.runFabric(loaded) })
 	rest.Go(func() { r.runWatch(loaded) })
+	rest.Go(func() { r.runProgress(loaded) })
 	for n := 1; n <= r.cfg.Callers; n++ {
 		caller, err := r.world.NewCaller(n)
 		if err != nil {
