fix: VMs tell each other changes in parts

Cause: all that a VM lacked was told at once. Before 3,000 backend servers that is up to 400 KB in 300 datagrams; the queue of a socket holds some 90 of them while a VM with 0.061 of a core waits for its turn, one lost datagram voids the answer, and the next question, 150 ms later, brought another answer whose datagrams replaced those of the first. Change: parts of 200 entries in the order of their revisions; with each part the VM asks the same sender for the next. A VM with a part claims nothing: no Confirm, others hear of it after the last part. The configuration comes whole with the first part, by the revision of the one that the asker has. The wait for an answer doubles up to 1.2 s. Ruled out: pacing the datagrams (a frozen VM still loses them); more than one assembly at a time (hides the doubled answers).

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -22,10 +22,10 @@
 // View is what this VM tells of itself.
 type View struct {
 	Revision pimid.Revision
-	// Base is the oldest revision since which this VM can tell the changes.
-	Base  pimid.Revision
-	Age   time.Duration
-	Loads []pimmesh.HostLoad
+	// Base is the oldest revision since which this VM can tell the changes, Config that of its configuration.
+	Base, Config pimid.Revision
+	Age          time.Duration
+	Loads        []pimmesh.HostLoad
 }
 
 // peer is what is known of another VM of the data centre.
@@ -61,9 +61,10 @@
 	readingSince     pimclock.Instant
 	run              uint64
 	claim            claim
-	// pulled is when changes after pulledSince were asked for, pulledAll when everything was.
-	pulled, pulledAll pimclock.Instant
-	pulledSince       pimid.Revision
+	// pulled is when changes after pulledSince were asked for, and pullWait the wait for the answer.
+	pulled      pimclock.Instant
+	pulledSince pimid.Revision
+	pullWait    time.Duration
 }
 
 // New returns a mesh that knows nobody.
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -54,7 +54,7 @@
 		h.Out = append(h.Out, m.welcome(now, b, v))
 	}
 	if m.shouldPull(now, b, v) {
-		h.Out = append(h.Out, Outgoing{To: b.Address, Message: pimmesh.Message{Pull: &pimmesh.Pull{Since: v.Revision}}})
+		h.Out = append(h.Out, pull(b.Address, v))
 	}
 	if b.Revision == v.Revision && b.Age >= 0 && p.beats > 1 {
 		h.Confirms, h.AsOf = true, now.Add(-b.Age-waited-transit)
--- a/internal/coordination/pimgossip/settings.go
+++ b/internal/coordination/pimgossip/settings.go
@@ -23,8 +23,8 @@
 	AliveFor time.Duration
 	// RememberFor is how long after that a silent VM is greeted now and then.
 	RememberFor time.Duration
-	// PullEvery is the time between two requests for changes, PullAllEvery that between two requests for everything.
-	PullEvery, PullAllEvery time.Duration
+	// PullEvery is the wait for changes that were asked for; without an answer it doubles up to PullAtMost.
+	PullEvery, PullAtMost time.Duration
 	// WatchFor is how long the reader lets the platform hold a watch.
 	WatchFor time.Duration
 	// TakeOver is the age of the view at which a VM steps in for the reader; the VMs of a data centre do so spread over
@@ -45,10 +45,10 @@
 		HelloEvery: 500 * time.Millisecond, GreetEvery: 10 * time.Second,
 		AliveFor: 5 * time.Second, RememberFor: time.Minute,
 		PullEvery: 150 * time.Millisecond,
-		// 3,000 backend servers are about 400 KB, which take 0.3 s on a link of 10 Mbit/s.
-		PullAllEvery: time.Second,
-		WatchFor:     inForceWithin * 2 / 5,
-		TakeOver:     inForceWithin * 2 / 3, TakeOverSpread: inForceWithin / 5,
+		// Everything about 3,000 backend servers is about 400 KB, which take 0.3 s on a link of 10 Mbit/s.
+		PullAtMost: 1200 * time.Millisecond,
+		WatchFor:   inForceWithin * 2 / 5,
+		TakeOver:   inForceWithin * 2 / 3, TakeOverSpread: inForceWithin / 5,
 		ClaimFor: 1500 * time.Millisecond, LoadFor: 1500 * time.Millisecond,
 	}
 }
--- a/internal/coordination/pimregistry/contact.go
+++ b/internal/coordination/pimregistry/contact.go
@@ -52,7 +52,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	last := pimclock.Instant(r.lastOK.Load())
-	if revision < r.revision || asOf <= last {
+	if revision < r.revision || r.isPartial || asOf <= last {
 		return
 	}
 	now := r.clock.Now()
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -17,8 +18,12 @@
 // that it stays small however often an entry has changed.
 type Delta struct {
 	// From is zero for a delta that holds everything.
-	From   pimid.Revision `cbor:"1,keyasint"`
+	From pimid.Revision `cbor:"1,keyasint"`
+	// To is the revision up to which the delta tells all entries that have not changed since. With More, later ones follow,
+	// and Newest is the last one that the sender knows.
 	To     pimid.Revision `cbor:"2,keyasint"`
+	More   bool           `cbor:"6,keyasint,omitempty"`
+	Newest pimid.Revision `cbor:"7,keyasint,omitempty"`
 	Config *ConfigDelta   `cbor:"3,keyasint,omitempty"`
 	Hosts  []HostState    `cbor:"4,keyasint,omitempty"`
 	// Removed are entries that disappeared and whose backend servers are forgotten.
@@ -50,30 +55,80 @@
 	Revision pimid.Revision    `cbor:"2,keyasint"`
 }
 
-// Since returns what has changed after a revision; zero asks for everything. A VM whose last
-// complete list is newer tells everything, since it does not know which entries came and went before.
-func (r *Registry) Since(from pimid.Revision) Delta {
+// Question is what a VM asks for.
+type Question struct {
+	// From is the revision after which the changes are missing; zero asks for everything.
+	From pimid.Revision
+	// Base is the revision of the last complete list, Config that of the configuration in force.
+	Base, Config pimid.Revision
+}
+
+// Question returns what this VM has to ask for to become current.
+func (r *Registry) Question() Question {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if from < r.base {
-		from = 0
+	return Question{From: r.revision, Base: r.base, Config: r.configRevision}
+}
+
+// Since returns what has changed. A VM whose last complete list is newer than the question tells everything, since it does
+// not know which entries came and went before. A long answer comes in parts, so that each of them fits the queue of a slow
+// VM; only everything for a VM with an old view is told at once, since that VM has to find out which of its entries are
+// gone.
+func (r *Registry) Since(q Question) Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	limit := r.cfg.PartSize
+	if max(q.From, q.Base) < r.base {
+		if q.From > 0 {
+			limit = math.MaxInt
+		}
+		q = Question{}
 	}
+	d := Delta{From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base)}
+	if last, ok := r.lastOfPart(q.From, limit); ok {
+		d.To, d.More = last, true
+	}
+	r.addEntries(&d)
+	if r.config != nil && r.configRevision > q.Config {
+		d.Config = r.configSince(q.Config)
+	}
+	return d
+}
+
+// addEntries adds the entries whose last change is between the revisions of the delta.
+func (r *Registry) addEntries(d *Delta) {
 	now := r.clock.Now()
-	d := Delta{From: from, To: r.revision}
+	isTold := func(revision pimid.Revision) bool { return revision > d.From && revision <= d.To }
 	for _, h := range r.hosts {
-		if h.Revision > from {
+		if isTold(h.Revision) {
 			d.Hosts = append(d.Hosts, stateOf(h, now))
 		}
 	}
 	for id, revision := range r.removed {
-		if revision > from {
+		if isTold(revision) {
 			d.Removed = append(d.Removed, RemovedHost{ID: id, Revision: revision})
 		}
 	}
-	if r.config != nil && r.configRevision > from {
-		d.Config = r.configSince(from)
+}
+
+// lastOfPart returns the revision of the last entry of a part; it reports false if all entries after from fit into one.
+func (r *Registry) lastOfPart(from pimid.Revision, limit int) (last pimid.Revision, ok bool) {
+	var after []pimid.Revision
+	for _, h := range r.hosts {
+		if h.Revision > from {
+			after = append(after, h.Revision)
+		}
+	}
+	for _, revision := range r.removed {
+		if revision > from {
+			after = append(after, revision)
+		}
+	}
+	if len(after) <= limit {
+		return 0, false
 	}
-	return d
+	slices.Sort(after)
+	return after[limit-1], true
 }
 
 func stateOf(h *pimcatalog.Host, now pimclock.Instant) HostState {
@@ -130,10 +185,12 @@
 		}
 	}
 	if d.From == 0 {
-		r.removeUntold(now, told, d.To)
-		r.base = d.To
+		if !d.More {
+			r.removeUntold(now, told, d.To)
+		}
+		r.base = d.Newest
 	}
-	r.revision = d.To
+	r.revision, r.isPartial = d.To, d.More
 	r.publish()
 	return nil
 }
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -19,6 +19,8 @@
 	FreshFor time.Duration
 	// ReturnWithin is how long after an outage entries that lapsed meanwhile may still return.
 	ReturnWithin time.Duration
+	// PartSize is the number of entries in a part of what one VM tells another one.
+	PartSize int
 }
 
 // DefaultSettings returns the times for changes that have to be in force within the given time.
@@ -27,6 +29,8 @@
 		FreshFor: inForceWithin,
 		// Backend servers renew lapsed entries within 2 s of the end of an outage; the rest is the delay of the watch.
 		ReturnWithin: 2500 * time.Millisecond,
+		// About 25 KB: the queue of a socket holds three times as much, and a link of 10 Mbit/s takes 20 ms.
+		PartSize: 200,
 	}
 }
 
@@ -59,6 +63,9 @@
 	revision pimid.Revision
 	// base is the revision of the last complete list: what came and went before it is not known.
 	base pimid.Revision
+	// isPartial is set while the later parts of what another VM tells are missing: entries that changed before and after
+	// the revision are old then.
+	isPartial bool
 	// configRevision is the revision of the configuration in force.
 	configRevision pimid.Revision
 	routes         *pimcatalog.RouteTable
@@ -103,13 +110,6 @@
 	return r.revision
 }
 
-// Base returns the oldest revision since which this VM can tell the changes.
-func (r *Registry) Base() pimid.Revision {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.base
-}
-
 // Apply takes a batch of a watch; the error is ErrStale if the platform went back.
 func (r *Registry) Apply(b Batch) (err error) {
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d", b.To) }()
@@ -126,7 +126,7 @@
 	for _, c := range b.Changes {
 		r.change(now, c)
 	}
-	r.revision = b.To
+	r.revision, r.isPartial = b.To, false
 	r.publish()
 	return nil
 }
@@ -149,7 +149,7 @@
 	}
 	r.isFirstList = false
 	r.removeUntold(now, listed, s.Revision)
-	r.base, r.revision = s.Revision, s.Revision
+	r.base, r.revision, r.isPartial = s.Revision, s.Revision, false
 	r.publish()
 	return nil
 }
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -108,7 +108,8 @@
 
 func (m *mesh) view() pimgossip.View {
 	r := m.node.registry
-	v := pimgossip.View{Revision: r.Revision(), Base: r.Base(), Age: r.Age(m.node.clock.Now())}
+	q := r.Question()
+	v := pimgossip.View{Revision: q.From, Base: q.Base, Config: q.Config, Age: r.Age(m.node.clock.Now())}
 	if reports := m.reports.Load(); reports != nil {
 		v.Loads = loads(*reports)
 	}
@@ -183,7 +184,7 @@
 	case msg.Pull != nil:
 		m.handlePull(msg.Pull, from)
 	case msg.Chunk != nil:
-		m.handleChunk(msg.Chunk)
+		m.handleChunk(msg.Chunk, from)
 	}
 }
 
@@ -197,7 +198,7 @@
 
 func (m *mesh) handlePull(p *pimmesh.Pull, from netip.AddrPort) {
 	m.counts.pulls.Inc()
-	delta := m.node.registry.Since(p.Since)
+	delta := m.node.registry.Since(pimregistry.Question{From: p.Since, Base: p.Base, Config: p.Config})
 	data, err := pimmesh.Encode(&delta)
 	if err != nil {
 		m.node.log.Warn().Err(err).Msg("changes not encoded")
@@ -209,7 +210,7 @@
 	}
 }
 
-func (m *mesh) handleChunk(c *pimmesh.Chunk) {
+func (m *mesh) handleChunk(c *pimmesh.Chunk, from netip.AddrPort) {
 	data, complete := m.assembly.Add(c)
 	if !complete {
 		return
@@ -224,7 +225,17 @@
 		m.node.log.Warn().Err(err).Msg("changes of another vm not taken")
 		return
 	}
-	if m.node.registry.Revision() > before {
+	m.merged(&delta, from, m.node.registry.Revision() > before)
+}
+
+// merged acts on what another VM has told; the others hear of it once all parts have arrived.
+func (m *mesh) merged(delta *pimregistry.Delta, from netip.AddrPort, isNew bool) {
+	switch {
+	case isNew && !delta.More:
 		m.node.changed()
+	case isNew:
+		m.node.edge.start()
+		next := m.gossip.PullNext(m.node.clock.Now(), from, m.view())
+		m.send(next.To, &next.Message)
 	}
 }
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -71,6 +71,9 @@
 // Pull asks for all changes after a revision.
 type Pull struct {
 	Since pimid.Revision `cbor:"1,keyasint"`
+	// Base is the revision of the asker's last complete list, Config that of its configuration.
+	Base   pimid.Revision `cbor:"2,keyasint,omitempty"`
+	Config pimid.Revision `cbor:"3,keyasint,omitempty"`
 }
 
 // Chunk is a part of an encoded delta that does not fit one datagram.
