--- /dev/null
+++ b/internal/coordination/pimregistry/bench_test.go
@@ -0,0 +1,74 @@
+package pimregistry
+
+import (
+	"fmt"
+	"net/netip"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// large returns a registry of n backend servers.
+func large(b *testing.B, n int) *Registry {
+	b.Helper()
+	s := Snapshot{Revision: pimid.Revision(n + 1), Changes: []Change{configChange(1, 1, route(1, time.Second))}}
+	for i := range n {
+		c := hostChange(pimid.Revision(i+2), pimcatalog.HostID(i+1))
+		c.Host.Address = netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, byte(i >> 16), byte(i >> 8), byte(i)}), 8080)
+		s.Changes = append(s.Changes, c)
+	}
+	r := newRegistry(&pimclock.Manual{})
+	r.Reached()
+	if err := r.Restore(s); err != nil {
+		b.Fatal(err)
+	}
+	return r
+}
+
+var benchSizes = []int{150, 3000, 33000}
+
+// BenchmarkChange measures one change of a backend server, and reports the memory of the view.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("hosts=", n), func(b *testing.B) {
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			r := large(b, n)
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			for b.Loop() {
+				revision := r.Revision()
+				c := hostChange(revision+1, 1)
+				if err := r.Apply(Batch{From: revision, To: revision + 1, Changes: []Change{c}}); err != nil {
+					b.Fatal(err)
+				}
+			}
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+		})
+	}
+}
+
+// BenchmarkPart measures one part of an answer to a VM that starts.
+func BenchmarkPart(b *testing.B) {
+	for _, n := range benchSizes {
+		b.Run(fmt.Sprint("hosts=", n), func(b *testing.B) {
+			r := large(b, n)
+			size := 0
+			for b.Loop() {
+				d := r.Since(Question{})
+				data, err := pimmesh.Encode(&d)
+				if err != nil {
+					b.Fatal(err)
+				}
+				size = len(data)
+			}
+			b.ReportMetric(float64(size), "B/part")
+		})
+	}
+}
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -256,6 +256,34 @@
 	is.Equal(f.request(fresh, "new"), "video new")
 }
 
+// publishMany publishes backend servers of a service that no route leads to.
+func (f *fleet) publishMany(n int) {
+	f.t.Helper()
+	for i := range n {
+		entry := f.Hosts()[0].Entry()
+		entry["service"], entry["address"] = "spare", fmt.Sprintf("10.9.%d.%d:8080", i>>8, i&0xff)
+		_, err := f.Store.PutJSON(fmt.Sprintf("servers/i-%08x", 0x5000+i), entry)
+		is.New(f.t).NoErr(err)
+	}
+}
+
+// Guards against a large view that never arrives whole: what the neighbours tell comes in several parts, and some of its
+// datagrams would be lost if it came at once.
+func TestVMLearnsALargeViewFromItsNeighbours(t *testing.T) {
+	is := is.New(t)
+	const hosts = 900
+	f := newFleet(t, 79, 2)
+	f.publishMany(hosts)
+	knowsAll := func(n int) bool { return len(f.nodes[n].Status().Hosts) == hosts+len(f.Hosts()) }
+	f.await("vms 1 and 2 know all", func() bool { return knowsAll(1) && knowsAll(2) })
+	f.Store.SetFault(platformtest.Fault{Busy: true})
+	f.start(3)
+	f.await("vm 3 knows all", func() bool { return knowsAll(3) })
+	f.await("vm 3 is current", func() bool { return f.nodes[3].Status().Revision == f.nodes[1].Status().Revision })
+	f.SetVMs(f.VMAddress(3))
+	is.Equal(f.request(f.open(deskRoute), "new"), "desk new")
+}
+
 // Guards against a VM that the platform turns away, alone, and that goes on with an old configuration.
 func TestVMThatThePlatformTurnsAwayHearsOfChanges(t *testing.T) {
 	is := is.New(t)
