fix: VMs pass on what came and went, and a VM with a part answers no old view

The fault is older than the parts; complete lists of the last VM hid it in the test. Change: all routes that an answer names are noted as changed; a VM with parts does not answer an old view; a part moves the base only of a VM that starts from nothing. The test now also delivers answers late, in any order and to the next run of the asker.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -79,6 +79,10 @@
 	defer r.mu.Unlock()
 	limit := r.cfg.PartSize
 	if max(q.From, q.Base) < r.base {
+		if q.From > 0 && r.isPartial {
+			// Which entries of the asker are gone, this VM cannot know yet.
+			return Delta{}
+		}
 		if q.From > 0 {
 			limit = math.MaxInt
 		}
@@ -173,6 +177,7 @@
 	now := r.clock.Now()
 	if d.Config != nil {
 		r.configure(Change{Revision: d.Config.Revision, Config: r.patched(d)})
+		r.stampTold(d.Config)
 	}
 	told := make(map[pimcatalog.HostID]bool, len(d.Hosts))
 	for i := range d.Hosts {
@@ -184,10 +189,12 @@
 			r.remove(now, Change{ID: gone.ID, Revision: gone.Revision, Removed: true})
 		}
 	}
-	if d.From == 0 {
-		if !d.More {
-			r.removeUntold(now, told, d.To)
-		}
+	switch {
+	case d.From == 0 && !d.More:
+		r.removeUntold(now, told, d.To)
+		r.base = d.Newest
+	case d.From == 0 && r.revision == 0:
+		// A VM that starts from nothing has no entry that was gone before.
 		r.base = d.Newest
 	}
 	r.revision, r.isPartial = d.To, d.More
@@ -195,6 +202,20 @@
 	return nil
 }
 
+// stampTold notes the routes that a delta names as changed, also those that are as this VM knew them: they came and went, or
+// went and came back, and a VM that knows a state between has to hear of it.
+func (r *Registry) stampTold(d *ConfigDelta) {
+	if r.configRevision != d.Revision {
+		return
+	}
+	for i := range d.Routes {
+		r.routeRevisions[d.Routes[i].Address] = d.Revision
+	}
+	for _, address := range d.Dropped {
+		r.droppedRoutes[address] = d.Revision
+	}
+}
+
 // patched returns the configuration that the delta makes of the own one.
 func (r *Registry) patched(d Delta) *pimcatalog.Config {
 	cfg := &pimcatalog.Config{
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -79,6 +80,8 @@
 	routes   map[uint16]pimcatalog.Route
 	hosts    map[pimcatalog.HostID]Change
 	log      []Change
+	// mail holds answers under way, by the VM that asked.
+	mail map[int][]Delta
 }
 
 func (w *world) step(rng *rand.Rand) {
@@ -105,9 +108,10 @@
 	}
 }
 
-// act publishes a change, or lets a VM list the platform, watch it, or hear from another VM.
-func (w *world) act(rng *rand.Rand, r, other *Registry) {
-	switch rng.IntN(5) {
+// act publishes a change, or lets VM i list the platform, watch it, or hear from VM j, at once or later.
+func (w *world) act(rng *rand.Rand, fleet []*Registry, i, j int) {
+	r, other := fleet[i], fleet[j]
+	switch rng.IntN(7) {
 	case 0, 1:
 		w.step(rng)
 	case 2:
@@ -119,6 +123,15 @@
 		}
 	case 4:
 		_ = r.Merge(other.Since(r.Question())) // a gap is refused
+	case 5:
+		w.mail[i] = append(w.mail[i], other.Since(r.Question()))
+	case 6:
+		// Answers arrive in any order, also at the next run of the VM that asked.
+		if n := len(w.mail[i]); n > 0 {
+			at := rng.IntN(n)
+			_ = r.Merge(w.mail[i][at])
+			w.mail[i] = slices.Delete(w.mail[i], at, at+1)
+		}
 	}
 }
 
@@ -161,7 +174,7 @@
 	for seed := range uint64(seeds) {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		clock := &pimclock.Manual{}
-		w := &world{routes: map[uint16]pimcatalog.Route{}, hosts: map[pimcatalog.HostID]Change{}}
+		w := &world{routes: map[uint16]pimcatalog.Route{}, hosts: map[pimcatalog.HostID]Change{}, mail: map[int][]Delta{}}
 		fleet := make([]*Registry, vms)
 		restart := func(i int) {
 			cfg := DefaultSettings(3 * time.Second)
@@ -180,7 +193,7 @@
 				continue
 			}
 			before := fleet[i].Catalog()
-			w.act(rng, fleet[i], fleet[j])
+			w.act(rng, fleet, i, j)
 			after := fleet[i].Catalog()
 			if after.Revision < before.Revision || before.Ready() && after.Routes.Version < before.Routes.Version {
 				t.Fatalf("seed %d: went back from %d to %d", seed, before.Revision, after.Revision)
@@ -254,3 +267,35 @@
 	starting.Confirm(starting.Revision(), clock.Now())
 	is.True(starting.Fresh(clock.Now()))
 }
+
+// Guards against a VM that does not pass on what came and went, or went and came back as it was, between its own revision
+// and the one it was told (seed 7300 of TestVMsAgreeInAnyOrder): a VM that knows a state between goes on with it.
+func TestDeltaPassesOnWhatCameAndWent(t *testing.T) {
+	for name, tc := range map[string]struct {
+		before, between []pimcatalog.Route
+	}{
+		"came and went":      {nil, []pimcatalog.Route{route(1, time.Second)}},
+		"went and came back": {[]pimcatalog.Route{route(1, time.Second)}, nil},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := &pimclock.Manual{}
+			witness, behind, between := newRegistry(clock), newRegistry(clock), newRegistry(clock)
+			first := Snapshot{Revision: 20, Changes: []Change{configChange(20, 1, append(tc.before, route(2, time.Second))...)}}
+			second := configChange(30, 2, append(tc.between, route(2, time.Second))...)
+			third := configChange(35, 3, append(tc.before, route(2, time.Second))...)
+			for _, r := range []*Registry{witness, behind, between} {
+				is.NoErr(r.Restore(first))
+			}
+			for _, r := range []*Registry{witness, between} {
+				is.NoErr(r.Apply(Batch{From: 20, To: 30, Changes: []Change{second}}))
+			}
+			is.NoErr(witness.Apply(Batch{From: 30, To: 35, Changes: []Change{third}}))
+			is.NoErr(behind.Merge(witness.Since(behind.Question())))
+			is.NoErr(between.Merge(behind.Since(between.Question())))
+			is.Equal(between.Revision(), pimid.Revision(35))
+			got := between.Catalog().Routes.Route(route(1, 0).Address)
+			is.Equal(got != nil, len(tc.before) > 0)
+		})
+	}
+}
