refactor: one sleep that a context ends, one frame of a stop

Ruled out: removing the start time of a backend server, which nothing reads: an entry with a malformed one has to be unreadable (TestEntriesOfOtherWriters failed without it). Before: 4 copies of a wait, 2 of a stop; after: pimclock.Sleep, pimcli.StopSignal and pimcli.Stop.

--- a/cmd/pimentoyard/run.go
+++ b/cmd/pimentoyard/run.go
@@ -1,10 +1,6 @@
 package main
 
 import (
-	"context"
-	"os"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -39,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := pimcli.StopSignal()
 	defer cancel()
 	node, cleanup, err := pimnode.New(ctx, settings, log)
 	if err != nil {
@@ -47,19 +43,7 @@
 	}
 	defer cleanup()
 	<-ctx.Done()
-	return shutdown(node, settings, log)
-}
-
-// shutdown stops the VM gracefully; a second signal cuts it short.
-func shutdown(node *pimnode.Node, settings pimsettings.Settings, log zerolog.Logger) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	log.Info().Dur("timeout", time.Duration(settings.Drain.Timeout)).Msg("stopping")
-	if err := node.Shutdown(ctx); err != nil {
-		return err
-	}
-	log.Info().Msg("stopped")
-	return nil
+	return pimcli.Stop(log.With().Dur("timeout", time.Duration(settings.Drain.Timeout)).Logger(), node.Shutdown)
 }
 
 func newLogger(out pimcli.Output, settings pimsettings.Settings) (zerolog.Logger, error) {
--- a/cmd/pimentry/run.go
+++ b/cmd/pimentry/run.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"os"
 	"os/signal"
 	"syscall"
 	"time"
@@ -45,7 +44,7 @@
 		return err
 	}
 	defer closeLog()
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, cancel := pimcli.StopSignal()
 	defer cancel()
 	clock := pimclock.Boot{}
 	store, closeStore := platform.NewStore(platform.StoreSettings{
@@ -62,17 +61,10 @@
 	log.Info().Str("settings", c.Settings).Msg("started")
 	watcher := &settingsWatcher{file: c.Settings, last: cfg, node: node, log: log}
 	watcher.run(ctx)
-	return shutdown(node, log)
-}
-
-// shutdown stops the VM gracefully; a second signal cuts it short.
-func shutdown(node *pimentry.Node, log zerolog.Logger) error {
-	ctx, cancel := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer cancel()
-	log.Info().Msg("stopping")
-	node.Shutdown(ctx)
-	log.Info().Msg("stopped")
-	return nil
+	return pimcli.Stop(log, func(ctx context.Context) error {
+		node.Shutdown(ctx)
+		return nil
+	})
 }
 
 func newLogger(out pimcli.Output, cfg pimsettings.Entry) (log zerolog.Logger, cleanup func(), err error) {
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -203,6 +203,16 @@
 	}
 }
 
+// mergeAll lets a VM hear all parts of what another one knows.
+func mergeAll(r, from *Registry) error {
+	for {
+		d := from.Since(r.Question())
+		if err := r.Merge(d); err != nil || !d.More {
+			return err
+		}
+	}
+}
+
 // check lets one VM read the platform and tell the others, which must then believe what the platform publishes.
 func check(t *testing.T, seed uint64, w *world, clock *pimclock.Manual, fleet []*Registry) {
 	t.Helper()
@@ -211,12 +221,8 @@
 		t.Fatalf("seed %d: %v", seed, err)
 	}
 	for _, r := range fleet[1:] {
-		for isMore := true; isMore; {
-			d := fleet[0].Since(r.Question())
-			if err := r.Merge(d); err != nil {
-				t.Fatalf("seed %d: %v", seed, err)
-			}
-			isMore = d.More
+		if err := mergeAll(r, fleet[0]); err != nil {
+			t.Fatalf("seed %d: %v", seed, err)
 		}
 	}
 	clock.Advance(DefaultSettings(3 * time.Second).ReturnWithin)
--- a/internal/pimnode/acquire.go
+++ b/internal/pimnode/acquire.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimslot"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimtrace"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -26,7 +27,7 @@
 		if s, err = n.askOwners(ctx, w, exclude); err == nil || isDecided(err) {
 			return s, err
 		}
-		if !sleep(ctx, ownerRetry) {
+		if !pimclock.Sleep(ctx, ownerRetry) {
 			return s, err
 		}
 	}
--- a/internal/pimnode/start.go
+++ b/internal/pimnode/start.go
@@ -11,6 +11,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimroute"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimedge"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimledger"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
@@ -100,7 +101,7 @@
 // awaitView waits until the first configuration has arrived.
 func (n *Node) awaitView(ctx context.Context) error {
 	for n.store.Revision() == 0 {
-		if !sleep(ctx, memberTick) {
+		if !pimclock.Sleep(ctx, memberTick) {
 			return ErrNoConfiguration
 		}
 	}
@@ -112,7 +113,7 @@
 	ctx, cancel := context.WithTimeout(ctx, warmUp)
 	defer cancel()
 	for !n.heardPeers() {
-		if !sleep(ctx, memberTick) {
+		if !pimclock.Sleep(ctx, memberTick) {
 			return
 		}
 	}
@@ -194,15 +195,3 @@
 		Outcome: pimedge.OutcomeNotRun, Reason: pimedge.ReasonOverload, RetryAfter: time.Second,
 	}
 }
-
-// sleep waits for d; it reports false if ctx ended first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/pimnode/stop.go
+++ b/internal/pimnode/stop.go
@@ -76,7 +76,7 @@
 	defer cancelHandover()
 	err = n.handOver(handoverCtx)
 	close(n.stop.handedOver)
-	sleep(ctx, lingerTime)
+	pimclock.Sleep(ctx, lingerTime)
 	n.awaitRequests(drainCtx)
 	n.send(n.members.Left(n.clock.Now()))
 	return err
@@ -85,7 +85,7 @@
 // awaitRequests waits until no request is being carried out or ctx ends.
 func (n *Node) awaitRequests(ctx context.Context) {
 	for n.serving.Load() > 0 {
-		if !sleep(ctx, memberTick) {
+		if !pimclock.Sleep(ctx, memberTick) {
 			n.log.Warn().Int64("requests", n.serving.Load()).Msg("requests still run at the end of the drain time")
 			return
 		}
--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/platform/platformtest"
 )
 
@@ -135,7 +136,7 @@
 	}
 	var heals []func()
 	for ctx.Err() == nil {
-		wait(ctx, time.Duration(rng.ExpFloat64()*float64(faultEvery)))
+		pimclock.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(faultEvery)))
 		name := names[rng.IntN(len(names))]
 		length := time.Duration(rng.Float64() * float64(faultLength))
 		r.note("fault", fmt.Sprintf("%s for %v", name, length.Round(time.Millisecond)))
@@ -147,7 +148,7 @@
 		heals = append(heals, func() { <-healed })
 		go func() {
 			defer close(healed)
-			wait(ctx, length)
+			pimclock.Sleep(ctx, length)
 			heal()
 			r.note("healed", name)
 		}()
@@ -156,13 +157,3 @@
 		finish()
 	}
 }
-
-// wait sleeps until the duration has passed or the context ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/soak/pimsoak/load.go
+++ b/internal/soak/pimsoak/load.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/platform/platformtest"
 )
 
@@ -37,7 +38,7 @@
 			flow.Close()
 			flow = nil
 		}
-		wait(ctx, keptPause)
+		pimclock.Sleep(ctx, keptPause)
 	}
 }
 
@@ -61,7 +62,7 @@
 	for ctx.Err() == nil {
 		address, service := r.anyRoute(rng)
 		r.shortFlow(caller, address, service)
-		wait(ctx, shortPause)
+		pimclock.Sleep(ctx, shortPause)
 	}
 }
 
--- a/internal/soak/pimsoak/report.go
+++ b/internal/soak/pimsoak/report.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
 // Violation is a broken promise.
@@ -116,7 +118,7 @@
 
 // runProgress tells how far the run is.
 func (r *run) runProgress(ctx context.Context) {
-	for wait(ctx, progressEvery); ctx.Err() == nil; wait(ctx, progressEvery) {
+	for pimclock.Sleep(ctx, progressEvery); ctx.Err() == nil; pimclock.Sleep(ctx, progressEvery) {
 		r.mu.Lock()
 		r.cfg.Log.Info().Uint64("seed", r.cfg.Seed).Int64("at_ms", time.Since(r.start).Milliseconds()).
 			Int64("answered", r.report.times.TotalCount()).Int("faults", len(r.report.Notes)).
--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -13,6 +13,7 @@
 
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/platform/platformtest"
 )
 
@@ -122,7 +123,7 @@
 		load.Go(func() { r.runShortFlows(loaded, caller, n) })
 	}
 	r.runFaults(faulty)
-	wait(ctx, 2*calmAfter)
+	pimclock.Sleep(ctx, 2*calmAfter)
 	stopLoad()
 	load.Wait()
 	rest.Wait()
@@ -176,7 +177,7 @@
 			in = r.addresses()
 		}
 		r.world.SetVMs(in...)
-		wait(ctx, 500*time.Millisecond)
+		pimclock.Sleep(ctx, 500*time.Millisecond)
 	}
 }
 
@@ -196,7 +197,7 @@
 			// A VM that is down, paused or starting has no status.
 			_, _ = v.status(ctx)
 		}
-		wait(ctx, 200*time.Millisecond)
+		pimclock.Sleep(ctx, 200*time.Millisecond)
 	}
 }
 
@@ -317,7 +318,7 @@
 		if ctx.Err() != nil || time.Now().After(deadline) {
 			return fmt.Errorf("%w: %s", errNotYet, what)
 		}
-		wait(ctx, 50*time.Millisecond)
+		pimclock.Sleep(ctx, 50*time.Millisecond)
 	}
 	return nil
 }
--- a/internal/standin/standplatform/mode.go
+++ b/internal/standin/standplatform/mode.go
@@ -1,10 +1,5 @@
 package standplatform
 
-import (
-	"context"
-	"time"
-)
-
 // Mode is how the service misbehaves; the zero value is healthy.
 type Mode struct {
 	// Down answers every call with 503.
@@ -41,15 +36,3 @@
 	}
 	return s.state
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
--- a/internal/standin/standplatform/server.go
+++ b/internal/standin/standplatform/server.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimview"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -74,7 +75,7 @@
 	return func(w http.ResponseWriter, r *http.Request) {
 		s.count(count)
 		m := s.Mode()
-		sleep(r.Context(), time.Duration(m.DelayMillis)*time.Millisecond)
+		pimclock.Sleep(r.Context(), time.Duration(m.DelayMillis)*time.Millisecond)
 		if m.Down {
 			http.Error(w, "down", http.StatusServiceUnavailable)
 			return
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/rs/zerolog"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -100,7 +101,7 @@
 func (f *Follower[B, S]) loop(ctx context.Context) {
 	defer f.wg.Done()
 	for ctx.Err() == nil {
-		wait(ctx, f.step(ctx))
+		pimclock.Sleep(ctx, f.step(ctx))
 	}
 }
 
@@ -157,15 +158,3 @@
 	f.cfg.Changed()
 	return nil
 }
-
-func wait(ctx context.Context, d time.Duration) {
-	if d <= 0 {
-		return
-	}
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-ctx.Done():
-	}
-}
