fix: a backend server is dark only while its silence is news

Cause: ikeja was cut off from 16.3 to 20.8 s. At 19.687 s the third flow had no answer and the backend server counted as dark, rightly. A dark one gets no packets, so nothing more was learnt of it, and the verdict stood until its misses were forgotten, 8 s after the last one, at 27.700 s. A flow that had been idle since 14.4 s sent a request meanwhile and was reset. Change: dark only within 500 ms of the last flow without an answer; then packets go through, and one without an answer, after 200 ms, makes it dark again at once. Ruled out: the slow backend server and the release of the same seconds (other backend servers), a stall of the VM (no doubt in the log), reports of others (all had been cut off). Before: TestDarkness, "nothing missed lately", failed.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -34,6 +34,8 @@
 	// their packets was sent.
 	Misses     int
 	MissedFrom pimclock.Instant
+	// MissedAt is when the last of them was noticed.
+	MissedAt pimclock.Instant
 	// Repeated is the number of those that were open: only they show that open flows get no answer.
 	Repeated int
 	// AliveAt is the last sign of life.
@@ -57,6 +59,7 @@
 	}
 	return Load{
 		Busy: h.busy, Open: h.open, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
+		MissedAt: h.missedAt,
 		Repeated: h.repeated, AliveAt: h.alive,
 	}
 }
--- a/internal/coordination/pimplace/darkness.go
+++ b/internal/coordination/pimplace/darkness.go
@@ -19,6 +19,11 @@
 // second, and answers come as much later.
 const darkSilence = time.Second
 
+// darkFor is how long after the last flow without an answer a backend server stays dark. Flows of a dark one are reset and
+// so bring no news of it: then they are let through again, and the first of them without an answer, after 200 ms, makes it
+// dark at once.
+const darkFor = 500 * time.Millisecond
+
 // triedFor is how long ago a backend server may have answered to count as one that this VM has tried.
 const triedFor = 2 * time.Second
 
@@ -46,5 +51,6 @@
 func (p *Placer) seemsDark(now pimclock.Instant, id pimcatalog.HostID) bool {
 	load := p.observer.Load(now, id)
 	enough := load.Misses >= darkMisses && load.Repeated >= darkRepeated && now.Sub(load.MissedFrom) >= darkSilence
-	return enough && !load.MissedFrom.Before(load.AliveElsewhere)
+	isNews := now.Sub(load.MissedAt) <= darkFor
+	return enough && isNews && !load.MissedFrom.Before(load.AliveElsewhere)
 }
--- a/internal/coordination/pimplace/darkness_test.go
+++ b/internal/coordination/pimplace/darkness_test.go
@@ -19,8 +19,8 @@
 	// misses are the flows in a row without an answer; zero means that it has answered lately, below zero that nobody
 	// has tried it.
 	misses []int
-	// ago is when the first of them was sent.
-	ago time.Duration
+	// ago is when the first of them was sent, and lastAgo when the last was noticed.
+	ago, lastAgo time.Duration
 	// refusing is set if all but one of them are opening packets.
 	refusing bool
 	// elsewhere is the last sign of life that others saw.
@@ -33,7 +33,8 @@
 	case s.misses[i] > 0:
 		l.Load = pimflow.Load{
 			Misses: s.misses[i], Repeated: s.misses[i], MissedFrom: darknessNow.Add(-s.ago),
-			AliveAt: darknessNow.Add(-s.ago - time.Second),
+			MissedAt: darknessNow.Add(-s.lastAgo),
+			AliveAt:  darknessNow.Add(-s.ago - time.Second),
 		}
 	case s.misses[i] == 0:
 		l.AliveAt = darknessNow.Add(-500 * time.Millisecond)
@@ -46,7 +47,8 @@
 
 // Guards against a fault on the side of the VM that is taken for the death of backend servers (jhankri-ktm-grown,
 // fresh-e979: 93 to 173 flows reset by VMs that did not keep up; hunt-a6d8-7: 3, after 40 ms of repeated packets), against
-// one that answers other VMs or takes no new flows and is condemned, and against single losses.
+// a verdict that outlives its evidence (ambmn-yard, broken-links 215912412136: 4.5 s after a cut had ended, a flow was reset
+// whose backend server served), against one that answers other VMs or takes no new flows and is condemned, and against single losses.
 func TestDarkness(t *testing.T) {
 	const long, short = 1200 * time.Millisecond, 600 * time.Millisecond
 	for name, tc := range map[string]struct {
@@ -58,6 +60,7 @@
 		"one":                     {silence{misses: []int{1, 0, 0, 0, 0, 0}, ago: long}, nil},
 		"two":                     {silence{misses: []int{2, 0, 0, 0, 0, 0}, ago: long}, nil},
 		"takes no new flows":      {silence{misses: []int{5, 0, 0, 0, 0, 0}, ago: long, refusing: true}, nil},
+		"nothing missed lately":   {silence{misses: []int{5, 0, 0, 0, 0, 0}, ago: 2 * long, lastAgo: long}, nil},
 		"silent for a short time": {silence{misses: []int{9, 0, 0, 0, 0, 0}, ago: short}, nil},
 		"others see it alive":     {silence{misses: []int{5, 0, 0, 0, 0, 0}, ago: long, elsewhere: darknessNow.Add(-short)}, nil},
 		"others saw it before":    {silence{misses: []int{5, 0, 0, 0, 0, 0}, ago: long, elsewhere: darknessNow.Add(-2 * long)}, []pimcatalog.HostID{1}},
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -167,7 +167,7 @@
 		case dark == e.dark[h.ID]:
 		case !dark:
 			delete(e.dark, h.ID)
-			e.node.log.Info().Str("host", h.Name).Msg("backend server answers again")
+			e.node.log.Info().Str("host", h.Name).Msg("backend server is tried again")
 		default:
 			e.dark[h.ID] = true
 			waiting := e.table.Abandon(now, h.ID)
