fix: requests under way at a backend server that died are reset too

Cause: when the silence of a backend server shows, a second after the crash at the earliest, only flows were reset whose request counts as running, and that ends after 500 ms since the end of a short answer is not seen. The log says flows_reset 0 and 1. Change: the table remembers when each flow last asked; flows are reset whose request was under way at the last sign of life, or came later, and had no sign of an answer. Ruled out: the view (the entries lapse at 27.1 s, after the deadlines). Before: TestRequestsUnderWayAreAbandoned failed.

--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -59,6 +59,8 @@
 	// running is set from the request to the first sign of its answer.
 	running      bool
 	runningSince pimclock.Instant
+	// asked is when the last request was sent; it is zero once a sign of its answer was seen.
+	asked pimclock.Instant
 	// missed is set once the flow has counted as a packet without an answer, so that it counts once.
 	missed bool
 }
@@ -146,7 +148,7 @@
 		h.answered(now)
 	}
 	if p.Acked.After(r.acked) > 0 {
-		r.acked, r.missed = p.Acked, false
+		r.acked, r.missed, r.asked = p.Acked, false, 0
 		h.answered(now)
 		t.finish(now, r, h)
 	}
@@ -183,6 +185,7 @@
 		return
 	}
 	r.sent = end
+	r.asked = now
 	if r.running {
 		return
 	}
@@ -255,13 +258,16 @@
 	Acked pimpacket.Sequence
 }
 
-// Abandon forgets the flows of a backend server and returns those that wait for an answer.
+// Abandon forgets the flows of a backend server that answers nobody and returns those that wait for an answer: their
+// requests were under way at its last sign of life, or came later. The answer to an earlier one has arrived, though it was
+// not seen if it fits one packet.
 func (t *Table) Abandon(now pimclock.Instant, id pimcatalog.HostID) (waiting []Waiting) {
+	from := t.host(now, id).alive.Add(-t.cfg.AnsweredFor)
 	for f, r := range t.flows {
 		if r.host != id || r.opening {
 			continue
 		}
-		if r.running {
+		if r.asked != 0 && !r.asked.Before(from) {
 			waiting = append(waiting, Waiting{Flow: f, Acked: r.acked})
 		}
 		t.leave(now, r)
--- a/internal/coordination/pimflow/table_test.go
+++ b/internal/coordination/pimflow/table_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -132,6 +133,36 @@
 	is.Equal(table.Len(), 0)
 }
 
+// Guards against callers that wait until their deadline for a backend server that died: when its silence shows, after a
+// second, the requests that were under way are older than the time for which a request counts as running (incident inc-349b
+// of ambmn-yard-grown: 324 requests of the two seconds after a crash failed).
+func TestRequestsUnderWayAreAbandoned(t *testing.T) {
+	is := is.New(t)
+	table, now := New(DefaultSettings()), pimclock.Instant(time.Hour)
+	earlier, answered, underWay, later := newCaller(table, 1), newCaller(table, 2), newCaller(table, 3), newCaller(table, 4)
+	for _, c := range []*caller{earlier, answered, underWay, later} {
+		c.open(now, hostA, 0)
+		c.pass(now, hostA, 0, 0)
+	}
+	earlier.pass(now, hostA, 100, 0) // its answer fits one packet and is not seen
+	now = now.Add(2 * time.Second)
+	answered.pass(now, hostA, 100, 0)
+	underWay.pass(now, hostA, 100, 0)
+	now = now.Add(30 * time.Millisecond)
+	answered.acked += 500
+	answered.pass(now, hostA, 0, 0) // the last sign of life
+	now = now.Add(300 * time.Millisecond)
+	later.pass(now, hostA, 100, 0)
+	now = now.Add(1200 * time.Millisecond)
+	table.Expire(now)
+	var ports []uint16
+	for _, w := range table.Abandon(now, hostA) {
+		ports = append(ports, w.Flow.Caller.Port())
+	}
+	slices.Sort(ports)
+	is.Equal(ports, []uint16{3, 4})
+}
+
 // Guards against a VM that stood still, wakes up to the repeated packets of its callers and takes the backend servers for
 // dead (hunt on jhankri-ktm, mix with seed 351411961063: 18 flows reset by a VM that had been frozen for 3.5 s).
 func TestStandstillOfTheVMIsNoFaultOfBackendServers(t *testing.T) {
