fix: clocks that move apart make no beat look late

Cause: whether a beat has waited is told by the smallest difference of two clocks seen so far. Change: the smallest difference grows by a thousandth of the time since the last beat. Ruled out: forgetting it now and then (a frozen VM would take its first beats after that for news).

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -37,11 +37,12 @@
 	named   pimclock.Instant
 	leaving bool
 	run     uint64
-	// offset is the smallest difference between the own clock at the arrival of a beat and the sender's when it left;
-	// beats counts them.
-	offset time.Duration
-	beats  int
-	loads  map[pimcatalog.HostID]pimmesh.HostLoad
+	// offset is the smallest difference between the own clock at the arrival of a beat and the sender's when it left, as of
+	// offsetAt; beats counts them.
+	offset   time.Duration
+	offsetAt pimclock.Instant
+	beats    int
+	loads    map[pimcatalog.HostID]pimmesh.HostLoad
 }
 
 // Mesh holds what a VM knows of the others; it is safe for concurrent use.
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -387,3 +387,21 @@
 		is.True(!complete)
 	}
 }
+
+// Guards against clocks that move apart and make each beat seem to have waited: after some days no VM would take its view
+// for current any more, and all would read the platform.
+func TestClocksThatMoveApart(t *testing.T) {
+	is := is.New(t)
+	const day, every, ppm = 24 * time.Hour, 10 * time.Second, 200
+	cfg := DefaultSettings(inForceWithin)
+	cfg.DataCentre, cfg.Address = "ikeja", netip.MustParseAddrPort("10.1.0.1:7720")
+	mesh := New(cfg, rand.New(rand.NewPCG(1, 1)))
+	for since := time.Duration(0); since <= 3*day; since += every {
+		heard := mesh.Beat(pimclock.Instant(time.Hour+since), &pimmesh.Beat{
+			Name: "vm-2", DataCentre: "ikeja", Address: netip.MustParseAddrPort("10.1.0.2:7720"), Revision: 5,
+			SentAt: since - since*ppm/1_000_000, Run: 1,
+		}, View{Revision: 5})
+		is.True(heard.Waited < time.Millisecond)
+		is.Equal(heard.Confirms, since > 0)
+	}
+}
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -20,15 +20,20 @@
 	Waited time.Duration
 }
 
+// driftShare is the most by which the clocks of two VMs move apart: a kernel that follows a time server changes the speed of
+// its clock by up to 500 ppm, and two may do so in opposite directions.
+const driftShare = 1000
+
 // waited returns how much longer than the fastest beat of the same run this one was under way: it may have waited in a
-// queue while this VM stood still.
+// queue while this VM stood still. The fastest beat counts less as it gets older, since the clocks move apart.
 func (p *peer) waited(now pimclock.Instant, b *pimmesh.Beat) time.Duration {
 	offset := time.Duration(now) - b.SentAt
 	if p.run != b.Run || p.beats == 0 {
-		p.run, p.offset, p.beats = b.Run, offset, 0
+		p.run, p.offset, p.offsetAt, p.beats = b.Run, offset, now, 0
 	}
 	p.beats++
-	p.offset = min(p.offset, offset)
+	p.offset = min(p.offset+now.Sub(p.offsetAt)/driftShare, offset)
+	p.offsetAt = now
 	return offset - p.offset
 }
 
