--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -20,9 +20,9 @@
 	Waited time.Duration
 }
 
-// driftShare is the most by which the clocks of two VMs move apart: a kernel that follows a time server changes the speed of
-// its clock by up to 500 ppm, and two may do so in opposite directions.
-const driftShare = 1000
+// driftDivisor gives the most by which the clocks of two VMs move apart, as a part of the time that passes: a kernel that
+// follows a time server changes the speed of its clock by up to 500 ppm, and two may do so in opposite directions.
+const driftDivisor = 1000
 
 // waited returns how much longer than the fastest beat of the same run this one was under way: it may have waited in a
 // queue while this VM stood still. The fastest beat counts less as it gets older, since the clocks move apart.
@@ -32,7 +32,7 @@
 		p.run, p.offset, p.offsetAt, p.beats = b.Run, offset, now, 0
 	}
 	p.beats++
-	p.offset = min(p.offset+now.Sub(p.offsetAt)/driftShare, offset)
+	p.offset = min(p.offset+now.Sub(p.offsetAt)/driftDivisor, offset)
 	p.offsetAt = now
 	return offset - p.offset
 }
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -19,10 +19,11 @@
 type Delta struct {
 	// From is zero for a delta that holds everything.
 	From pimid.Revision `cbor:"1,keyasint"`
-	// To is the revision up to which the delta tells all entries that have not changed since. With More, later ones follow,
-	// and Newest is the last one that the sender knows.
-	To     pimid.Revision `cbor:"2,keyasint"`
-	More   bool           `cbor:"6,keyasint,omitempty"`
+	// To is the revision up to which the delta tells all entries that have not changed since.
+	To pimid.Revision `cbor:"2,keyasint"`
+	// More is set if entries that changed after To follow in later parts.
+	More bool `cbor:"6,keyasint,omitempty"`
+	// Newest is the revision up to which the sender knows which entries are gone.
 	Newest pimid.Revision `cbor:"7,keyasint,omitempty"`
 	Config *ConfigDelta   `cbor:"3,keyasint,omitempty"`
 	Hosts  []HostState    `cbor:"4,keyasint,omitempty"`
