feat: log and count the calls to the platform, and the changes of other VMs that are discarded

The hypotheses about CONFIG and DRAIN on the grown deployments could not be told apart: a read that failed left only 'context deadline exceeded', and an answer of another VM that never became complete left nothing. Each call that fails or has a large response is now logged with its bytes, the time of its header and its total time; discarded answers are logged with the number of datagrams that had arrived.

--- a/cmd/pimentry/run.go
+++ b/cmd/pimentry/run.go
@@ -6,6 +6,7 @@
 	"syscall"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
 	"github.com/pimentoyard/pimentoyard/internal/pimcli"
@@ -47,12 +48,14 @@
 	ctx, cancel := pimcli.StopSignal()
 	defer cancel()
 	clock := pimclock.Boot{}
+	set := metrics.NewSet()
 	store, closeStore := platform.NewStore(platform.StoreSettings{
 		Address: cfg.Platform.Address.String(), Timeout: time.Duration(cfg.Platform.Timeout),
+		Observe: pimentry.ObserveCalls(set, log),
 	})
 	defer closeStore()
 	node, cleanup, err := pimentry.New(context.Background(), cfg, pimentry.Platform{
-		Codec: platform.Codec{}, Source: store, Readiness: platform.ReadinessHandler,
+		Codec: platform.Codec{}, Source: store, Readiness: platform.ReadinessHandler, Metrics: set,
 	}, clock, log)
 	if err != nil {
 		return err
--- a/internal/coordination/pimgossip/transfer.go
+++ b/internal/coordination/pimgossip/transfer.go
@@ -20,6 +20,10 @@
 
 // Assembly reassembles the newest delta from its chunks; it is not safe for concurrent use.
 type Assembly struct {
+	// OnDiscard is called when the chunks of an incomplete delta are discarded, with the number that had arrived and that
+	// of the whole delta; nil means no callback.
+	OnDiscard func(arrived, count int)
+
 	to      pimid.Revision
 	sum     uint64
 	parts   [][]byte
@@ -40,7 +44,10 @@
 		if c.To < a.to && a.missing > 0 {
 			return nil, false
 		}
-		*a = Assembly{to: c.To, sum: c.Sum, parts: make([][]byte, c.Count), missing: c.Count}
+		if a.missing > 0 && a.OnDiscard != nil {
+			a.OnDiscard(len(a.parts)-a.missing, len(a.parts))
+		}
+		*a = Assembly{OnDiscard: a.OnDiscard, to: c.To, sum: c.Sum, parts: make([][]byte, c.Count), missing: c.Count}
 	}
 	if a.parts[c.Index] == nil {
 		a.parts[c.Index] = c.Data
@@ -53,6 +60,6 @@
 		data = append(data, part...)
 	}
 	sum := a.sum
-	*a = Assembly{}
+	*a = Assembly{OnDiscard: a.OnDiscard}
 	return data, xxhash.Sum64(data) == sum
 }
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -38,7 +38,7 @@
 
 // meshCounters count the messages between VMs and the bytes sent.
 type meshCounters struct {
-	sent, received, dropped, sentBytes, pulls *metrics.Counter
+	sent, received, dropped, sentBytes, pulls, deltas, discarded *metrics.Counter
 }
 
 // newMesh opens the socket for messages of other VMs; cleanup closes it and waits for the goroutines.
@@ -70,8 +70,11 @@
 			dropped:   n.set.NewCounter("pimentoyard_peer_messages_dropped_total"),
 			sentBytes: n.set.NewCounter("pimentoyard_peer_bytes_sent_total"),
 			pulls:     n.set.NewCounter("pimentoyard_peer_pulls_total"),
+			deltas:    n.set.NewCounter("pimentoyard_peer_deltas_received_total"),
+			discarded: n.set.NewCounter("pimentoyard_peer_deltas_discarded_total"),
 		},
 	}
+	m.assembly.OnDiscard = m.recordDiscarded
 	return m, m.close, nil
 }
 
@@ -220,11 +223,18 @@
 	}
 }
 
+// recordDiscarded records a delta that was discarded before all its chunks had arrived.
+func (m *mesh) recordDiscarded(arrived, count int) {
+	m.counts.discarded.Inc()
+	m.node.log.Info().Int("arrived", arrived).Int("chunks", count).Msg("incomplete changes from another VM discarded")
+}
+
 func (m *mesh) handleChunk(c *pimmesh.Chunk, from netip.AddrPort) {
 	data, complete := m.assembly.Add(c)
 	if !complete {
 		return
 	}
+	m.counts.deltas.Inc()
 	var delta pimregistry.Delta
 	err := pimmesh.Decode(data, &delta)
 	before := m.node.registry.Revision()
--- a/internal/pimentry/metrics.go
+++ b/internal/pimentry/metrics.go
@@ -37,5 +37,8 @@
 
 func (n *Node) writeMetrics(w io.Writer) {
 	n.set.WritePrometheus(w)
+	if n.platform.Metrics != nil {
+		n.platform.Metrics.WritePrometheus(w)
+	}
 	metrics.WriteProcessMetrics(w)
 }
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -32,6 +32,8 @@
 	Source pimfollow.Source[pimregistry.Batch, pimregistry.Snapshot]
 	// Readiness returns the handler of the fabric's readiness check.
 	Readiness func(ready func() bool) http.Handler
+	// Metrics are those of the calls to the platform; nil means none.
+	Metrics *metrics.Set
 }
 
 // The limits of the backoff after failed reads of the platform. Even with the longest wait, a change is in force within
