fix: pull the changes of another VM a window at a time

What callers saw: on the grown deployments, new flows reached backend servers 5 to 5.4 s after these had said that they leave (DRAIN), and were handled by an older configuration (CONFIG), once a configuration had some thousands of routes.

Cause: a VM answered a pull with the whole delta in one burst of datagrams. The socket queue of a small VM holds about 48 of them, so a delta of 1,400 routes (123 datagrams) never arrived, whoever sent it and however often. All VMs then read the platform for themselves, each of them the whole configuration. The class of fault: a burst whose size grows with the state, into a queue that does not.

Change: a VM requests 16 chunks, and the next 8 whenever half of them have arrived; lost ones are requested again by their index, from the same encoding, which the sender keeps for 3 s and uses for all VMs that pull the same changes. Late answers no longer discard a transfer that proceeds.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -72,6 +72,10 @@
 	pulledAt    pimclock.Instant
 	pulledSince pimid.Revision
 	pullTimeout time.Duration
+	// transfer is the answer to the last pull, as far as it has arrived.
+	transfer transfer
+	// discarded is the number of transfers that were replaced before they were complete.
+	discarded int
 }
 
 // New returns a mesh that knows no other VM.
@@ -99,6 +103,7 @@
 	m.lastHeartbeat = now
 	m.expirePeers(now)
 	out = m.heartbeats(now, v)
+	out = append(out, m.retryTransfer(now, v)...)
 	return append(out, m.hellos(now, v, len(out) == 0)...)
 }
 
--- a/internal/coordination/pimgossip/pull.go
+++ b/internal/coordination/pimgossip/pull.go
@@ -21,32 +21,35 @@
 		return false
 	case !canSendChanges && !m.mayPullFull(b, v):
 		return false
+	case m.transfer.isActive(now, m.cfg.PullTimeout):
+		return false
 	}
-	m.recordPull(now, v, isAnswered)
+	m.recordPull(now, b.Address, v, isAnswered)
 	return true
 }
 
 // recordPull records a pull; the timeout doubles while no answer arrives.
-func (m *Mesh) recordPull(now pimclock.Instant, v View, isAnswered bool) {
+func (m *Mesh) recordPull(now pimclock.Instant, from netip.AddrPort, v View, isAnswered bool) {
 	if isAnswered {
 		m.pullTimeout = m.cfg.PullTimeout
 	} else {
 		m.pullTimeout = min(max(m.cfg.PullTimeout, 2*m.pullTimeout), m.cfg.MaxPullTimeout)
 	}
 	m.pulledAt, m.pulledSince = now, v.Revision
+	m.beginTransfer(transfer{from: from})
 }
 
 // PullNext returns a pull of the next part of the changes from the VM that has sent the part before.
 func (m *Mesh) PullNext(now pimclock.Instant, from netip.AddrPort, v View) Outgoing {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.recordPull(now, v, true)
+	m.recordPull(now, from, v, true)
 	return pull(from, v)
 }
 
 func pull(from netip.AddrPort, v View) Outgoing {
 	return Outgoing{To: from, Message: pimmesh.Message{Pull: &pimmesh.Pull{
-		Since: v.Revision, Base: v.Base, Config: v.Config,
+		Since: v.Revision, Base: v.Base, Config: v.Config, Count: chunkWindow,
 	}}}
 }
 
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -66,6 +66,7 @@
 	if m.shouldPull(now, b, v) {
 		h.Out = append(h.Out, pull(b.Address, v))
 	}
+	h.Out = append(h.Out, m.retryTransfer(now, v)...)
 	if b.Revision == v.Revision && b.Age >= 0 && p.heartbeats > 1 {
 		h.Confirms, h.AsOf = true, now.Add(-b.Age-delay-transitAllowance)
 	}
--- a/internal/coordination/pimgossip/transfer.go
+++ b/internal/coordination/pimgossip/transfer.go
@@ -1,65 +1,162 @@
 package pimgossip
 
 import (
+	"net/netip"
+	"slices"
+	"time"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// Split splits an encoded delta into chunks of up to pimmesh.MaxChunk bytes.
-func Split(from, to pimid.Revision, data []byte) (chunks []pimmesh.Chunk) {
-	sum := xxhash.Sum64(data)
-	count := max(1, (len(data)+pimmesh.MaxChunk-1)/pimmesh.MaxChunk)
-	for i := range count {
-		part := data[i*pimmesh.MaxChunk : min(len(data), (i+1)*pimmesh.MaxChunk)]
-		chunks = append(chunks, pimmesh.Chunk{From: from, To: to, Index: i, Count: count, Data: part, Sum: sum})
-	}
-	return chunks
-}
+// chunkWindow is the largest number of requested chunks that have not arrived yet. They take 20 KB, a third of the socket
+// queue of a small VM: more of them in one burst would be lost there each time.
+const chunkWindow = 16
 
-// Assembly reassembles the newest delta from its chunks; it is not safe for concurrent use.
-type Assembly struct {
-	// OnDiscard is called when the chunks of an incomplete delta are discarded, with the number that had arrived and that
-	// of the whole delta; nil means no callback.
-	OnDiscard func(arrived, count int)
+// maxChunks bounds a delta to about 20 MB.
+const maxChunks = 1 << 14
 
-	to      pimid.Revision
+// abandonAfter is the number of pull timeouts without a new chunk after which a transfer is abandoned.
+const abandonAfter = 4
+
+// transfer is a delta of which this VM pulls the chunks from another VM, a window at a time. The zero value is none.
+type transfer struct {
+	from netip.AddrPort
+	to   pimid.Revision
+	// sum identifies the delta; it is 0 until the first chunk has arrived.
 	sum     uint64
 	parts   [][]byte
-	missing int
+	arrived int
+	// pending are the requested chunks that have not arrived, in the order of the requests; lost are those that were
+	// overtaken by later ones. next is the first chunk that has not been requested yet.
+	pending, lost []int
+	next          int
+	// progressAt is when the last new chunk arrived, requestedAt when chunks were last requested.
+	progressAt, requestedAt pimclock.Instant
 }
 
-// maxChunks bounds a delta to about 20 MB.
-const maxChunks = 1 << 14
+// newTransfer returns the transfer of the delta that a chunk belongs to; the first window has been requested already.
+func newTransfer(now pimclock.Instant, c *pimmesh.Chunk, from netip.AddrPort) transfer {
+	t := transfer{from: from, to: c.To, sum: c.Sum, parts: make([][]byte, c.Count), requestedAt: now}
+	t.choose(chunkWindow)
+	return t
+}
 
-// Add adds a chunk and returns the encoded delta once it is complete and its checksum matches. A chunk of a newer
-// delta, or of another encoding of the same one, discards the chunks before it. Malformed chunks are ignored, and so
-// are those of an older delta while a newer one is incomplete.
-func (a *Assembly) Add(c *pimmesh.Chunk) (data []byte, complete bool) {
-	if c.Count <= 0 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count {
-		return nil, false
+// ReceiveChunk handles a chunk from another VM. It returns the encoded delta once all chunks have arrived, and before that
+// the pulls of further chunks.
+func (m *Mesh) ReceiveChunk(now pimclock.Instant, c *pimmesh.Chunk, from netip.AddrPort, v View) (data []byte, out []Outgoing) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	t := &m.transfer
+	if c.Count <= 0 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count || c.To <= v.Revision {
+		return nil, nil
 	}
-	if c.Sum != a.sum || c.Count != len(a.parts) {
-		if c.To < a.to && a.missing > 0 {
-			return nil, false
+	if isOther := from != t.from || c.Sum != t.sum || c.Count != len(t.parts); isOther {
+		if t.isActive(now, m.cfg.PullTimeout) && t.to > v.Revision {
+			// The late answer to a pull that was given up.
+			return nil, nil
 		}
-		if a.missing > 0 && a.OnDiscard != nil {
-			a.OnDiscard(len(a.parts)-a.missing, len(a.parts))
-		}
-		*a = Assembly{OnDiscard: a.OnDiscard, to: c.To, sum: c.Sum, parts: make([][]byte, c.Count), missing: c.Count}
+		m.beginTransfer(newTransfer(now, c, from))
+	}
+	t.add(now, c)
+	if t.arrived == len(t.parts) {
+		data = t.assemble()
+		*t = transfer{}
+		return data, nil
+	}
+	if len(t.pending) <= chunkWindow/2 {
+		out = t.pull(now, v, chunkWindow/2)
 	}
-	if a.parts[c.Index] == nil {
-		a.parts[c.Index] = c.Data
-		a.missing--
+	return nil, out
+}
+
+// beginTransfer replaces the present transfer, and counts it as discarded if some of its chunks have arrived.
+func (m *Mesh) beginTransfer(t transfer) {
+	if m.transfer.arrived > 0 {
+		m.discarded++
+	}
+	m.transfer = t
+}
+
+// DiscardedTransfers returns the number of deltas that were discarded before all their chunks had arrived.
+func (m *Mesh) DiscardedTransfers() int {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.discarded
+}
+
+// add stores a chunk. Pending chunks that were requested before it count as lost, since datagrams between two VMs rarely
+// overtake each other.
+func (t *transfer) add(now pimclock.Instant, c *pimmesh.Chunk) {
+	if t.parts[c.Index] != nil {
+		return
 	}
-	if a.missing > 0 {
-		return nil, false
+	t.parts[c.Index] = c.Data
+	t.arrived++
+	t.progressAt = now
+	if i := slices.Index(t.pending, c.Index); i >= 0 {
+		t.lost = append(t.lost, t.pending[:i]...)
+		t.pending = slices.Delete(t.pending, 0, i+1)
 	}
-	for _, part := range a.parts {
+}
+
+// assemble returns the delta, or nil if its checksum does not match.
+func (t *transfer) assemble() (data []byte) {
+	for _, part := range t.parts {
 		data = append(data, part...)
 	}
-	sum := a.sum
-	*a = Assembly{OnDiscard: a.OnDiscard}
-	return data, xxhash.Sum64(data) == sum
+	if max(1, xxhash.Sum64(data)) != t.sum {
+		return nil
+	}
+	return data
+}
+
+// choose returns up to n missing chunks, the lost ones first, and counts them as pending.
+func (t *transfer) choose(n int) (indexes []int) {
+	isMissing := func(i int) bool { return t.parts[i] == nil }
+	for len(indexes) < n && len(t.lost) > 0 {
+		if isMissing(t.lost[0]) {
+			indexes = append(indexes, t.lost[0])
+		}
+		t.lost = t.lost[1:]
+	}
+	for ; len(indexes) < n && t.next < len(t.parts); t.next++ {
+		if isMissing(t.next) {
+			indexes = append(indexes, t.next)
+		}
+	}
+	t.pending = append(t.pending, indexes...)
+	return indexes
+}
+
+// pull returns the pull of up to n missing chunks, or nothing if all are pending. If the other VM no longer has the delta,
+// it answers with the changes since the present view.
+func (t *transfer) pull(now pimclock.Instant, v View, n int) []Outgoing {
+	indexes := t.choose(n)
+	if len(indexes) == 0 {
+		return nil
+	}
+	t.requestedAt = now
+	out := pull(t.from, v)
+	out.Message.Pull.Sum, out.Message.Pull.Chunks = t.sum, indexes
+	return []Outgoing{out}
+}
+
+// isActive reports whether a transfer is under way whose chunks keep arriving.
+func (t *transfer) isActive(now pimclock.Instant, pullTimeout time.Duration) bool {
+	return t.sum != 0 && now.Sub(t.progressAt) < abandonAfter*pullTimeout
+}
+
+// retryTransfer requests the pending chunks again if none has arrived for a while.
+func (m *Mesh) retryTransfer(now pimclock.Instant, v View) (out []Outgoing) {
+	t := &m.transfer
+	isStalled := now.Sub(max(t.progressAt, t.requestedAt)) >= m.cfg.PullTimeout
+	if !isStalled || !t.isActive(now, m.cfg.PullTimeout) {
+		return nil
+	}
+	t.lost, t.pending = append(t.pending, t.lost...), nil
+	return t.pull(now, v, chunkWindow)
 }
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -21,14 +21,14 @@
 )
 
 // mesh exchanges messages with the other VMs: heartbeats, pulls, and chunks of changes. Several goroutines send; only
-// runReceiver reads the socket and uses the assembly.
+// runReceiver reads the socket and uses the outbox.
 type mesh struct {
 	node              *Node
 	conn              *net.UDPConn
 	sealer            *pimseal.Sealer
 	gossip            *pimgossip.Mesh
 	heartbeatInterval time.Duration
-	assembly          pimgossip.Assembly
+	outbox            pimgossip.Outbox
 	// reports holds the loads of the backend servers that the edge has observed.
 	reports atomic.Pointer[[]pimflow.Report]
 	counts  meshCounters
@@ -38,7 +38,7 @@
 
 // meshCounters count the messages between VMs and the bytes sent.
 type meshCounters struct {
-	sent, received, dropped, sentBytes, pulls, deltas, discarded *metrics.Counter
+	sent, received, dropped, sentBytes, pulls, deltas *metrics.Counter
 }
 
 // newMesh opens the socket for messages of other VMs; cleanup closes it and waits for the goroutines.
@@ -71,10 +71,8 @@
 			sentBytes: n.set.NewCounter("pimentoyard_peer_bytes_sent_total"),
 			pulls:     n.set.NewCounter("pimentoyard_peer_pulls_total"),
 			deltas:    n.set.NewCounter("pimentoyard_peer_deltas_received_total"),
-			discarded: n.set.NewCounter("pimentoyard_peer_deltas_discarded_total"),
 		},
 	}
-	m.assembly.OnDiscard = m.recordDiscarded
 	return m, m.close, nil
 }
 
@@ -112,15 +110,20 @@
 }
 
 func (m *mesh) view() pimgossip.View {
-	r := m.node.registry
-	req := r.DeltaRequest()
-	v := pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config, Age: r.Age(m.node.clock.Now())}
+	v := m.position()
+	v.Age = m.node.registry.Age(m.node.clock.Now())
 	if reports := m.reports.Load(); reports != nil {
 		v.Loads = loads(*reports)
 	}
 	return v
 }
 
+// position returns the revisions of the view, without its age and the loads.
+func (m *mesh) position() pimgossip.View {
+	req := m.node.registry.DeltaRequest()
+	return pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config}
+}
+
 // maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram.
 const maxLoads = 40
 
@@ -211,27 +214,24 @@
 
 func (m *mesh) handlePull(p *pimmesh.Pull, from netip.AddrPort) {
 	m.counts.pulls.Inc()
-	delta := m.node.registry.Since(pimregistry.DeltaRequest{From: p.Since, Base: p.Base, Config: p.Config})
-	data, err := pimmesh.Encode(&delta)
+	chunks, err := m.outbox.Answer(m.node.clock.Now(), p, func() (pimgossip.EncodedDelta, error) {
+		delta := m.node.registry.Since(pimregistry.DeltaRequest{From: p.Since, Base: p.Base, Config: p.Config})
+		data, err := pimmesh.Encode(&delta)
+		return pimgossip.EncodedDelta{From: delta.From, To: delta.To, Data: data}, err
+	})
 	if err != nil {
 		m.node.log.Warn().Err(err).Msg("changes for another VM not encoded")
 		return
 	}
-	chunks := pimgossip.Split(delta.From, delta.To, data)
 	for i := range chunks {
 		m.send(from, &pimmesh.Message{Chunk: &chunks[i]})
 	}
 }
 
-// recordDiscarded records a delta that was discarded before all its chunks had arrived.
-func (m *mesh) recordDiscarded(arrived, count int) {
-	m.counts.discarded.Inc()
-	m.node.log.Info().Int("arrived", arrived).Int("chunks", count).Msg("incomplete changes from another VM discarded")
-}
-
 func (m *mesh) handleChunk(c *pimmesh.Chunk, from netip.AddrPort) {
-	data, complete := m.assembly.Add(c)
-	if !complete {
+	data, out := m.gossip.ReceiveChunk(m.node.clock.Now(), c, from, m.position())
+	m.sendAll(out)
+	if data == nil {
 		return
 	}
 	m.counts.deltas.Inc()
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -69,12 +69,17 @@
 	SilentFor time.Duration `cbor:"4,keyasint,omitempty"`
 }
 
-// Pull requests all changes after a revision.
+// Pull requests all changes after a revision, or further chunks of a delta.
 type Pull struct {
 	Since pimid.Revision `cbor:"1,keyasint"`
 	// Base is the revision of the requesting VM's last complete list, Config that of its configuration.
 	Base   pimid.Revision `cbor:"2,keyasint,omitempty"`
 	Config pimid.Revision `cbor:"3,keyasint,omitempty"`
+	// Sum is that of the delta whose chunks are requested, and Chunks are their indexes; zero requests a new delta.
+	Sum    uint64 `cbor:"4,keyasint,omitempty"`
+	Chunks []int  `cbor:"5,keyasint,omitempty"`
+	// Count is the number of chunks of a new delta that are requested; zero means all.
+	Count int `cbor:"6,keyasint,omitempty"`
 }
 
 // Chunk is a part of an encoded delta, which may not fit into one datagram. From and To are the revisions of the delta.
