fix: a call to the platform ends only when it makes no progress

Cause: a call had one timeout, 1 s beyond the time for which the platform may hold it back, for header and body together. A response of more bytes than the link carries in that time never arrived; each new call began from zero, and its response was longer, since a watch returns every version since. The class of fault: a fixed time for work whose size is not fixed.

Evidence: failed reads had their header after 16 to 30 ms and 0.95 to 1.18 MB when they ended; on links of 10 Mbit/s this fills the second. Ruled out: a platform that has stopped.

Change: the timeout is the longest time without progress.

--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -41,7 +41,7 @@
 // EntryPlatform holds the address and the time limits of the platform, which serves the published configuration.
 type EntryPlatform struct {
 	Address netip.AddrPort `toml:"address"`
-	// Timeout bounds one call that does not wait for a change.
+	// Timeout is the longest time without progress of a call, in addition to the time for which it waits for a change.
 	Timeout pimcontract.Duration `toml:"timeout"`
 	// InForceWithin is the time within which a change has to be in force on all VMs. How long a call may wait for a
 	// change, and when another VM takes over from the reader of the platform, are derived from it.
--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -10,9 +11,13 @@
 	"time"
 )
 
+// ErrStalled means that the server sent nothing for Settings.Timeout.
+var ErrStalled = errors.New("server has stopped sending")
+
 // Settings are the settings of a Client.
 type Settings struct {
-	// Timeout is the timeout of a call, in addition to the time for which the server holds the response back.
+	// Timeout is the longest time without progress: until the header arrives, in addition to the time for which the server
+	// holds the response back, and from then on between two parts of the body.
 	Timeout time.Duration
 	// MaxBytes bounds the body of a response.
 	MaxBytes int64
@@ -53,7 +58,9 @@
 }
 
 // Get calls u, whose response the server may hold back for the time hold, and passes the status and the body of the
-// response to read. It returns the error of the call or that of read.
+// response to read. It returns the error of the call or that of read; a call that makes no progress ends with ErrStalled.
+// A call that makes progress may take as long as the size of the response requires: started again, it would transfer the
+// same bytes once more.
 func (c *Client) Get(ctx context.Context, u *url.URL, hold time.Duration, read func(status int, body io.Reader) error) (err error) {
 	call := Call{Path: u.Path}
 	start := time.Now()
@@ -61,8 +68,15 @@
 		call.Total, call.Err = time.Since(start), err
 		c.cfg.Observe(call)
 	}()
-	ctx, cancel := context.WithTimeout(ctx, c.cfg.Timeout+hold)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	watchdog := time.AfterFunc(c.cfg.Timeout+hold, func() { cancel(ErrStalled) })
+	defer watchdog.Stop()
+	defer func() {
+		if err != nil && errors.Is(context.Cause(ctx), ErrStalled) {
+			err = ErrStalled
+		}
+	}()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
 	if err != nil {
 		return err
@@ -73,18 +87,24 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	call.Header = time.Since(start)
-	return read(resp.StatusCode, &countingReader{r: io.LimitReader(resp.Body, c.cfg.MaxBytes), n: &call.Bytes})
+	watchdog.Reset(c.cfg.Timeout)
+	progress := func(n int) {
+		call.Bytes += int64(n)
+		watchdog.Reset(c.cfg.Timeout)
+	}
+	return read(resp.StatusCode, &progressReader{r: io.LimitReader(resp.Body, c.cfg.MaxBytes), progress: progress})
 }
 
-// countingReader adds the number of bytes that it reads to n.
-type countingReader struct {
-	r io.Reader
-	n *int64
+// progressReader calls progress with the number of bytes of each read that returns any.
+type progressReader struct {
+	r        io.Reader
+	progress func(n int)
 }
 
 // Read reads from r.
-func (c *countingReader) Read(p []byte) (n int, err error) {
-	n, err = c.r.Read(p)
-	*c.n += int64(n)
+func (p *progressReader) Read(b []byte) (n int, err error) {
+	if n, err = p.r.Read(b); n > 0 {
+		p.progress(n)
+	}
 	return n, err
 }
