fix: list the platform when the changes do not fit a response

What callers would have seen: CONFIG and DRAIN on a VM that could not read for some seconds while a large configuration changed several times, until the platform discarded its history.

Cause: a watch returns every version since a revision. Beyond 4 MB the response was cut off, so it could not be decoded, and the next watch from the same revision was longer still.

--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -11,6 +11,9 @@
 	"time"
 )
 
+// ErrTooLarge means that the body of a response is larger than Request.MaxBytes.
+var ErrTooLarge = errors.New("response is too large")
+
 // ErrStalled means that the server sent nothing for Settings.Timeout.
 var ErrStalled = errors.New("server has stopped sending")
 
@@ -19,14 +22,21 @@
 	// Timeout is the longest time without progress: until the header arrives, in addition to the time for which the server
 	// holds the response back, and from then on between two parts of the body.
 	Timeout time.Duration
-	// MaxBytes bounds the body of a response.
-	MaxBytes int64
 	// SourceAddress is the local address of the connections; the zero value lets the operating system choose.
 	SourceAddress netip.Addr
 	// Observe is called with each finished call; nil means no callback.
 	Observe func(Call)
 }
 
+// Request is what a client calls for.
+type Request struct {
+	URL url.URL
+	// Hold is the time for which the server may hold the response back.
+	Hold time.Duration
+	// MaxBytes is the largest size of the body.
+	MaxBytes int64
+}
+
 // Call describes a finished call.
 type Call struct {
 	Path string
@@ -57,12 +67,12 @@
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
-// Get calls u, whose response the server may hold back for the time hold, and passes the status and the body of the
-// response to read. It returns the error of the call or that of read; a call that makes no progress ends with ErrStalled.
+// Get makes a call and passes the status and the body of the response to read. It returns the error of the call or that of
+// read. A call that makes no progress ends with ErrStalled, and one with too large a body with ErrTooLarge.
 // A call that makes progress may take as long as the size of the response requires: started again, it would transfer the
 // same bytes once more.
-func (c *Client) Get(ctx context.Context, u *url.URL, hold time.Duration, read func(status int, body io.Reader) error) (err error) {
-	call := Call{Path: u.Path}
+func (c *Client) Get(ctx context.Context, r *Request, read func(status int, body io.Reader) error) (err error) {
+	call := Call{Path: r.URL.Path}
 	start := time.Now()
 	defer func() {
 		call.Total, call.Err = time.Since(start), err
@@ -70,14 +80,14 @@
 	}()
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	watchdog := time.AfterFunc(c.cfg.Timeout+hold, func() { cancel(ErrStalled) })
+	watchdog := time.AfterFunc(c.cfg.Timeout+r.Hold, func() { cancel(ErrStalled) })
 	defer watchdog.Stop()
 	defer func() {
 		if err != nil && errors.Is(context.Cause(ctx), ErrStalled) {
 			err = ErrStalled
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.URL.String(), http.NoBody)
 	if err != nil {
 		return err
 	}
@@ -87,24 +97,32 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	call.Header = time.Since(start)
+	if resp.ContentLength > r.MaxBytes {
+		return ErrTooLarge
+	}
 	watchdog.Reset(c.cfg.Timeout)
 	progress := func(n int) {
 		call.Bytes += int64(n)
 		watchdog.Reset(c.cfg.Timeout)
 	}
-	return read(resp.StatusCode, &progressReader{r: io.LimitReader(resp.Body, c.cfg.MaxBytes), progress: progress})
+	return read(resp.StatusCode, &bodyReader{r: resp.Body, left: r.MaxBytes, progress: progress})
 }
 
-// progressReader calls progress with the number of bytes of each read that returns any.
-type progressReader struct {
+// bodyReader calls progress with the number of bytes of each read that returns any. It returns ErrTooLarge once more than
+// left bytes were read.
+type bodyReader struct {
 	r        io.Reader
+	left     int64
 	progress func(n int)
 }
 
 // Read reads from r.
-func (p *progressReader) Read(b []byte) (n int, err error) {
-	if n, err = p.r.Read(b); n > 0 {
-		p.progress(n)
+func (b *bodyReader) Read(p []byte) (n int, err error) {
+	if n, err = b.r.Read(p); n > 0 {
+		b.progress(n)
+	}
+	if b.left -= int64(n); b.left < 0 {
+		return n, ErrTooLarge
 	}
 	return n, err
 }
--- a/internal/transport/pimfetch/client_test.go
+++ b/internal/transport/pimfetch/client_test.go
@@ -17,7 +17,9 @@
 type slowServer struct {
 	header, gap time.Duration
 	parts       int
-	ctx         context.Context
+	// length is the announced length of the body; -1 if it is unknown.
+	length int64
+	ctx    context.Context
 }
 
 // RoundTrip returns the response after the time of the header.
@@ -26,7 +28,7 @@
 	if err := wait(s.ctx, s.header); err != nil {
 		return nil, err
 	}
-	return &http.Response{StatusCode: http.StatusOK, Body: s, Request: r}, nil
+	return &http.Response{StatusCode: http.StatusOK, ContentLength: s.length, Body: s, Request: r}, nil
 }
 
 // Read returns the next part of the body.
@@ -51,17 +53,19 @@
 }
 
 const (
-	timeout = time.Second
-	hold    = 2 * time.Second
+	timeout  = time.Second
+	hold     = 2 * time.Second
+	maxBytes = 1 << 20
 )
 
 // get reads the whole response of a server in simulated time.
 func get(ctx context.Context, s *slowServer) (call Call, err error) {
 	c := &Client{
-		cfg:  Settings{Timeout: timeout, MaxBytes: 1 << 20, Observe: func(finished Call) { call = finished }},
+		cfg:  Settings{Timeout: timeout, Observe: func(finished Call) { call = finished }},
 		http: &http.Client{Transport: s},
 	}
-	err = c.Get(ctx, &url.URL{Scheme: "http", Host: "store", Path: "/watch"}, hold, func(_ int, body io.Reader) error {
+	r := &Request{URL: url.URL{Scheme: "http", Host: "store", Path: "/watch"}, Hold: hold, MaxBytes: maxBytes}
+	err = c.Get(ctx, r, func(_ int, body io.Reader) error {
 		_, err := io.Copy(io.Discard, body)
 		return err
 	})
@@ -93,6 +97,24 @@
 	}
 }
 
+// Guards against a response that uses much memory or time although it is not wanted, whether or not its length is announced.
+func TestResponseThatIsTooLarge(t *testing.T) {
+	for name, s := range map[string]slowServer{
+		"announced":     {gap: time.Minute, parts: 1, length: maxBytes + 1},
+		"not announced": {parts: maxBytes, length: -1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				is := is.New(t)
+				call, err := get(t.Context(), &s)
+				is.True(errors.Is(err, ErrTooLarge))
+				is.Equal(call.Total, 0*time.Second)
+				is.True(call.Bytes < 2*maxBytes)
+			})
+		})
+	}
+}
+
 // Guards against a cancelled call that is reported as a server that stalls.
 func TestCancelledCall(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -16,6 +16,9 @@
 // ErrCompacted means that the source no longer holds the changes after the requested revision.
 var ErrCompacted = errors.New("events after the revision are no longer available")
 
+// ErrTooLarge means that the changes after the requested revision are larger than one response may be.
+var ErrTooLarge = errors.New("changes after the revision are too large")
+
 // Batch is a consecutive part of the changes of a source.
 type Batch interface {
 	// End returns the revision up to which the batch contains all changes.
@@ -27,7 +30,7 @@
 	// Snapshot returns the complete state.
 	Snapshot(ctx context.Context) (S, error)
 	// Watch returns the changes after a revision. It waits for them for at most hold, or less if the source limits the
-	// wait; the error is ErrCompacted if the changes are no longer available.
+	// wait; the error is ErrCompacted if the changes are no longer available, and ErrTooLarge if they are too large.
 	Watch(ctx context.Context, from pimid.Revision, hold time.Duration) (B, error)
 }
 
@@ -53,8 +56,8 @@
 	BatchDelay time.Duration
 	// Changed is called after each change of the sink; nil means no callback.
 	Changed func()
-	// Observe is called with the error of each read, or nil, before its result is applied, but not with ErrCompacted of
-	// a watch; nil means no callback.
+	// Observe is called with the error of each read, or nil, before its result is applied, but not with ErrCompacted or
+	// ErrTooLarge of a watch; nil means no callback.
 	Observe func(err error)
 	// Backoff gives the delay after a failed read.
 	Backoff *Backoff
@@ -127,15 +130,15 @@
 	return f.cfg.Backoff.Next()
 }
 
-// read watches from the revision of the sink. It reads the complete state if the sink is empty or if the source no
-// longer holds the changes.
+// read watches from the revision of the sink. It reads the complete state if the sink is empty, or if the source no
+// longer holds the changes or they are too large.
 func (f *Follower[B, S]) read(ctx context.Context) (changed bool, err error) {
 	from := f.cfg.Sink.Revision()
 	if from == 0 {
 		return true, f.readAll(ctx)
 	}
 	b, err := f.cfg.Source.Watch(ctx, from, f.cfg.Hold())
-	if errors.Is(err, ErrCompacted) {
+	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) {
 		return true, f.readAll(ctx)
 	}
 	f.cfg.Observe(err)
