fix: pimentoyard too ends a call to the platform only when it makes no progress

A VM on a link of 10 Mbit/s would never have had a configuration from the platform. pimplatform now calls through pimfetch, whose timeout is the longest time without progress.

TestLargeResponseMayTakeLongerThanTheTimeout fails on the earlier code (timeout after 2 s).

--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -48,6 +48,9 @@
 	Err   error
 }
 
+// maxIdleConnections is the number of unused connections that are kept open.
+const maxIdleConnections = 4
+
 // Client calls one server; it is safe for concurrent use.
 type Client struct {
 	cfg  Settings
@@ -63,7 +66,7 @@
 	if cfg.Observe == nil {
 		cfg.Observe = func(Call) {}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 1}
+	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -14,6 +14,7 @@
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimfetch"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -30,9 +31,10 @@
 type Settings struct {
 	// Address is the base URL, for example http://127.0.0.1:7000.
 	Address string
-	// Timeout limits each call other than Watch.
+	// Timeout limits the time without progress of each call other than Watch.
 	Timeout time.Duration
-	// WatchTimeout limits a long poll; it must exceed the time for which the platform holds a watch.
+	// WatchTimeout limits the time until a long poll is answered; it must exceed the time for which the platform holds a
+	// watch.
 	WatchTimeout time.Duration
 	// MaxBytes limits the size of a response.
 	MaxBytes int64
@@ -40,9 +42,9 @@
 
 // Client reads from the platform; it is safe for concurrent use.
 type Client struct {
-	cfg  Settings
-	base *url.URL
-	http *http.Client
+	cfg   Settings
+	base  *url.URL
+	fetch *pimfetch.Client
 }
 
 // New returns a client, or ErrAddress; cleanup closes idle connections.
@@ -64,16 +66,15 @@
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = DefaultMaxBytes
 	}
-	transport := &http.Transport{MaxIdleConnsPerHost: 4, IdleConnTimeout: 90 * time.Second}
-	c = &Client{cfg: cfg, base: base, http: &http.Client{Transport: transport}}
-	return c, transport.CloseIdleConnections, nil
+	fetch, cleanup := pimfetch.New(pimfetch.Settings{Timeout: cfg.Timeout})
+	return &Client{cfg: cfg, base: base, fetch: fetch}, cleanup, nil
 }
 
 // Snapshot returns the complete configuration.
 func (c *Client) Snapshot(ctx context.Context) (snap pimconfig.Snapshot, err error) {
 	defer func() { err = oops.In("pimplatform").Wrapf(err, "read snapshot") }()
 	var r keysResponse
-	if err = c.get(ctx, c.cfg.Timeout, "/v1/keys", nil, &r); err != nil {
+	if err = c.get(ctx, 0, "/v1/keys", nil, &r); err != nil {
 		return snap, err
 	}
 	snap.Revision = r.Revision
@@ -91,7 +92,7 @@
 	defer func() { err = oops.In("pimplatform").Wrapf(err, "watch from revision %d", from) }()
 	var r watchResponse
 	query := url.Values{"from": {strconv.FormatUint(uint64(from), 10)}}
-	if err = c.get(ctx, c.cfg.WatchTimeout, "/v1/watch", query, &r); err != nil {
+	if err = c.get(ctx, c.cfg.WatchTimeout-c.cfg.Timeout, "/v1/watch", query, &r); err != nil {
 		return b, err
 	}
 	b = pimconfig.Batch{From: from, To: r.Revision}
@@ -106,28 +107,31 @@
 // VMs returns the list of live and leaving VMs, which may be out of date.
 func (c *Client) VMs(ctx context.Context) (list VMList, err error) {
 	defer func() { err = oops.In("pimplatform").Wrapf(err, "read the list of VMs") }()
-	err = c.get(ctx, c.cfg.Timeout, "/v1/vms", nil, &list)
+	err = c.get(ctx, 0, "/v1/vms", nil, &list)
 	return list, err
 }
 
-func (c *Client) get(ctx context.Context, timeout time.Duration, path string, query url.Values, into any) error {
-	ctx, cancel := context.WithTimeout(ctx, timeout)
-	defer cancel()
-	u := c.base.JoinPath(path)
+func (c *Client) get(ctx context.Context, hold time.Duration, path string, query url.Values, into any) error {
+	u := *c.base.JoinPath(path)
 	u.RawQuery = query.Encode()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, u.String(), http.NoBody)
-	if err != nil {
-		return err
-	}
-	resp, err := c.http.Do(req)
-	if err != nil {
+	isAnswered := false
+	err := c.fetch.Get(ctx, &pimfetch.Request{URL: u, Hold: max(0, hold), MaxBytes: c.cfg.MaxBytes}, func(status int, body io.Reader) error {
+		isAnswered = true
+		if err := checkStatus(status); err != nil {
+			return err
+		}
+		return decode(body, c.cfg.MaxBytes, into)
+	})
+	switch {
+	case err == nil:
+		return nil
+	case errors.Is(err, pimfetch.ErrTooLarge):
+		return ErrTooLarge // the length was announced
+	case !isAnswered || errors.Is(err, pimfetch.ErrStalled):
 		return fmt.Errorf("%w: %w", ErrUnreachable, err)
-	}
-	defer func() { _ = resp.Body.Close() }()
-	if err = checkStatus(resp.StatusCode); err != nil {
+	default:
 		return err
 	}
-	return decode(resp.Body, c.cfg.MaxBytes, into)
 }
 
 func checkStatus(status int) error {
--- a/internal/transport/pimplatform/client_test.go
+++ b/internal/transport/pimplatform/client_test.go
@@ -104,6 +104,32 @@
 	}
 }
 
+// Guards against a VM that never receives a large configuration, because reading it ends by a timeout although the platform
+// keeps sending.
+func TestLargeResponseMayTakeLongerThanTheTimeout(t *testing.T) {
+	is := is.New(t)
+	const (
+		timeout = 2 * time.Second
+		gap     = 20 * time.Millisecond
+		parts   = 110
+	)
+	slow := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		tick := time.NewTicker(gap)
+		defer tick.Stop()
+		for range parts {
+			_, err := w.Write([]byte(strings.Repeat(" ", 1000)))
+			is.NoErr(err)
+			is.NoErr(http.NewResponseController(w).Flush())
+			<-tick.C
+		}
+		_, err := w.Write([]byte(`{"revision":7}`))
+		is.NoErr(err)
+	})
+	snap, err := client(t, slow, Settings{Timeout: timeout}).Snapshot(t.Context())
+	is.NoErr(err)
+	is.Equal(snap.Revision, pimid.Revision(7))
+}
+
 // sink sends the result of each Apply and Restore to the channel results.
 type sink struct {
 	*pimconfig.Store
