feat: show the era of the platform

No line or metric told that the platform had been restored from a copy, so a list that is refused as old looked like a replica that is behind, and a watch that misses changes looked like a platform without changes.

--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -88,6 +88,8 @@
 	isFirstList bool
 
 	catalog atomic.Pointer[pimcatalog.Catalog]
+	// era is the last one that the platform has announced to this VM.
+	era atomic.Uint64
 	// lastOK is the instant of the last successful read of the platform, by this VM or by one that confirmed the view.
 	lastOK atomic.Int64
 }
@@ -119,9 +121,15 @@
 	return r.revision
 }
 
+// Era returns the last era that the platform has announced to this VM; zero means that it has announced none.
+func (r *Registry) Era() pimid.Era { return pimid.Era(r.era.Load()) }
+
 // Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back.
 func (r *Registry) Apply(b Batch) (err error) {
-	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d", b.To) }()
+	defer func() {
+		err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d of era %d", b.To, b.Era)
+	}()
+	r.era.Store(uint64(b.Era))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b.To < b.From {
@@ -143,7 +151,8 @@
 // Restore applies a complete list. Entries that are missing from it count as removed; no entry goes back to an older
 // revision. The error is ErrStale if the list is older than the view.
 func (r *Registry) Restore(s Snapshot) (err error) {
-	defer func() { err = oops.In("pimregistry").Wrapf(err, "restore revision %d", s.Revision) }()
+	defer func() { err = oops.In("pimregistry").Wrapf(err, "restore revision %d of era %d", s.Revision, s.Era) }()
+	r.era.Store(uint64(s.Era))
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.Revision < r.revision {
--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -70,11 +70,11 @@
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
-// Get makes a call and passes the status and the body of the response to read. It returns the error of the call or that of
+// Get makes a call and passes the response to read, which need not close its body. It returns the error of the call or that of
 // read. A call that makes no progress ends with ErrStalled, and one with too large a body with ErrTooLarge.
 // A call that makes progress may take as long as the size of the response requires: started again, it would transfer the
 // same bytes once more.
-func (c *Client) Get(ctx context.Context, r *Request, read func(status int, body io.Reader) error) (err error) {
+func (c *Client) Get(ctx context.Context, r *Request, read func(*http.Response) error) (err error) {
 	call := Call{Path: r.URL.Path}
 	start := time.Now()
 	defer func() {
@@ -108,20 +108,22 @@
 		call.Bytes += int64(n)
 		watchdog.Reset(c.cfg.Timeout)
 	}
-	return read(resp.StatusCode, &bodyReader{r: resp.Body, left: r.MaxBytes, progress: progress})
+	body := resp.Body
+	resp.Body = &bodyReader{ReadCloser: body, left: r.MaxBytes, progress: progress}
+	return read(resp)
 }
 
 // bodyReader calls progress with the number of bytes of each read that returns any. It returns ErrTooLarge once more than
 // left bytes were read.
 type bodyReader struct {
-	r        io.Reader
+	io.ReadCloser
 	left     int64
 	progress func(n int)
 }
 
-// Read reads from r.
+// Read reads from the body.
 func (b *bodyReader) Read(p []byte) (n int, err error) {
-	if n, err = b.r.Read(p); n > 0 {
+	if n, err = b.ReadCloser.Read(p); n > 0 {
 		b.progress(n)
 	}
 	if b.left -= int64(n); b.left < 0 {
--- a/internal/transport/pimfetch/client_test.go
+++ b/internal/transport/pimfetch/client_test.go
@@ -65,8 +65,8 @@
 		http: &http.Client{Transport: s},
 	}
 	r := &Request{URL: url.URL{Scheme: "http", Host: "store", Path: "/watch"}, Hold: hold, MaxBytes: maxBytes}
-	err = c.Get(ctx, r, func(_ int, body io.Reader) error {
-		_, err := io.Copy(io.Discard, body)
+	err = c.Get(ctx, r, func(resp *http.Response) error {
+		_, err := io.Copy(io.Discard, resp.Body)
 		return err
 	})
 	return call, err
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -115,12 +115,12 @@
 	u := *c.base.JoinPath(path)
 	u.RawQuery = query.Encode()
 	isAnswered := false
-	err := c.fetch.Get(ctx, &pimfetch.Request{URL: u, Hold: max(0, hold), MaxBytes: c.cfg.MaxBytes}, func(status int, body io.Reader) error {
+	err := c.fetch.Get(ctx, &pimfetch.Request{URL: u, Hold: max(0, hold), MaxBytes: c.cfg.MaxBytes}, func(resp *http.Response) error {
 		isAnswered = true
-		if err := checkStatus(status); err != nil {
+		if err := checkStatus(resp.StatusCode); err != nil {
 			return err
 		}
-		return decode(body, c.cfg.MaxBytes, into)
+		return decode(resp.Body, c.cfg.MaxBytes, into)
 	})
 	switch {
 	case err == nil:
