fix: order views by the era of the platform, configurations by version, reports by backend server

Cause: everything was ordered by the platform's revision alone, which goes back and is given out again. Lists of the new era were refused as old; a watch from a number of the earlier era missed what the new one had written up to it; VMs with the same number confirmed each other. The class of fault: a number that orders one history, compared across two of them.

Ruled out: readers and links (all VMs read and were answered), the copy itself (its list had version 11 again).

Change, and why taking the list alone would not do: - A revision holds the era above the platform's number, so every revision of a later era is higher. A watch whose response is from another era is answered by a list, and a list of two eras is an error. - Configurations are ordered by their version, which the operator counts, so an older one of the copy is not taken. Changes of routes between VMs are relative to a version; a checksum over all routes shows when the two VMs do not have the same history, since a version that one of them had may be lost for good. Then the whole configuration follows. - A backend server's start and sequence number order its reports across eras, so a copy does not undo its leaving. - Entries missing from the first list of an era may return, those of leaving backend servers too. An entry of the copy does not end the later owner of its address. - VMs take a new era from the reader of their data centre, instead of each listing the platform.

The soak has a fault platform_restored.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -22,8 +22,10 @@
 // View is what this VM announces about itself in heartbeats and pulls.
 type View struct {
 	Revision pimid.Revision
-	// Base is the oldest revision since which this VM can send the changes, Config the revision of its configuration.
-	Base, Config pimid.Revision
+	// Base is the oldest revision since which this VM can send the changes.
+	Base pimid.Revision
+	// Config is the version of its configuration.
+	Config pimcatalog.Version
 	// Age is the time since the platform was known to have nothing newer.
 	Age   time.Duration
 	Loads []pimmesh.HostLoad
--- a/internal/coordination/pimgossip/outbox.go
+++ b/internal/coordination/pimgossip/outbox.go
@@ -6,6 +6,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -37,10 +38,11 @@
 // outgoingDelta is an encoded delta of which other VMs pull the chunks.
 type outgoingDelta struct {
 	EncodedDelta
-	sum                 uint64
-	since, base, config pimid.Revision
-	inflates            bool
-	encodedAt, usedAt   pimclock.Instant
+	sum               uint64
+	since, base       pimid.Revision
+	config            pimcatalog.Version
+	inflates          bool
+	encodedAt, usedAt pimclock.Instant
 }
 
 // Answer returns the chunks that a pull requests. It calls encode for the delta unless it holds the one whose chunks are
--- a/internal/coordination/pimgossip/pull_test.go
+++ b/internal/coordination/pimgossip/pull_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // Guards against a VM that receives the same changes from many VMs. While 230 backend servers per second start, every
@@ -74,3 +76,33 @@
 	f.run(10 * time.Second)
 	is.Equal(late.revision, f.revision)
 }
+
+// Guards against a data centre in which every VM lists the platform after it was restored from a copy: the reader cannot send
+// the changes since a revision of the earlier era, but its full state.
+func TestNewEraComesFromTheReader(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 30, 5*time.Second, 9)
+	inEra := func(era pimid.Era, number uint64) pimid.Revision {
+		r, err := pimid.NewRevision(era, number)
+		is.NoErr(err)
+		return r
+	}
+	f.revision = inEra(1, 1000)
+	f.run(10 * time.Second)
+	reader := f.reader()
+	for _, v := range f.vms {
+		is.Equal(v.revision, f.revision)
+		v.reads = 0
+	}
+	f.revision = inEra(2, 900)
+	reader.base = f.revision // it lists the platform
+	f.run(2 * time.Second)
+	others := 0
+	for _, v := range f.vms {
+		is.Equal(v.revision, f.revision)
+		if v != reader {
+			others += v.reads
+		}
+	}
+	is.Equal(others, 0)
+}
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -25,16 +25,12 @@
 
 // Batch holds all changes after revision From, up to and including revision To.
 type Batch struct {
-	// Era is that of the platform when it answered.
-	Era      pimid.Era
 	From, To pimid.Revision
 	Changes  []Change
 }
 
 // Snapshot holds all published entries at a revision; some of them may be newer than Revision.
 type Snapshot struct {
-	// Era is that of the platform when it answered.
-	Era      pimid.Era
 	Revision pimid.Revision
 	Changes  []Change
 }
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -25,16 +25,21 @@
 	More bool `cbor:"6,keyasint,omitempty"`
 	// Newest is the revision up to which the sender knows which entries are gone.
 	Newest pimid.Revision `cbor:"7,keyasint,omitempty"`
-	Config *ConfigDelta   `cbor:"3,keyasint,omitempty"`
-	Hosts  []HostState    `cbor:"4,keyasint,omitempty"`
+	// Version is that of the sender's configuration. Config holds its changes unless the receiver had it before.
+	Version pimcatalog.Version `cbor:"8,keyasint,omitempty"`
+	Config  *ConfigDelta       `cbor:"3,keyasint,omitempty"`
+	Hosts   []HostState        `cbor:"4,keyasint,omitempty"`
 	// Removed are the entries that disappeared and whose backend servers are no longer in the catalog.
 	Removed []RemovedHost `cbor:"5,keyasint,omitempty"`
 }
 
 // ConfigDelta is the difference between two configurations.
 type ConfigDelta struct {
-	Version     pimcatalog.Version   `cbor:"1,keyasint"`
-	Revision    pimid.Revision       `cbor:"2,keyasint"`
+	Version pimcatalog.Version `cbor:"1,keyasint"`
+	// Since is the version after which changes are included; zero means that all routes are.
+	Since pimcatalog.Version `cbor:"7,keyasint,omitempty"`
+	// Sum is the checksum of all routes of the version, if not all are included.
+	Sum         uint64               `cbor:"8,keyasint,omitempty"`
 	IdleTimeout time.Duration        `cbor:"3,keyasint"`
 	Services    []pimcatalog.Service `cbor:"4,keyasint"`
 	Routes      []pimcatalog.Route   `cbor:"5,keyasint,omitempty"`
@@ -61,15 +66,21 @@
 type DeltaRequest struct {
 	// From is the revision after which changes are missing; zero requests all entries.
 	From pimid.Revision
-	// Base is the revision of the last complete list of the requesting VM, Config that of its configuration in force.
-	Base, Config pimid.Revision
+	// Base is the revision of the last complete list of the requesting VM.
+	Base pimid.Revision
+	// Config is the version of its configuration in force; zero means that it has none.
+	Config pimcatalog.Version
 }
 
 // DeltaRequest returns the request for the changes that this VM is missing.
 func (r *Registry) DeltaRequest() DeltaRequest {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return DeltaRequest{From: r.revision, Base: r.base, Config: r.configRevision}
+	config := r.version()
+	if r.wantsWholeConfig {
+		config = 0
+	}
+	return DeltaRequest{From: r.revision, Base: r.base, Config: config}
 }
 
 // Since returns the changes that a request asks for. If the last complete list of this VM is newer than the request,
@@ -88,14 +99,17 @@
 		if q.From > 0 {
 			limit = math.MaxInt
 		}
-		q = DeltaRequest{}
+		q.From = 0
+		if q.Config < r.version() {
+			q.Config = 0
+		}
 	}
-	d := Delta{From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base)}
+	d := Delta{From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base), Version: r.version()}
 	if last, ok := r.lastRevisionOfPart(q.From, limit); ok {
 		d.To, d.More = last, true
 	}
 	r.addEntries(&d)
-	if r.config != nil && r.configRevision > q.Config {
+	if r.version() > q.Config {
 		d.Config = r.configSince(q.Config)
 	}
 	return d
@@ -148,29 +162,34 @@
 	return s
 }
 
-// configSince returns the configuration with the routes that changed after a revision; services are always complete.
-func (r *Registry) configSince(from pimid.Revision) *ConfigDelta {
-	d := &ConfigDelta{
-		Version: r.config.Version, Revision: r.configRevision, IdleTimeout: r.config.IdleTimeout,
-		Services: r.config.Services,
+// configSince returns the configuration with the routes that changed after a version, or with all routes after version 0;
+// services are always complete. This VM may not know all routes that were removed: a list has only the last version, and a
+// platform that was restored has lost some. The checksum tells.
+func (r *Registry) configSince(since pimcatalog.Version) *ConfigDelta {
+	d := &ConfigDelta{Version: r.config.Version, IdleTimeout: r.config.IdleTimeout, Services: r.config.Services}
+	if since == 0 {
+		d.Routes = r.config.Routes
+		return d
 	}
+	d.Since, d.Sum = since, checksum(r.config.Routes)
 	for i := range r.config.Routes {
-		if r.routeRevisions[r.config.Routes[i].Address] > from {
+		if r.routeVersions[r.config.Routes[i].Address] > since {
 			d.Routes = append(d.Routes, r.config.Routes[i])
 		}
 	}
-	for address, revision := range r.droppedRoutes {
-		if revision > from {
+	for address, version := range r.droppedRoutes {
+		if version > since {
 			d.Dropped = append(d.Dropped, address)
 		}
 	}
 	return d
 }
 
-// Merge applies a delta from another VM. A delta that starts after the revision of this VM is refused with ErrGap,
-// since the changes between would be missed; one that holds nothing new is ignored.
+// Merge applies a delta from another VM. A delta that starts after the revision of this VM is refused with ErrGap, since the
+// changes between would be missed, and so is one that does not lead to the state of the sender; the next request then asks
+// for more. A delta that holds nothing new is ignored.
 func (r *Registry) Merge(d Delta) (err error) {
-	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %d to %d", d.From, d.To) }()
+	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %v to %v", d.From, d.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if d.To <= r.revision {
@@ -180,9 +199,15 @@
 		return ErrGap
 	}
 	now := r.clock.Now()
-	if d.Config != nil {
-		r.applyConfig(Change{Revision: d.Config.Revision, Config: r.patchedConfig(d)})
-		r.recordDeltaRoutes(d.Config)
+	isNewEra := r.isNewEra(d.To)
+	if isNewEra && (d.From > 0 || d.More) {
+		return ErrGap
+	}
+	if err = r.mergeConfig(&d); err != nil {
+		return err
+	}
+	if isNewEra {
+		r.beginEra(now)
 	}
 	listed := make(map[pimcatalog.HostID]bool, len(d.Hosts))
 	for i := range d.Hosts {
@@ -196,7 +221,7 @@
 	}
 	switch {
 	case d.From == 0 && !d.More:
-		r.removeMissing(now, listed, d.To)
+		r.removeMissing(now, listed, d.To, isNewEra)
 		r.base = d.Newest
 	case d.From == 0 && r.revision == 0:
 		// A VM without a view has no entries that were removed before.
@@ -207,38 +232,54 @@
 	return nil
 }
 
-// recordDeltaRoutes records the revision for each route that a delta names, even if the delta leaves the route as this
-// VM had it: the route may have been added and removed, or removed and added again, since the revision of this VM. A VM
-// with a view from a revision in between must receive that change from this VM.
-func (r *Registry) recordDeltaRoutes(d *ConfigDelta) {
-	if r.configRevision != d.Revision {
-		return
+// mergeConfig puts the configuration of a delta in force if it is newer. The error is ErrGap if the delta was meant for a run
+// of this VM that had a newer configuration, or if the changes do not lead to the routes of the sender.
+func (r *Registry) mergeConfig(d *Delta) error {
+	cfg := d.Config
+	switch {
+	case cfg == nil && d.Version <= r.version(), cfg != nil && cfg.Version <= r.version():
+		return nil
+	case cfg == nil || cfg.Since > r.version():
+		return ErrGap
 	}
+	patched := r.patchedConfig(cfg)
+	if cfg.Since > 0 && cfg.Sum != checksum(patched.Routes) {
+		r.wantsWholeConfig = true
+		return ErrGap
+	}
+	r.setConfig(patched)
+	r.notify(Change{Revision: d.To, Config: patched}, Applied)
+	r.recordDeltaRoutes(cfg)
+	return nil
+}
+
+// recordDeltaRoutes records the version for each route that a delta names, even if the delta leaves the route as this VM had
+// it: the route may have been added and removed, or removed and added again, since the version of this VM. A VM with a
+// version in between must receive that change from this VM.
+func (r *Registry) recordDeltaRoutes(d *ConfigDelta) {
 	for i := range d.Routes {
-		r.routeRevisions[d.Routes[i].Address] = d.Revision
+		r.routeVersions[d.Routes[i].Address] = d.Version
 	}
 	for _, address := range d.Dropped {
-		r.droppedRoutes[address] = d.Revision
+		r.droppedRoutes[address] = d.Version
 	}
 }
 
-// patchedConfig returns the configuration of this VM with the changes of the delta.
-func (r *Registry) patchedConfig(d Delta) *pimcatalog.Config {
-	cfg := &pimcatalog.Config{
-		Version: d.Config.Version, IdleTimeout: d.Config.IdleTimeout, Services: d.Config.Services,
-	}
-	if d.From == 0 || r.config == nil {
-		cfg.Routes = d.Config.Routes
+// patchedConfig returns the configuration of this VM with the changes of a delta.
+func (r *Registry) patchedConfig(d *ConfigDelta) *pimcatalog.Config {
+	cfg := &pimcatalog.Config{Version: d.Version, IdleTimeout: d.IdleTimeout, Services: d.Services}
+	if d.Since == 0 {
+		cfg.Routes = d.Routes
 		return cfg
 	}
 	routes := make(map[netip.AddrPort]pimcatalog.Route, len(r.config.Routes))
 	for _, route := range r.config.Routes {
 		routes[route.Address] = route
 	}
-	for _, address := range d.Config.Dropped {
+	for _, address := range d.Dropped {
 		delete(routes, address)
 	}
-	for _, route := range d.Config.Routes {
+	for _, route := range d.Routes {
 		routes[route.Address] = route
 	}
 	cfg.Routes = slices.SortedFunc(maps.Values(routes), func(a, b pimcatalog.Route) int {
@@ -257,16 +298,25 @@
 	if h.Unlisted {
 		h.GoneAt = now.Add(s.GoneIn)
 	}
+	c := Change{Revision: h.Revision, ID: h.ID, Host: &h, Removed: h.Unlisted}
+	if r.keepReport(&h) {
+		r.notify(c, Kept)
+		return
+	}
 	delete(r.removed, h.ID)
 	r.hosts[h.ID] = &h
-	r.notify(Change{Revision: h.Revision, ID: h.ID, Host: &h, Removed: h.Unlisted}, Relayed)
+	r.notify(c, Relayed)
 }
 
-// removeMissing removes the entries that are not in a complete list.
-func (r *Registry) removeMissing(now pimclock.Instant, listed map[pimcatalog.HostID]bool, revision pimid.Revision) {
+// removeMissing removes the entries that are not in a complete list. After the first list of an era, all entries have
+// revisions of that era.
+func (r *Registry) removeMissing(now pimclock.Instant, listed map[pimcatalog.HostID]bool, revision pimid.Revision, isNewEra bool) {
 	for id, h := range r.hosts {
-		if !listed[id] && !h.Unlisted {
-			r.remove(now, Change{ID: id, Revision: revision, Removed: true})
+		if !listed[id] && (isNewEra || !h.Unlisted) {
+			r.removeHost(now, Change{ID: id, Revision: revision, Removed: true}, isNewEra)
 		}
 	}
+	if isNewEra {
+		clear(r.removed)
+	}
 }
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -54,6 +54,8 @@
 	Lapsed Decision = "lapsed"
 	// Ended means that the backend server of a removed entry has ended.
 	Ended Decision = "ended"
+	// Kept means that the platform was restored from a copy with an older report of the backend server than the known one.
+	Kept Decision = "kept"
 	// Superseded means that a newer backend server uses the address.
 	Superseded Decision = "superseded"
 	// Relayed means that the state of a backend server was taken from another VM.
@@ -73,14 +75,14 @@
 	// isPartial is set while later parts of a delta are missing. An entry that has changed after the revision may then be
 	// out of date or missing, even if it also changed before.
 	isPartial bool
-	// configRevision is the revision of the configuration in force.
-	configRevision pimid.Revision
-	routes         *pimcatalog.RouteTable
-	config         *pimcatalog.Config
-	// routeRevisions holds the revision of the last change of each route, droppedRoutes that of the removal of each
-	// removed route.
-	routeRevisions, droppedRoutes map[netip.AddrPort]pimid.Revision
-	hosts                         map[pimcatalog.HostID]*pimcatalog.Host
+	routes    *pimcatalog.RouteTable
+	config    *pimcatalog.Config
+	// wantsWholeConfig is set once the changes from another VM did not lead to its routes.
+	wantsWholeConfig bool
+	// routeVersions holds the version of the last change of each route, droppedRoutes that of the removal of each removed
+	// route.
+	routeVersions, droppedRoutes map[netip.AddrPort]pimcatalog.Version
+	hosts                        map[pimcatalog.HostID]*pimcatalog.Host
 	// removed holds the revisions at which entries disappeared, so that a late copy of an entry does not restore it.
 	removed      map[pimcatalog.HostID]pimid.Revision
 	reachability reachability
@@ -88,8 +90,6 @@
 	isFirstList bool
 
 	catalog atomic.Pointer[pimcatalog.Catalog]
-	// era is the last one that the platform has announced to this VM.
-	era atomic.Uint64
 	// lastOK is the instant of the last successful read of the platform, by this VM or by one that confirmed the view.
 	lastOK atomic.Int64
 }
@@ -104,7 +104,7 @@
 		hosts:   map[pimcatalog.HostID]*pimcatalog.Host{},
 		removed: map[pimcatalog.HostID]pimid.Revision{},
 
-		routeRevisions: map[netip.AddrPort]pimid.Revision{}, droppedRoutes: map[netip.AddrPort]pimid.Revision{},
+		routeVersions: map[netip.AddrPort]pimcatalog.Version{}, droppedRoutes: map[netip.AddrPort]pimcatalog.Version{},
 	}
 	r.lastOK.Store(int64(never))
 	r.catalog.Store(pimcatalog.NewCatalog(0, nil, nil))
@@ -121,15 +121,9 @@
 	return r.revision
 }
 
-// Era returns the last era that the platform has announced to this VM; zero means that it has announced none.
-func (r *Registry) Era() pimid.Era { return pimid.Era(r.era.Load()) }
-
 // Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back.
 func (r *Registry) Apply(b Batch) (err error) {
-	defer func() {
-		err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %d of era %d", b.To, b.Era)
-	}()
-	r.era.Store(uint64(b.Era))
+	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %v", b.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if b.To < b.From {
@@ -151,14 +145,17 @@
 // Restore applies a complete list. Entries that are missing from it count as removed; no entry goes back to an older
 // revision. The error is ErrStale if the list is older than the view.
 func (r *Registry) Restore(s Snapshot) (err error) {
-	defer func() { err = oops.In("pimregistry").Wrapf(err, "restore revision %d of era %d", s.Revision, s.Era) }()
-	r.era.Store(uint64(s.Era))
+	defer func() { err = oops.In("pimregistry").Wrapf(err, "restore revision %v", s.Revision) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if s.Revision < r.revision {
 		return ErrStale
 	}
 	now := r.clock.Now()
+	isNewEra := r.isNewEra(s.Revision)
+	if isNewEra {
+		r.beginEra(now)
+	}
 	listed := make(map[pimcatalog.HostID]bool, len(s.Changes))
 	r.isFirstList = r.revision == 0
 	for _, c := range s.Changes {
@@ -166,7 +163,7 @@
 		r.applyChange(now, c)
 	}
 	r.isFirstList = false
-	r.removeMissing(now, listed, s.Revision)
+	r.removeMissing(now, listed, s.Revision, isNewEra)
 	r.base, r.revision, r.isPartial = s.Revision, s.Revision, false
 	r.publish()
 	return nil
@@ -200,62 +197,95 @@
 	return r.removed[id]
 }
 
-// applyConfig puts a configuration in force if its revision and its version are higher than the current ones: an older
-// configuration that is published again must not undo a later one.
+// version returns the version of the configuration in force; zero means that there is none.
+func (r *Registry) version() pimcatalog.Version {
+	if r.config == nil {
+		return 0
+	}
+	return r.config.Version
+}
+
+// applyConfig puts a configuration in force if its version is higher than the current one. Its revision does not count: a
+// platform that was restored from an older copy publishes an older version at a higher revision, and the same version again.
 func (r *Registry) applyConfig(c Change) {
-	if c.Revision <= r.configRevision || r.config != nil && c.Config.Version <= r.config.Version {
+	if r.config != nil && c.Config.Version <= r.config.Version {
 		r.notify(c, Outdated)
 		return
 	}
-	r.recordRouteChanges(c)
-	r.configRevision, r.config = c.Revision, c.Config
-	r.routes = pimcatalog.NewRouteTable(c.Config)
+	r.setConfig(c.Config)
 	r.notify(c, Applied)
 }
 
-// recordRouteChanges records the revision for each route that a new configuration changes or removes.
-func (r *Registry) recordRouteChanges(c Change) {
-	old := make(map[netip.AddrPort]*pimcatalog.Route, len(r.routeRevisions))
+// setConfig puts a configuration in force.
+func (r *Registry) setConfig(cfg *pimcatalog.Config) {
+	r.recordRouteChanges(cfg)
+	r.config, r.wantsWholeConfig = cfg, false
+	r.routes = pimcatalog.NewRouteTable(cfg)
+}
+
+// recordRouteChanges records the version for each route that a new configuration changes or removes.
+func (r *Registry) recordRouteChanges(cfg *pimcatalog.Config) {
+	old := make(map[netip.AddrPort]*pimcatalog.Route, len(r.routeVersions))
 	if r.config != nil {
 		for i := range r.config.Routes {
 			old[r.config.Routes[i].Address] = &r.config.Routes[i]
 		}
 	}
-	for i := range c.Config.Routes {
-		route := &c.Config.Routes[i]
+	for i := range cfg.Routes {
+		route := &cfg.Routes[i]
 		if before := old[route.Address]; before == nil || !before.Equal(route) {
-			r.routeRevisions[route.Address] = c.Revision
+			r.routeVersions[route.Address] = cfg.Version
 		}
 		delete(old, route.Address)
 		delete(r.droppedRoutes, route.Address)
 	}
 	for address := range old {
-		delete(r.routeRevisions, address)
-		r.droppedRoutes[address] = c.Revision
+		delete(r.routeVersions, address)
+		r.droppedRoutes[address] = cfg.Version
 	}
 }
 
-// putHost stores a new or changed entry. An older entry with the same address belongs to a backend server that no
-// longer exists, and is ended at once.
+// putHost stores a new or changed entry.
 func (r *Registry) putHost(now pimclock.Instant, c Change) {
 	h := *c.Host
 	h.ColdUntil = now.Add(h.Warmup)
 	h.Revision, h.Created = c.Revision, c.Created
+	decision := r.storeHost(&h)
+	if r.isFirstList && decision == Applied {
+		decision = Listed
+	}
+	r.notify(c, decision)
+}
+
+// storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era. Of two
+// backend servers with the same address, the one that started first no longer exists, and is ended at once.
+func (r *Registry) storeHost(h *pimcatalog.Host) Decision {
+	if r.keepReport(h) {
+		return Kept
+	}
 	for id, other := range r.hosts {
-		if id != h.ID && other.Address == h.Address && other.Created < h.Created && !other.Gone(never) {
-			gone := *other
-			gone.Unlisted, gone.GoneAt = true, 0
-			r.hosts[id] = &gone
-			r.notify(Change{ID: id, Host: &gone, Revision: c.Revision}, Superseded)
+		switch {
+		case id == h.ID || other.Address != h.Address:
+		case startedBefore(other, h):
+			r.supersede(other, h.Revision)
+		case other.Created.Era() != h.Created.Era() && startedBefore(h, other):
+			h.Unlisted, h.GoneAt = true, 0
 		}
 	}
 	delete(r.removed, h.ID)
-	r.hosts[h.ID] = &h
-	if r.isFirstList {
-		r.notify(c, Listed)
+	r.hosts[h.ID] = h
+	return Applied
+}
+
+// supersede ends a backend server whose address has another owner.
+func (r *Registry) supersede(h *pimcatalog.Host, revision pimid.Revision) {
+	if h.Unlisted && h.GoneAt == 0 {
 		return
 	}
-	r.notify(c, Applied)
+	gone := *h
+	gone.Unlisted, gone.GoneAt = true, 0
+	r.hosts[h.ID] = &gone
+	r.notify(Change{ID: h.ID, Host: &gone, Revision: revision}, Superseded)
 }
 
 // handleUnreadable stops new flows to the backend server of an unreadable entry; its open flows go on.
--- a/internal/coordination/pimregistry/removal.go
+++ b/internal/coordination/pimregistry/removal.go
@@ -14,16 +14,29 @@
 // its entry: it has ended too, unless the platform was unreachable recently. Then the entry may only have lapsed, and
 // the backend server counts as ended only if it does not return by the deadline.
 func (r *Registry) remove(now pimclock.Instant, c Change) {
+	r.removeHost(now, c, false)
+}
+
+// removeHost handles the end of an entry. With mayReturn, a backend server that was leaving may return too: the copy that
+// the platform was restored from may be older than its entry.
+func (r *Registry) removeHost(now pimclock.Instant, c Change, mayReturn bool) {
 	old := r.hosts[c.ID]
 	if old == nil {
 		r.removed[c.ID] = c.Revision
 		return
 	}
 	h := *old
-	h.Unlisted, h.Revision, h.GoneAt = true, c.Revision, now
+	h.Revision = c.Revision
 	decision := Ended
-	if deadline := r.reachability.returnDeadline(now, r.cfg.ReturnWithin); !old.Leaving && now.Before(deadline) {
-		h.GoneAt, decision = deadline, Lapsed
+	deadline := r.reachability.returnDeadline(now, r.cfg.ReturnWithin)
+	switch {
+	case old.Unlisted:
+		// It has ended or lapsed before.
+		decision = Outdated
+	case now.Before(deadline) && (mayReturn || !old.Leaving):
+		h.Unlisted, h.GoneAt, decision = true, deadline, Lapsed
+	default:
+		h.Unlisted, h.GoneAt = true, now
 	}
 	r.hosts[c.ID] = &h
 	c.Host = &h
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -66,7 +66,7 @@
 func (e *edge) start() {
 	e.once.Do(func() {
 		c := e.node.registry.Catalog()
-		e.node.log.Info().Uint64("revision", uint64(c.Revision)).Int("hosts", len(c.Hosts())).Msg("first view")
+		withRevision(e.node.log.Info(), c.Revision).Int("hosts", len(c.Hosts())).Msg("first view")
 		e.wg.Go(e.loop)
 	})
 }
--- a/internal/pimentry/log.go
+++ b/internal/pimentry/log.go
@@ -1,10 +1,13 @@
 package pimentry
 
 import (
+	"github.com/rs/zerolog"
+
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // The limits of the log lines about flows: a line costs about as much as forwarding a packet, and a VM with a tenth of a
@@ -26,8 +29,8 @@
 	}
 	line := e.node.log.Info().
 		Stringer("caller", p.Flow.Caller).Stringer("route", p.Flow.Destination).
-		Stringer("action", verdict.Action).Stringer("reason", verdict.Reason).
-		Uint64("revision", uint64(v.Catalog.Revision)).Int64("view_age_ms", e.node.registry.Age(now).Milliseconds())
+		Stringer("action", verdict.Action).Stringer("reason", verdict.Reason)
+	withRevision(line, v.Catalog.Revision).Int64("view_age_ms", e.node.registry.Age(now).Milliseconds())
 	if p.IsOpen() {
 		line.Int("attempt", p.Attempt)
 	} else {
@@ -43,6 +46,11 @@
 	line.Msg("flow")
 }
 
+// withRevision adds a revision to a log line.
+func withRevision(line *zerolog.Event, r pimid.Revision) *zerolog.Event {
+	return line.Uint64("era", uint64(r.Era())).Uint64("revision", r.Number())
+}
+
 // logDecision logs what the registry did with one published change. Outdated changes and the entries of the first list
 // are left out; the line about the first view has the number of its backend servers.
 func (n *Node) logDecision(c pimregistry.Change, d pimregistry.Decision) {
@@ -53,7 +61,7 @@
 	if d == pimregistry.Unreadable {
 		level = n.log.Warn().Err(c.Fault)
 	}
-	event := level.Str("decision", string(d)).Uint64("revision", uint64(c.Revision))
+	event := withRevision(level.Str("decision", string(d)), c.Revision)
 	if c.Config != nil {
 		event.Uint64("version", uint64(c.Config.Version)).Int("routes", len(c.Config.Routes)).Msg("configuration")
 		return
--- a/internal/pimentry/metrics.go
+++ b/internal/pimentry/metrics.go
@@ -30,8 +30,8 @@
 
 func (n *Node) registerMetrics() {
 	gauge := func(name string, value func() float64) { n.set.NewGauge(name, value) }
-	gauge("pimentoyard_view_revision", func() float64 { return float64(n.registry.Catalog().Revision) })
-	gauge("pimentoyard_platform_era", func() float64 { return float64(n.registry.Era()) })
+	gauge("pimentoyard_view_revision", func() float64 { return float64(n.registry.Catalog().Revision.Number()) })
+	gauge("pimentoyard_platform_era", func() float64 { return float64(n.registry.Catalog().Revision.Era()) })
 	gauge("pimentoyard_view_age_seconds", func() float64 { return n.registry.Age(n.clock.Now()).Seconds() })
 	gauge("pimentoyard_peer_deltas_discarded_total", func() float64 { return float64(n.mesh.gossip.DiscardedTransfers()) })
 	gauge("pimentoyard_view_hosts", func() float64 { return float64(len(n.registry.Catalog().Hosts())) })
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net/http"
 	"net/netip"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -130,6 +131,12 @@
 	delete(f.nodes, i)
 }
 
+// hostOf returns a running backend server of a service.
+func (f *fleet) hostOf(service string) *platformtest.Host {
+	hosts := f.Hosts()
+	return hosts[slices.IndexFunc(hosts, func(h *platformtest.Host) bool { return h.Service() == service })]
+}
+
 // putInRotation waits until all VMs are ready and lets the fabric send packets to them.
 func (f *fleet) putInRotation() {
 	f.t.Helper()
@@ -301,6 +308,40 @@
 	}
 }
 
+// Guards against a change that never arrives, and against a VM that goes back, after the platform was restored from a copy and
+// has given out its latest revisions again.
+func TestChangesArriveAfterThePlatformIsRestored(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 82, 3)
+	copied := f.Store.Copy()
+	both := []platformtest.RouteConfig{{Address: deskAddress, Service: "desk"}, {Address: otherAddress, Service: "desk"}}
+	is.NoErr(f.Configure(both...))
+	leaving := f.hostOf("desk")
+	leaving.Drain()
+	is.NoErr(f.Publish(leaving))
+	isKnown := func(n int) bool {
+		s := f.nodes[n].Status()
+		isLeaving := slices.ContainsFunc(s.Hosts, func(h pimentry.HostStatus) bool { return h.Name == leaving.Name() && h.Leaving })
+		return s.Routes == len(both) && isLeaving
+	}
+	f.await("changes known everywhere", func() bool { return isKnown(1) && isKnown(2) && isKnown(3) })
+
+	f.Store.Restore(copied)
+	isInNewEra := func(n int) bool { return f.nodes[n].Status().Era == 2 }
+	f.await("new era known everywhere", func() bool { return isInNewEra(1) && isInNewEra(2) && isInNewEra(3) })
+	is.True(isKnown(1) && isKnown(2) && isKnown(3)) // although the copy has neither
+
+	is.NoErr(f.Configure(append(both, platformtest.RouteConfig{Address: videoAddress, Service: "video"})...))
+	_, err := f.WriteAgain()
+	is.NoErr(err)
+	for n := range f.nodes {
+		f.await(fmt.Sprintf("new route on VM %d", n), func() bool { return f.nodes[n].Status().Routes == len(both)+1 })
+	}
+	flow := f.open(otherAddress)
+	is.Equal(f.request(flow, "after"), "desk after")
+	is.Equal(leaving.Counts().Opened, 0)
+}
+
 // Guards against a missing status, missing metrics or a missing log line of a refused flow.
 func TestStatusMetricsAndFlowLog(t *testing.T) {
 	is := is.New(t)
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -7,11 +7,13 @@
 
 // Status is the state of a VM as GET /status of the operator server returns it.
 type Status struct {
-	Name       string             `json:"name"`
-	DataCentre pimid.DataCentre   `json:"data_centre"`
-	Ready      bool               `json:"ready"`
-	Revision   pimid.Revision     `json:"revision"`
-	Version    pimcatalog.Version `json:"config_version"`
+	Name       string           `json:"name"`
+	DataCentre pimid.DataCentre `json:"data_centre"`
+	Ready      bool             `json:"ready"`
+	// Era and Revision are those of the view; Revision is the number that the platform gave in its era.
+	Era      pimid.Era          `json:"era"`
+	Revision uint64             `json:"revision"`
+	Version  pimcatalog.Version `json:"config_version"`
 	// ViewAgeMs is the time since the view was confirmed as current.
 	ViewAgeMs int64 `json:"view_age_ms"`
 	UptimeMs  int64 `json:"uptime_ms"`
@@ -41,7 +43,7 @@
 func (n *Node) Status() Status {
 	now, c := n.clock.Now(), n.registry.Catalog()
 	s := Status{
-		Name: n.cfg.Node.Name, DataCentre: n.cfg.Node.DataCentre, Ready: n.isReady(), Revision: c.Revision,
+		Name: n.cfg.Node.Name, DataCentre: n.cfg.Node.DataCentre, Ready: n.isReady(), Era: c.Revision.Era(), Revision: c.Revision.Number(),
 		ViewAgeMs: n.registry.Age(now).Milliseconds(), UptimeMs: now.Sub(n.started).Milliseconds(),
 		Reader: n.mesh.gossip.IsReader(), Peers: n.mesh.gossip.Names(now),
 	}
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -72,9 +72,10 @@
 // Pull requests all changes after a revision, or further chunks of a delta.
 type Pull struct {
 	Since pimid.Revision `cbor:"1,keyasint"`
-	// Base is the revision of the requesting VM's last complete list, Config that of its configuration.
-	Base   pimid.Revision `cbor:"2,keyasint,omitempty"`
-	Config pimid.Revision `cbor:"3,keyasint,omitempty"`
+	// Base is the revision of the requesting VM's last complete list.
+	Base pimid.Revision `cbor:"2,keyasint,omitempty"`
+	// Config is the version of its configuration.
+	Config pimcatalog.Version `cbor:"8,keyasint,omitempty"`
 	// Sum is that of the delta whose chunks are requested, and Chunks are their indexes; zero requests a new delta.
 	Sum    uint64 `cbor:"4,keyasint,omitempty"`
 	Chunks []int  `cbor:"5,keyasint,omitempty"`
--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -58,6 +58,11 @@
 		r.env.Store.Compact()
 		return nil
 	},
+	"platform_restored": func(r *run, _ *rand.Rand) func() {
+		older := r.copyStore()
+		r.env.Store.SetFault(platformtest.Fault{Reset: true})
+		return func() { r.restoreStore(older) }
+	},
 	"delay":    proxyFault(impairment{Delay: 200 * time.Millisecond}),
 	"refuse":   proxyFault(impairment{Refuse: true}),
 	"cut_up":   proxyFault(impairment{DropUp: true}),
--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -31,7 +31,9 @@
 	// changedAt is when a backend server crashed or was stopped, drainedAt when its drain was published.
 	changedAt, drainedAt map[*platformtest.Host]time.Time
 	routes               map[netip.AddrPort]string
-	report               Report
+	// storeCopy is the last copy of the metadata store.
+	storeCopy *platformtest.StoreCopy
+	report    Report
 }
 
 // services are the two services; their names are the first word of each answer.
@@ -60,6 +62,7 @@
 	if err = r.setUp(ctx); err != nil {
 		return report, err
 	}
+	r.copyStore()
 	r.runFaultPhase(ctx)
 	r.checkConvergence(ctx)
 	r.checkHosts()
@@ -270,6 +273,28 @@
 	r.changedAt[h] = time.Now()
 }
 
+// copyStore copies the metadata store and returns the copy before.
+func (r *run) copyStore() (older *platformtest.StoreCopy) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	older, r.storeCopy = r.storeCopy, r.env.Store.Copy()
+	return older
+}
+
+// restoreStore restores the metadata store from a copy. Operator and backend servers write again what is lost; entries of
+// backend servers that have ended expire.
+func (r *run) restoreStore(c *platformtest.StoreCopy) {
+	r.env.Store.Restore(c)
+	r.env.Store.SetFault(platformtest.Fault{})
+	ended, err := r.env.WriteAgain()
+	if err != nil {
+		r.cfg.Log.Error().Err(err).Msg("entries not written again")
+	}
+	for _, key := range ended {
+		r.env.Store.Delete(key)
+	}
+}
+
 // changeConfig adds or removes one route that is not in fixedRoutes.
 func (r *run) changeConfig(rng *rand.Rand) {
 	r.mu.Lock()
--- a/internal/soak/pimsoak/vm.go
+++ b/internal/soak/pimsoak/vm.go
@@ -156,6 +156,7 @@
 
 // status contains the checked fields of the status of a VM.
 type status struct {
+	Era      uint64 `json:"era"`
 	Revision uint64 `json:"revision"`
 	Version  uint64 `json:"config_version"`
 }
--- a/internal/state/pimcatalog/host.go
+++ b/internal/state/pimcatalog/host.go
@@ -52,6 +52,8 @@
 	// StartedAt is when the process of the backend server started, in Unix milliseconds, and identifies its generation;
 	// zero means that it is not published.
 	StartedAt int64
+	// Sequence numbers the reports that the backend server has published since its start.
+	Sequence uint64
 	// Revision is that of the last change of the entry, Created that of its first appearance.
 	Revision, Created pimid.Revision
 	// Unlisted is set once the entry has disappeared; the backend server then counts as ended from GoneAt on.
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -126,7 +126,8 @@
 	if ctx.Err() != nil {
 		return 0
 	}
-	f.cfg.Log.Warn().Err(err).Uint64("revision", uint64(f.cfg.Sink.Revision())).Msg("platform read failed")
+	revision := f.cfg.Sink.Revision()
+	f.cfg.Log.Warn().Err(err).Uint64("era", uint64(revision.Era())).Uint64("revision", revision.Number()).Msg("platform read failed")
 	return f.cfg.Backoff.Next()
 }
 
--- a/pkg/pimid/id.go
+++ b/pkg/pimid/id.go
@@ -26,12 +26,6 @@
 // RequestTag identifies a request under one token; the caller chooses it.
 type RequestTag uint64
 
-// Revision is the platform's version number of the configuration.
-type Revision uint64
-
-// Era is the number of times that the platform was restored from an older copy of its state.
-type Era uint64
-
 // DataCentre is the name of a data centre.
 type DataCentre string
 
