fix: pimentoyard too accepts a platform that was restored from a copy

Change: the platform's responses may have an era, which becomes the upper part of each revision, so that gossip, pulls and tokens, which compare revisions, need no change. A watch from another era leads to a list. The keys have no versions of their own, so a reader waits for 3 s before it lists a new era: what was lost is written again by then, and no VM goes back. Without an era, a lower revision still counts as that of a stale replica.

TestFollowerTakesARestoredPlatform never ends on the earlier code.

--- a/internal/standin/standplatform/server.go
+++ b/internal/standin/standplatform/server.go
@@ -94,8 +94,10 @@
 }
 
 func (s *Server) keys(w http.ResponseWriter, _ *http.Request) {
-	revision, keys := s.servedState().Entries()
-	reply(w, map[string]any{"revision": revision, "keys": keys})
+	state := s.servedState()
+	era := state.Era()
+	revision, keys := state.Entries()
+	reply(w, addEra(era, map[string]any{"revision": revision, "keys": keys}))
 }
 
 func (s *Server) vms(w http.ResponseWriter, _ *http.Request) {
@@ -116,7 +118,9 @@
 	hold := time.NewTimer(s.hold)
 	defer hold.Stop()
 	for held := true; ; {
-		to, events, next, ok := s.servedState().Since(pimid.Revision(from))
+		state := s.servedState()
+		era := state.Era()
+		to, events, next, ok := state.Since(pimid.Revision(from))
 		if !ok {
 			http.Error(w, "compacted", http.StatusGone)
 			return
@@ -124,7 +128,7 @@
 		// If the state is older than the requested revision, the reply has no events and comes at once, as that of an
 		// outdated replica of the platform does.
 		if len(events) > 0 || uint64(to) < from || !held {
-			reply(w, map[string]any{"revision": to, "events": events})
+			reply(w, addEra(era, map[string]any{"revision": to, "events": events}))
 			return
 		}
 		select {
@@ -137,6 +141,14 @@
 	}
 }
 
+// addEra adds the era to a response, unless the platform was never restored.
+func addEra(era pimid.Era, response map[string]any) map[string]any {
+	if era > 0 {
+		response["era"] = era
+	}
+	return response
+}
+
 func reply(w http.ResponseWriter, v any) {
 	w.Header().Set("Content-Type", "application/json")
 	_ = json.NewEncoder(w).Encode(v)
--- a/internal/standin/standplatform/state.go
+++ b/internal/standin/standplatform/state.go
@@ -31,7 +31,9 @@
 // State holds the configuration, whose changes are totally ordered by revision, and the list of VMs; it is safe for
 // concurrent use.
 type State struct {
-	mu       sync.Mutex
+	mu sync.Mutex
+	// era rises each time that the state is restored from a copy.
+	era      pimid.Era
 	revision pimid.Revision
 	keys     map[string]KeyValue
 	log      []Event
@@ -98,6 +100,25 @@
 	return s.revision, out
 }
 
+// Era returns the number of times that the state was restored from a copy.
+func (s *State) Era() pimid.Era {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
+}
+
+// Restore replaces the keys by those of a copy and begins a new era: what was written since is lost, and its revisions are
+// given out again.
+func (s *State) Restore(from *State) {
+	c := from.Clone()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.keys, s.log, s.logStart = c.revision, c.keys, c.log, c.logStart
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
 // Since returns the events after a revision and a channel that is closed at the next change. It reports false if
 // the log does not reach back to the revision.
 func (s *State) Since(from pimid.Revision) (to pimid.Revision, events []Event, next <-chan struct{}, ok bool) {
@@ -144,7 +165,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return &State{
-		revision: s.revision, keys: maps.Clone(s.keys), log: slices.Clone(s.log), logStart: s.logStart,
+		era: s.era, revision: s.revision, keys: maps.Clone(s.keys), log: slices.Clone(s.log), logStart: s.logStart,
 		vms: maps.Clone(s.vms), version: s.version, changed: make(chan struct{}),
 	}
 }
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -9,11 +9,13 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/samber/oops"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimconfig"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimfetch"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
@@ -24,7 +26,8 @@
 	DefaultTimeout      = 5 * time.Second
 	DefaultWatchTimeout = 40 * time.Second
 	// DefaultMaxBytes limits a response in bytes; 33,000 backend servers and 8,900 contracts need about 20 MB of JSON.
-	DefaultMaxBytes = 64 << 20
+	DefaultMaxBytes     = 64 << 20
+	DefaultRestoreDelay = 3 * time.Second
 )
 
 // Settings hold the address of the platform and the limits of a call; zero values take the defaults.
@@ -38,6 +41,8 @@
 	WatchTimeout time.Duration
 	// MaxBytes limits the size of a response.
 	MaxBytes int64
+	// RestoreDelay is the time in which operators write again what the platform has lost when it was restored from a copy.
+	RestoreDelay time.Duration
 }
 
 // Client reads from the platform; it is safe for concurrent use.
@@ -45,6 +50,9 @@
 	cfg   Settings
 	base  *url.URL
 	fetch *pimfetch.Client
+	// era is that of the last snapshot; isEraKnown is set once there was one.
+	era        atomic.Uint64
+	isEraKnown atomic.Bool
 }
 
 // New returns a client, or ErrAddress; cleanup closes idle connections.
@@ -63,6 +71,9 @@
 	if cfg.WatchTimeout == 0 {
 		cfg.WatchTimeout = DefaultWatchTimeout
 	}
+	if cfg.RestoreDelay == 0 {
+		cfg.RestoreDelay = DefaultRestoreDelay
+	}
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = DefaultMaxBytes
 	}
@@ -70,36 +81,65 @@
 	return &Client{cfg: cfg, base: base, fetch: fetch}, cleanup, nil
 }
 
-// Snapshot returns the complete configuration.
+// Snapshot returns the complete configuration. After the platform was restored from an older copy, it waits for
+// Settings.RestoreDelay, so that what was lost is written again and no VM goes back to the older state.
 func (c *Client) Snapshot(ctx context.Context) (snap pimconfig.Snapshot, err error) {
 	defer func() { err = oops.In("pimplatform").Wrapf(err, "read snapshot") }()
-	var r keysResponse
-	if err = c.get(ctx, 0, "/v1/keys", nil, &r); err != nil {
+	r, err := c.keys(ctx)
+	if err != nil {
+		return snap, err
+	}
+	if known := pimid.Era(c.era.Load()); c.isEraKnown.Load() && r.Era > known {
+		pimclock.Sleep(ctx, c.cfg.RestoreDelay)
+		if r, err = c.keys(ctx); err != nil {
+			return snap, err
+		}
+	}
+	c.era.Store(uint64(r.Era))
+	c.isEraKnown.Store(true)
+	if snap.Revision, err = pimid.NewRevision(r.Era, r.Revision); err != nil {
 		return snap, err
 	}
-	snap.Revision = r.Revision
 	snap.Entries = make([]pimconfig.Event, 0, len(r.Keys))
 	for _, k := range r.Keys {
-		snap.Entries = append(snap.Entries, pimconfig.Event{Revision: k.Revision, Key: k.Key, Value: k.Value})
+		revision, err := pimid.NewRevision(r.Era, k.Revision)
+		if err != nil {
+			return snap, err
+		}
+		snap.Entries = append(snap.Entries, pimconfig.Event{Revision: revision, Key: k.Key, Value: k.Value})
 	}
 	return snap, nil
 }
 
+func (c *Client) keys(ctx context.Context) (r keysResponse, err error) {
+	err = c.get(ctx, 0, "/v1/keys", nil, &r)
+	return r, err
+}
+
 // Watch returns the events after a revision. It waits for them as long as the platform holds a watch and ignores its
 // last argument, the requested wait. The batch has no events if none came in that time; its To is below From if the
-// platform replica that answers is older than the state of the caller.
+// platform replica that answers is older than the state of the caller. The error is pimfollow.ErrCompacted if the platform
+// was restored from an older copy since.
 func (c *Client) Watch(ctx context.Context, from pimid.Revision, _ time.Duration) (b pimconfig.Batch, err error) {
-	defer func() { err = oops.In("pimplatform").Wrapf(err, "watch from revision %d", from) }()
+	defer func() { err = oops.In("pimplatform").Wrapf(err, "watch from revision %v", from) }()
 	var r watchResponse
-	query := url.Values{"from": {strconv.FormatUint(uint64(from), 10)}}
+	query := url.Values{"from": {strconv.FormatUint(from.Number(), 10)}}
 	if err = c.get(ctx, c.cfg.WatchTimeout-c.cfg.Timeout, "/v1/watch", query, &r); err != nil {
 		return b, err
 	}
-	b = pimconfig.Batch{From: from, To: r.Revision}
+	if r.Era > from.Era() {
+		return b, pimfollow.ErrCompacted
+	}
+	b.From = from
+	if b.To, err = pimid.NewRevision(r.Era, r.Revision); err != nil {
+		return b, err
+	}
 	for _, e := range r.Events {
-		b.Events = append(b.Events, pimconfig.Event{
-			Revision: e.Revision, Key: e.Key, Value: e.Value, Deleted: e.Deleted,
-		})
+		revision, err := pimid.NewRevision(r.Era, e.Revision)
+		if err != nil {
+			return b, err
+		}
+		b.Events = append(b.Events, pimconfig.Event{Revision: revision, Key: e.Key, Value: e.Value, Deleted: e.Deleted})
 	}
 	return b, nil
 }
--- a/internal/transport/pimplatform/client_test.go
+++ b/internal/transport/pimplatform/client_test.go
@@ -191,6 +191,44 @@
 	close(s.results)
 }
 
+// Guards against changes that are refused as old, and against a configuration that goes back for a moment, after the platform
+// was restored from a copy.
+func TestFollowerTakesARestoredPlatform(t *testing.T) {
+	is := is.New(t)
+	const key, latest = "services/1", `{"id":1,"name":"third"}`
+	state := standplatform.NewState()
+	state.Put(key, []byte(`{"id":1}`))
+	copied := state.Clone()
+	state.Put(key, []byte(`{"id":1,"name":"second"}`))
+	state.Put("services/2", []byte(`{"id":2}`))
+	s := &sink{Store: pimconfig.NewStore(pimconfig.Settings{}), results: make(chan error)}
+	c := client(t, standplatform.NewServer(state, time.Millisecond), Settings{RestoreDelay: 2 * time.Second})
+	backoff := pimfollow.NewBackoff(time.Millisecond, 2*time.Millisecond, rand.New(rand.NewPCG(1, 1)))
+	_, cleanup := pimfollow.New(t.Context(), pimfollow.Config[pimconfig.Batch, pimconfig.Snapshot]{
+		Source: c, Sink: s, Backoff: backoff, Log: zerolog.Nop(),
+	})
+	is.NoErr(<-s.results)
+	is.Equal(len(s.View().Services), 2)
+
+	state.Restore(copied)
+	state.Put("services/2", []byte(`{"id":2}`)) // written again, in another order
+	state.Put(key, []byte(latest))
+	is.NoErr(<-s.results)
+	is.Equal(s.Revision().Era(), pimid.Era(1))
+	is.Equal(len(s.View().Services), 2)
+	state.Put("services/3", []byte(`{"id":3}`))
+	is.NoErr(<-s.results)
+	is.Equal(len(s.View().Services), 3)
+	go func() {
+		// The follower ends only after its last result was received.
+		for err := range s.results {
+			_ = err
+		}
+	}()
+	cleanup()
+	close(s.results)
+}
+
 // Guards against delays outside the bounds, without growth or without jitter.
 func TestBackoffGrowsWithJitterWithinBounds(t *testing.T) {
 	is := is.New(t)
--- a/internal/transport/pimplatform/messages.go
+++ b/internal/transport/pimplatform/messages.go
@@ -8,23 +8,26 @@
 )
 
 type keysResponse struct {
-	Revision pimid.Revision `json:"revision"`
-	Keys     []keyValue     `json:"keys"`
+	// Era is the number of times that the platform was restored from an older copy.
+	Era      pimid.Era  `json:"era"`
+	Revision uint64     `json:"revision"`
+	Keys     []keyValue `json:"keys"`
 }
 
 type keyValue struct {
 	Key      string          `json:"key"`
-	Revision pimid.Revision  `json:"revision"`
+	Revision uint64          `json:"revision"`
 	Value    json.RawMessage `json:"value"`
 }
 
 type watchResponse struct {
-	Revision pimid.Revision `json:"revision"`
-	Events   []watchEvent   `json:"events"`
+	Era      pimid.Era    `json:"era"`
+	Revision uint64       `json:"revision"`
+	Events   []watchEvent `json:"events"`
 }
 
 type watchEvent struct {
-	Revision pimid.Revision  `json:"revision"`
+	Revision uint64          `json:"revision"`
 	Key      string          `json:"key"`
 	Value    json.RawMessage `json:"value,omitempty"`
 	Deleted  bool            `json:"deleted,omitempty"`
