fix: a late entry of an earlier run does not end the next one

Cause: of two backend servers with the same address, the one whose entry appeared first counted as ended. A machine that is cut off from the platform and starts again has a new id; a write of its earlier run that was held up then appears as the newer entry. The class of fault: the order of writes taken for the order of runs.

Change: a later owner must also have started later, as its entries say; if order and start disagree, both stay. TestLateEntryOfAnEarlierRunDoesNotEndTheNextOne fails on the earlier code.

--- a/internal/coordination/pimregistry/era.go
+++ b/internal/coordination/pimregistry/era.go
@@ -32,9 +32,15 @@
 }
 
 // keepReport keeps the known report of a backend server at the revision of h, and returns true, if that of h is outdated.
+// An ended owner of an address stays ended too if the copy has only its known report.
 func (r *Registry) keepReport(h *pimcatalog.Host) bool {
 	old := r.hosts[h.ID]
-	if old == nil || !isReportOutdated(h, old) {
+	if old == nil {
+		return false
+	}
+	isKnown := h.StartedAt == old.StartedAt && h.Sequence == old.Sequence && h.Revision.Era() != old.Revision.Era()
+	mustKeep := isReportOutdated(h, old) || isKnown && isSuperseded(old)
+	if !mustKeep {
 		return false
 	}
 	kept := *old
@@ -45,12 +51,3 @@
 	r.hosts[h.ID] = &kept
 	return true
 }
-
-// startedBefore reports whether a backend server is older than another one. Across eras the revisions at which they appeared
-// say nothing, since an entry of the copy has a later one than those that were lost.
-func startedBefore(a, b *pimcatalog.Host) bool {
-	if a.Created.Era() == b.Created.Era() {
-		return a.Created < b.Created
-	}
-	return a.StartedAt < b.StartedAt
-}
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -257,19 +257,15 @@
 	r.notify(c, decision)
 }
 
-// storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era. Of two
-// backend servers with the same address, the one that started first no longer exists, and is ended at once.
+// storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era. An
+// earlier owner of its address no longer exists, and is ended at once.
 func (r *Registry) storeHost(h *pimcatalog.Host) Decision {
 	if r.keepReport(h) {
 		return Kept
 	}
 	for id, other := range r.hosts {
-		switch {
-		case id == h.ID || other.Address != h.Address:
-		case startedBefore(other, h):
+		if id != h.ID && other.Address == h.Address && isLaterOwner(h, other) {
 			r.supersede(other, h.Revision)
-		case other.Created.Era() != h.Created.Era() && startedBefore(h, other):
-			h.Unlisted, h.GoneAt = true, 0
 		}
 	}
 	delete(r.removed, h.ID)
@@ -277,17 +273,6 @@
 	return Applied
 }
 
-// supersede ends a backend server whose address has another owner.
-func (r *Registry) supersede(h *pimcatalog.Host, revision pimid.Revision) {
-	if h.Unlisted && h.GoneAt == 0 {
-		return
-	}
-	gone := *h
-	gone.Unlisted, gone.GoneAt = true, 0
-	r.hosts[h.ID] = &gone
-	r.notify(Change{ID: h.ID, Host: &gone, Revision: revision}, Superseded)
-}
-
 // handleUnreadable stops new flows to the backend server of an unreadable entry; its open flows go on.
 func (r *Registry) handleUnreadable(c Change) {
 	if old := r.hosts[c.ID]; old != nil {
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -114,6 +114,28 @@
 	is.True(!host(r, 9).Gone(clock.Now()))
 }
 
+// Guards against resets of the flows of a backend server because the run before it, at the same address, writes its entry once
+// more: a write that was held up arrives after the machine has started again.
+func TestLateEntryOfAnEarlierRunDoesNotEndTheNextOne(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := startedRegistry(t, clock)
+	clock.Advance(time.Minute)
+	r.ReadSucceeded()
+	earlier, next := hostChange(11, 9), hostChange(13, 10)
+	earlier.Host.StartedAt, next.Host.StartedAt = 1000, 2000
+	next.Host.Address = earlier.Host.Address
+	again := earlier
+	again.Revision, again.Created = 14, 14
+	apply(t, r, earlier, Change{Revision: 12, ID: 9, Removed: true}, next, again)
+	is.True(host(r, 10).AcceptsNewFlows(clock.Now()))
+	after := hostChange(15, 11)
+	after.Host.Address, after.Host.StartedAt = next.Host.Address, 3000
+	apply(t, r, after)
+	is.True(host(r, 10).Gone(clock.Now()))
+	is.True(host(r, 9).Gone(clock.Now()))
+}
+
 // Guards against an unreadable entry, such as one of another writer, that crashes the VM or whose backend server still
 // gets new flows.
 func TestUnreadableEntryGetsNoNewFlows(t *testing.T) {
