fix: a VM claims to read the platform only once its view is current

Cause: a VM that takes over claims at once, and a higher claim stops the present reader. With a large configuration the first read takes seconds: the reader that was up to date stopped, and the others waited for the one that was not. The class of fault: a role is announced before it can be fulfilled.

Change: no claim while the view is older than the age at which VMs take over. TestVMClaimsNothingBeforeItsViewIsCurrent fails on the earlier code.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -165,7 +165,7 @@
 func (m *Mesh) heartbeat(now pimclock.Instant, v View, peers []pimmesh.PeerAddress) pimmesh.Message {
 	return pimmesh.Message{Heartbeat: &pimmesh.Heartbeat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
-		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now), Loads: v.Loads, Peers: peers,
+		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
 		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base,
 	}}
 }
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -281,6 +281,26 @@
 	}
 }
 
+// Guards against a reader that stops because another VM claims to read whose first read still takes seconds: with large
+// configurations, changes then arrived twice that late.
+func TestVMClaimsNothingBeforeItsViewIsCurrent(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 2, inForceWithin, 1)
+	f.run(time.Second)
+	slow := f.vms[0]
+	hasClaim := func() bool {
+		out := slow.mesh.Announce(f.now, f.view(slow), false)
+		is.Equal(len(out), 1)
+		return out[0].Message.Heartbeat.Claim != nil
+	}
+	slow.asOf = f.now.Add(-inForceWithin)
+	is.True(slow.mesh.ShouldRead(f.now, f.now.Sub(slow.asOf)))
+	is.True(!hasClaim())
+	slow.asOf = f.now // the read has succeeded
+	is.True(slow.mesh.ShouldRead(f.now, 0))
+	is.True(hasClaim())
+}
+
 // Guards against a fleet that gets no new reader when readers fail one after the other, or that keeps several.
 func TestSuccessiveReaderFailures(t *testing.T) {
 	for seed := range uint64(10) {
--- a/internal/coordination/pimgossip/reader.go
+++ b/internal/coordination/pimgossip/reader.go
@@ -68,10 +68,12 @@
 	return m.claim.hash != 0 && now.Sub(m.claim.at) <= m.cfg.ClaimTTL
 }
 
-// claimToSend returns the claim of this VM if it is the reader, else the last recent one received, or nil.
-func (m *Mesh) claimToSend(now pimclock.Instant) *pimmesh.Claim {
+// claimToSend returns the claim of this VM if it is the reader, else the last recent one received, or nil. A VM that has taken
+// over claims nothing before its view, whose age is given, is current: its first read may take seconds, and another reader
+// must not stop meanwhile.
+func (m *Mesh) claimToSend(now pimclock.Instant, age time.Duration) *pimmesh.Claim {
 	switch {
-	case m.reading && m.canRead:
+	case m.reading && m.canRead && age <= m.cfg.TakeoverAge:
 		return &pimmesh.Claim{Hash: m.hash}
 	case m.hasRecentClaim(now):
 		return &pimmesh.Claim{Hash: m.claim.hash, Age: now.Sub(m.claim.at)}
