fix: what a VM sends to others depends only on its source of random numbers

Which VMs a heartbeat names followed the iteration order of a map, so the test had another course in each run.

The check is as it was.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -125,7 +125,7 @@
 	running := m.running(now)
 	m.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
 	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
-		out = append(out, Outgoing{To: p.address, Message: m.heartbeat(now, v, m.sample(m.peers, func(p *peer) bool { return m.isRunning(now, p) }))})
+		out = append(out, Outgoing{To: p.address, Message: m.heartbeat(now, v, m.sample(running))})
 	}
 	return out
 }
@@ -146,10 +146,8 @@
 		// Only some VMs of a data centre send hellos to the seeds, so that a large one loads them no more than a small one.
 		targets = slices.Clone(m.cfg.Seeds)
 	}
-	for _, p := range m.peers {
-		if !m.isRunning(now, p) {
-			targets = append(targets, p.address)
-		}
+	for _, p := range m.chosen(m.peers, func(p *peer) bool { return !m.isRunning(now, p) }) {
+		targets = append(targets, p.address)
 	}
 	for _, to := range targets {
 		if to == m.cfg.Address {
@@ -173,29 +171,32 @@
 // sampleSize is the highest number of VMs that a heartbeat names.
 const sampleSize = 6
 
-// sample returns the names and addresses of up to sampleSize wanted VMs.
-func (m *Mesh) sample(of map[netip.AddrPort]*peer, wanted func(*peer) bool) (names []pimmesh.PeerAddress) {
-	for _, p := range of {
-		// The iteration order of a map is random enough.
-		if wanted(p) {
-			names = append(names, pimmesh.PeerAddress{Name: p.name, Address: p.address})
-		}
-		if len(names) == sampleSize {
-			break
-		}
+// sample returns the names and addresses of up to sampleSize VMs, from a random one on.
+func (m *Mesh) sample(of []*peer) (names []pimmesh.PeerAddress) {
+	if len(of) == 0 {
+		return nil
+	}
+	first := m.rng.IntN(len(of))
+	for i := range min(len(of), sampleSize) {
+		p := of[(first+i)%len(of)]
+		names = append(names, pimmesh.PeerAddress{Name: p.name, Address: p.address})
 	}
 	return names
 }
 
-func (m *Mesh) running(now pimclock.Instant) (running []*peer) {
-	for _, p := range m.peers {
-		if m.isRunning(now, p) {
-			running = append(running, p)
+func (m *Mesh) running(now pimclock.Instant) []*peer {
+	return m.chosen(m.peers, func(p *peer) bool { return m.isRunning(now, p) })
+}
+
+// chosen returns the wanted VMs in the order of their addresses, so that what is sent depends only on the random numbers.
+func (m *Mesh) chosen(of map[netip.AddrPort]*peer, wanted func(*peer) bool) (chosen []*peer) {
+	for _, p := range of {
+		if wanted(p) {
+			chosen = append(chosen, p)
 		}
 	}
-	// A fixed order makes the result depend only on the random numbers.
-	slices.SortFunc(running, func(a, b *peer) int { return a.address.Compare(b.address) })
-	return running
+	slices.SortFunc(chosen, func(a, b *peer) int { return a.address.Compare(b.address) })
+	return chosen
 }
 
 func (m *Mesh) isRunning(now pimclock.Instant, p *peer) bool {
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -78,10 +78,10 @@
 func (m *Mesh) helloReply(now pimclock.Instant, b *pimmesh.Heartbeat, v View) Outgoing {
 	if b.DataCentre == m.cfg.DataCentre {
 		running := func(p *peer) bool { return m.isRunning(now, p) && p.address != b.Address }
-		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.peers, running))}
+		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.peers, running)))}
 	}
 	others := func(p *peer) bool { return p.receivedAt != 0 && !p.leaving && p.address != b.Address }
-	return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.remotePeers[b.DataCentre], others))}
+	return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))}
 }
 
 // recordSender records the sender of a heartbeat and reports whether it was not running before.
