fix: an odd entry of another writer changes nothing for the backend servers

A configuration whose weights overflow an integer ends the process.

Ruled out by the same tests: deep nesting (100,000 to 400,000 levels), numbers of 20 digits or 1e999, ports above 65,535 and bytes that are no JSON end neither a process nor the list; these rows passed before.

An entry with the id of a backend server and another name is ignored, in changes, lists and removals. Weights are bounded where they are added up.

--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -73,18 +73,23 @@
 	return p.candidates[p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })]
 }
 
+// maxWeight bounds a weight, so that the sum of all weights of a route does not overflow.
+const maxWeight = 1 << 31
+
+func boundedWeight(s pimcatalog.Share) int64 { return int64(min(max(0, s.Weight), maxWeight)) }
+
 // service chooses a service at random by the weights of the route; without weights it returns the first one.
 func (p *Placer) service(route *pimcatalog.Route) pimcatalog.Service {
-	total := 0
+	total := int64(0)
 	for _, s := range route.Shares {
-		total += max(0, s.Weight)
+		total += boundedWeight(s)
 	}
 	if len(route.Shares) == 1 || total == 0 {
 		return route.Shares[0].Service
 	}
-	n := p.rng.IntN(total)
+	n := p.rng.Int64N(total)
 	for _, s := range route.Shares {
-		if n -= max(0, s.Weight); n < 0 {
+		if n -= boundedWeight(s); n < 0 {
 			return s.Service
 		}
 	}
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -281,3 +282,17 @@
 	}
 	is.True(toB > flows*8/100 && toB < flows*12/100)
 }
+
+// Guards against weights whose sum overflows and ends the process.
+func TestWeightsOfAnySize(t *testing.T) {
+	is := is.New(t)
+	p := New("ikeja", &fakeObserver{noLoads: true}, pimpick.LeastLoaded{}, rand.New(rand.NewPCG(1, 1)))
+	chosen := map[pimcatalog.Service]int{}
+	for range 200 {
+		chosen[p.service(&pimcatalog.Route{Shares: []pimcatalog.Share{
+			{Service: "a", Weight: math.MaxInt}, {Service: "b", Weight: math.MaxInt}, {Service: "c", Weight: math.MinInt}, {Service: "d", Weight: 0},
+		}})]++
+	}
+	is.True(chosen["a"] > 50 && chosen["b"] > 50)
+	is.Equal(len(chosen), 2)
+}
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -13,6 +13,9 @@
 	Revision, Created pimid.Revision
 	// ID is the backend server of the entry; zero if the entry belongs to none.
 	ID pimcatalog.HostID
+	// Name is the name of the entry, since entries of other writers may have the same ID; empty stands for that of the backend
+	// server.
+	Name string
 	// Host is the new entry of a backend server.
 	Host *pimcatalog.Host
 	// Config is a new configuration.
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -30,8 +30,9 @@
 }
 
 func hostChange(revision pimid.Revision, id pimcatalog.HostID) Change {
-	return Change{Revision: revision, Created: revision, ID: id, Host: &pimcatalog.Host{
-		ID: id, Name: fmt.Sprintf("i-%x", uint64(id)), Service: "desk", DataCentre: "ikeja", Slots: 2,
+	name := fmt.Sprintf("i-%x", uint64(id))
+	return Change{Revision: revision, Created: revision, ID: id, Name: name, Host: &pimcatalog.Host{
+		ID: id, Name: name, Service: "desk", DataCentre: "ikeja", Slots: 2,
 		Address: netip.AddrPortFrom(netip.MustParseAddr("10.1.64.1"), uint16(id)),
 	}}
 }
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -58,6 +58,8 @@
 	Kept Decision = "kept"
 	// Superseded means that a newer backend server uses the address.
 	Superseded Decision = "superseded"
+	// Foreign means that the entry has the id of a backend server with another name, and is ignored.
+	Foreign Decision = "foreign"
 	// Relayed means that the state of a backend server was taken from another VM.
 	Relayed Decision = "relayed"
 )
@@ -159,7 +161,7 @@
 	listed := make(map[pimcatalog.HostID]bool, len(s.Changes))
 	r.isFirstList = r.revision == 0
 	for _, c := range s.Changes {
-		listed[c.ID] = true
+		listed[c.ID] = listed[c.ID] || !r.isForeign(&c)
 		r.applyChange(now, c)
 	}
 	r.isFirstList = false
@@ -178,6 +180,8 @@
 		if c.Fault != nil {
 			r.notify(c, Unreadable)
 		}
+	case r.isForeign(&c):
+		r.notify(c, Foreign)
 	case c.Revision <= r.lastChange(c.ID):
 		r.notify(c, Outdated)
 	case c.Removed:
@@ -189,6 +193,12 @@
 	}
 }
 
+// isForeign reports whether an entry has the id of a backend server that has published its own entry under another name.
+func (r *Registry) isForeign(c *Change) bool {
+	h := r.hosts[c.ID]
+	return h != nil && c.Name != "" && c.Name != h.Name
+}
+
 // lastChange returns the revision of the last change of an entry.
 func (r *Registry) lastChange(id pimcatalog.HostID) pimid.Revision {
 	if h := r.hosts[id]; h != nil {
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -149,6 +150,34 @@
 	is.Equal(host(r, 99), nil)
 }
 
+// Guards against an entry of another writer whose name has the id of a backend server, and that takes it out of service, moves
+// its flows to another address, or keeps it listed after its own entry has ended.
+func TestEntryWithTheIDOfAnotherBackendServerIsIgnored(t *testing.T) {
+	other := hostChange(11, 7)
+	other.Name, other.Host.Name = "copy-of-7", "copy-of-7"
+	other.Host.Address = netip.MustParseAddrPort("10.1.64.9:9")
+	for name, c := range map[string]Change{
+		"unreadable": {Revision: 11, ID: 7, Name: "copy-of-7", Fault: errors.New("a field is missing")},
+		"readable":   other,
+		"removed":    {Revision: 11, ID: 7, Name: "copy-of-7", Removed: true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := &pimclock.Manual{}
+			r := startedRegistry(t, clock)
+			clock.Advance(time.Minute)
+			apply(t, r, c)
+			is.Equal(host(r, 7).Address, hostChange(6, 7).Host.Address)
+			is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
+			is.NoErr(r.Restore(Snapshot{Revision: 13, Changes: []Change{configChange(5, 3, route(1, time.Second)), hostChange(12, 7), c}}))
+			is.Equal(host(r, 7).Address, hostChange(6, 7).Host.Address)
+			is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
+			is.NoErr(r.Restore(Snapshot{Revision: 14, Changes: []Change{configChange(5, 3, route(1, time.Second)), c}}))
+			is.True(host(r, 7).Gone(clock.Now()))
+		})
+	}
+}
+
 // Guards against a repeated watch whose old copy of an entry restores a removed backend server.
 func TestRepeatedChangesAreIgnored(t *testing.T) {
 	is := is.New(t)
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -308,6 +309,46 @@
 	}
 }
 
+// Guards against VMs that end, or no longer follow the platform, because of an entry of another writer among those of the backend
+// servers, and against flows that are sent to it.
+func TestOddEntriesOfAnotherWriterChangeNothing(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 83, 2)
+	entry := func(field string, value any) map[string]any {
+		e := f.hostOf("desk").Entry()
+		e[field] = value
+		return e
+	}
+	own := strings.TrimPrefix(f.hostOf("desk").Name(), "i-")
+	for key, e := range map[string]map[string]any{
+		"i-0000e001": entry("capacity", uint64(math.MaxInt64)), "i-0000e002": entry("capacity", json.Number("1e999")),
+		"i-0000e003": entry("address", "127.0.0.1:0"), "i-0000e004": entry("address", "127.0.0.1:99999"),
+		"i-0000e005": entry("warmup_left_ms", 1e300), "i-0000e006": entry("seq", json.Number("99999999999999999999")),
+		"x-" + own: entry("capacity", "two"), "y-" + own: entry("address", "[2001:db8::1]:80"),
+	} {
+		_, err := f.Store.PutJSON("servers/"+key, e)
+		is.NoErr(err)
+	}
+	const depth = 400_000
+	f.Store.Put("servers/i-0000e007", []byte(strings.Repeat("[", depth)+strings.Repeat("]", depth)))
+	f.Store.Put("servers/i-0000e008", []byte(strings.Repeat(`{"a":`, depth/8)))
+	routes := []platformtest.RouteConfig{
+		{Address: deskAddress, Service: "desk"}, {Address: otherAddress, Service: "desk"}, {Address: videoAddress, Service: "video"},
+	}
+	is.NoErr(f.Configure(routes...))
+	f.start(3) // with a complete list, or the view of the others
+	for i := range f.nodes {
+		f.await(fmt.Sprintf("VM %d follows the platform", i), func() bool { return f.nodes[i].Status().Routes == len(routes) })
+		is.Equal(len(f.nodes[i].Status().Hosts), len(f.Hosts()))
+		f.SetVMs(f.VMAddress(i))
+		for range 8 {
+			is.Equal(f.request(f.open(otherAddress), "x"), "desk x")
+		}
+	}
+	isLeaving := func(h pimentry.HostStatus) bool { return h.Leaving }
+	is.True(!slices.ContainsFunc(f.nodes[1].Status().Hosts, isLeaving))
+}
+
 // Guards against a change that never arrives, and against a VM that goes back, after the platform was restored from a copy and
 // has given out its latest revisions again.
 func TestChangesArriveAfterThePlatformIsRestored(t *testing.T) {
