--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -189,7 +189,7 @@
 // ErrTooLarge or ErrMalformed.
 func decode(r io.Reader, limit int64, into any) error {
 	body := &io.LimitedReader{R: r, N: limit + 1}
-	dec := json.NewDecoder(body)
+	dec := json.NewDecoder(&nestingReader{r: body})
 	dec.DisallowUnknownFields()
 	err := dec.Decode(into)
 	if err == nil {
--- a/internal/transport/pimplatform/client_test.go
+++ b/internal/transport/pimplatform/client_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/iotest"
 	"time"
 
 	"github.com/matryer/is"
@@ -251,6 +254,59 @@
 	is.Equal(b.Next(), 100*time.Millisecond)
 }
 
+// Guards against a list or a watch that cannot be read because the value of one entry, left by another writer, is very deeply
+// nested or has a number that is too large: no VM would receive a change any more.
+func TestOddValueDoesNotHideTheOthers(t *testing.T) {
+	const levels = 100_000
+	for name, value := range map[string]string{
+		"arrays":           strings.Repeat("[", levels) + strings.Repeat("]", levels),
+		"objects":          strings.Repeat(`{"a":`, levels) + `"]}\\"` + strings.Repeat("}", levels),
+		"text of brackets": `"` + strings.Repeat("[", levels) + `"`, "number": "1e999",
+	} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			c := client(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				list := "keys"
+				if r.URL.Path == "/v1/watch" {
+					list = "events"
+				}
+				// A lost connection fails the call.
+				_, _ = fmt.Fprintf(w, `{"revision":9,%q:[{"key":"backends/1","revision":8,"value":{"id":1}},`+
+					`{"key":"backends/2","revision":9,"value":%s},{"key":"backends/3","revision":9,"value":{"id":3}}]}`, list, value)
+			}), Settings{})
+			snap, err := c.Snapshot(t.Context())
+			is.NoErr(err)
+			b, err := c.Watch(t.Context(), 7, 0)
+			is.NoErr(err)
+			for _, entries := range [][]pimconfig.Event{snap.Entries, b.Events} {
+				is.Equal(len(entries), 3)
+				is.Equal(string(entries[0].Value), `{"id":1}`)
+				is.Equal(string(entries[2].Value), `{"id":3}`)
+				store := pimconfig.NewStore(pimconfig.Settings{})
+				is.NoErr(store.Restore(pimconfig.Snapshot{Revision: 9, Entries: entries}))
+				is.Equal(len(store.View().Backends), 2)
+				is.Equal(len(store.BadValues()), 1)
+			}
+		})
+	}
+}
+
+// Guards against text that is changed although it is not nested too deeply.
+func TestNestingUpToTheLimitIsKept(t *testing.T) {
+	is := is.New(t)
+	nested := func(levels int, inner string) string {
+		return strings.Repeat(`[{"\\\"[{":`, levels/2) + inner + strings.Repeat("}]", levels/2)
+	}
+	shortened := func(text string) string {
+		got, err := io.ReadAll(&nestingReader{r: iotest.OneByteReader(strings.NewReader(text))})
+		is.NoErr(err)
+		return string(got)
+	}
+	deepest := nested(maxNesting, `"]}"`)
+	is.Equal(shortened(deepest+deepest), deepest+deepest)
+	is.Equal(shortened(nested(maxNesting+6, `"]}\\"`)), nested(maxNesting, "0"))
+}
+
 // FuzzDecode guards against a crash on any response and against a response above the limit being accepted.
 func FuzzDecode(f *testing.F) {
 	f.Add(`{"revision":1,"events":[{"revision":1,"key":"services/1","value":{"id":1}}]}`)
