fix: the age of a view counts from the platform's answer, not from the end of the call

Cause: a response of 1 MB takes 2.7 s on such a link, and the view counted as current when its last byte arrived, although the platform had answered seconds before. So a VM refused flows for routes that were published meanwhile, and the other VMs relied on a reader that was behind. The class of fault: the age of information counted from its arrival.

The reader ends its next watch before its view is so old that others take over.

What remains: backend servers that leave are not known while a large configuration arrives.

--- a/internal/coordination/pimconfig/model.go
+++ b/internal/coordination/pimconfig/model.go
@@ -1,6 +1,10 @@
 package pimconfig
 
-import "github.com/pimentoyard/pimentoyard/pkg/pimid"
+import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
 
 // Event is one change of one key.
 type Event struct {
@@ -47,3 +51,9 @@
 
 // End returns the revision up to which the batch holds all changes.
 func (b Batch) End() pimid.Revision { return b.To }
+
+// Lag returns 0: the age of a batch is not used.
+func (b Batch) Lag() time.Duration { return 0 }
+
+// Lag returns 0: the age of a snapshot is not used.
+func (s Snapshot) Lag() time.Duration { return 0 }
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -301,6 +301,20 @@
 	is.True(hasClaim())
 }
 
+// Guards against other VMs that take over because the view of the reader, which was old already after a large response, gets
+// older still while the platform holds the next watch.
+func TestWatchEndsBeforeTheViewIsTooOld(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings(inForceWithin)
+	m := New(cfg, rand.New(rand.NewPCG(1, 1)))
+	for age := time.Duration(0); age < 2*inForceWithin; age += 50 * time.Millisecond {
+		hold := m.WatchTimeout(age)
+		is.True(hold > 0)
+		is.True(age+hold <= max(cfg.WatchTimeout, age+time.Millisecond))
+	}
+	is.Equal(m.WatchTimeout(0), cfg.WatchTimeout)
+}
+
 // Guards against a fleet that gets no new reader when readers fail one after the other, or that keeps several.
 func TestSuccessiveReaderFailures(t *testing.T) {
 	for seed := range uint64(10) {
--- a/internal/coordination/pimgossip/reader.go
+++ b/internal/coordination/pimgossip/reader.go
@@ -41,12 +41,10 @@
 	return time.Duration(float64(m.cfg.TakeoverSpread) * (float64(m.hash) / math.MaxUint64))
 }
 
-// WatchTimeout returns how long the platform may hold the next watch. A VM that takes over needs the answer at once.
+// WatchTimeout returns how long the platform may hold the next watch: the view, whose age is given, must not get so old that
+// other VMs take over. A VM that takes over needs the answer at once.
 func (m *Mesh) WatchTimeout(age time.Duration) time.Duration {
-	if age > m.cfg.TakeoverAge {
-		return time.Millisecond
-	}
-	return m.cfg.WatchTimeout
+	return max(time.Millisecond, m.cfg.WatchTimeout-age)
 }
 
 // SetCanRead records whether the last read of the platform succeeded. A VM that cannot read claims nothing.
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
@@ -30,12 +31,16 @@
 type Batch struct {
 	From, To pimid.Revision
 	Changes  []Change
+	// ResponseLag is the time from the answer of the platform to the end of the call.
+	ResponseLag time.Duration
 }
 
 // Snapshot holds all published entries at a revision; some of them may be newer than Revision.
 type Snapshot struct {
 	Revision pimid.Revision
 	Changes  []Change
+	// ResponseLag is the time from the answer of the platform with the first page to the end of the last call.
+	ResponseLag time.Duration
 }
 
 // ErrGap means that changes between the revision in force and the start of a delta are missing.
@@ -46,3 +51,9 @@
 
 // End returns the revision up to which the batch holds all changes.
 func (b Batch) End() pimid.Revision { return b.To }
+
+// Lag returns the time from the answer of the platform to the end of the call.
+func (b Batch) Lag() time.Duration { return b.ResponseLag }
+
+// Lag returns the time from the first answer of the platform to the end of the last call.
+func (s Snapshot) Lag() time.Duration { return s.ResponseLag }
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -48,12 +48,12 @@
 	is := is.New(t)
 	clock := &pimclock.Manual{}
 	behind, late := newRegistry(clock), newRegistry(clock)
-	behind.ReadSucceeded()
+	behind.ReadSucceeded(0)
 	is.NoErr(behind.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(5, 1, route(1, time.Second), route(2, time.Second)), hostChange(6, 7), hostChange(7, 8),
 	}}))
 	// The late VM reads the platform after route 2 and backend server 8 were removed.
-	late.ReadSucceeded()
+	late.ReadSucceeded(0)
 	is.NoErr(late.Restore(Snapshot{Revision: 20, Changes: []Change{configChange(15, 2, route(1, time.Second)), hostChange(6, 7)}}))
 	is.NoErr(behind.Merge(late.Since(behind.DeltaRequest())))
 	is.Equal(behind.Revision(), pimid.Revision(20))
@@ -117,7 +117,7 @@
 	case 0, 1:
 		p.publishRandomChange(rng)
 	case 2:
-		r.ReadSucceeded()
+		r.ReadSucceeded(0)
 		_ = r.Restore(p.snapshot()) // a list older than the view is refused
 	case 3:
 		if b := p.since(r.Revision()); b.From > 0 {
@@ -221,7 +221,7 @@
 // checkAgreement lets one VM read the platform and send its view to the others; all views must then match the platform.
 func checkAgreement(t *testing.T, seed uint64, p *fakePlatform, clock *pimclock.Manual, fleet []*Registry) {
 	t.Helper()
-	fleet[0].ReadSucceeded()
+	fleet[0].ReadSucceeded(0)
 	if err := fleet[0].Restore(p.snapshot()); err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
@@ -262,7 +262,7 @@
 	cfg := DefaultSettings(3 * time.Second)
 	cfg.PartSize = 2
 	sender, starting := New(cfg, clock, nil), New(cfg, clock, nil)
-	sender.ReadSucceeded()
+	sender.ReadSucceeded(0)
 	is.NoErr(sender.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(9, 1, route(1, time.Second)), hostChange(2, 2), hostChange(3, 3), hostChange(4, 4), hostChange(8, 5),
 	}}))
--- a/internal/coordination/pimregistry/reachability.go
+++ b/internal/coordination/pimregistry/reachability.go
@@ -36,12 +36,14 @@
 	r.reachability.reachable = false
 }
 
-// ReadSucceeded records that a read of the platform succeeded. Call it before the result is applied.
-func (r *Registry) ReadSucceeded() {
+// ReadSucceeded records that a read of the platform succeeded, which had answered the time lag before. Call it before the
+// result is applied.
+func (r *Registry) ReadSucceeded(lag time.Duration) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	now := r.clock.Now()
-	r.lastOK.Store(int64(now))
+	asOf := now.Add(-lag)
+	r.lastOK.Store(max(r.lastOK.Load(), int64(asOf)))
 	if !r.reachability.reachable {
 		r.reachability = reachability{reachable: true, since: now}
 	}
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -17,7 +17,7 @@
 func startedRegistry(t *testing.T, clock pimclock.Clock) *Registry {
 	t.Helper()
 	r := newRegistry(clock)
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	if err := r.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(5, 3, route(1, time.Second)), hostChange(6, 7), hostChange(7, 8),
 	}}); err != nil {
@@ -66,7 +66,7 @@
 	clock.Advance(time.Minute)
 	r.ReadFailed()
 	clock.Advance(20 * time.Second)
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	apply(t, r, Change{Revision: 11, ID: 7, Removed: true}, Change{Revision: 12, ID: 8, Removed: true})
 	is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
 	clock.Advance(2 * time.Second)
@@ -82,7 +82,7 @@
 	clock := &pimclock.Manual{}
 	r := startedRegistry(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	apply(t, r, Change{Revision: 11, ID: 7, Removed: true})
 	is.True(host(r, 7).Gone(clock.Now()))
 }
@@ -98,7 +98,7 @@
 	is.True(!host(r, 7).AcceptsNewFlows(clock.Now()))
 	is.True(!host(r, 7).Gone(clock.Now())) // its open flows go on
 	r.ReadFailed()
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	apply(t, r, Change{Revision: 12, ID: 7, Removed: true})
 	is.True(host(r, 7).Gone(clock.Now()))
 }
@@ -122,7 +122,7 @@
 	clock := &pimclock.Manual{}
 	r := startedRegistry(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	earlier, next := hostChange(11, 9), hostChange(13, 10)
 	earlier.Host.StartedAt, next.Host.StartedAt = 1000, 2000
 	next.Host.Address = earlier.Host.Address
@@ -198,11 +198,11 @@
 	clock.Advance(time.Hour)
 	r := newRegistry(clock)
 	is.True(!r.Fresh(clock.Now()))
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	is.True(r.Fresh(clock.Now()))
 	is.True(!r.Settled(clock.Now()))
 	clock.Advance(DefaultSettings(3 * time.Second).ReturnWithin)
-	r.ReadSucceeded()
+	r.ReadSucceeded(0)
 	is.True(r.Settled(clock.Now()))
 	clock.Advance(4 * time.Second)
 	is.True(!r.Fresh(clock.Now()))
@@ -214,3 +214,20 @@
 	is.Equal(r.Age(clock.Now()), time.Second)
 	is.Equal(r.Revision(), pimid.Revision(10))
 }
+
+// Guards against a view that counts as current at the end of a call, although the platform answered seconds before, and against
+// a late response that makes a view look older than another VM has confirmed it.
+func TestViewIsAsOldAsTheAnswerOfThePlatform(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := startedRegistry(t, clock)
+	clock.Advance(time.Minute)
+	r.ReadSucceeded(2 * time.Second)
+	is.Equal(r.Age(clock.Now()), 2*time.Second)
+	clock.Advance(2 * time.Second)
+	is.True(!r.Fresh(clock.Now()))
+	r.Confirm(r.Revision(), clock.Now().Add(-time.Second))
+	is.Equal(r.Age(clock.Now()), time.Second)
+	r.ReadSucceeded(3 * time.Second)
+	is.Equal(r.Age(clock.Now()), time.Second)
+}
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -195,14 +195,14 @@
 	}
 }
 
-// recordRead records the result of a read of the platform in the mesh and the registry.
-func (n *Node) recordRead(err error) {
+// recordRead records the result of a read of the platform, and the lag of its response, in the mesh and the registry.
+func (n *Node) recordRead(lag time.Duration, err error) {
 	n.mesh.gossip.SetCanRead(err == nil)
 	if err != nil {
 		n.registry.ReadFailed()
 		return
 	}
-	n.registry.ReadSucceeded()
+	n.registry.ReadSucceeded(lag)
 }
 
 // viewChanged starts the edge with the first view and announces the changed view to other VMs.
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -23,10 +23,17 @@
 type Batch interface {
 	// End returns the revision up to which the batch contains all changes.
 	End() pimid.Revision
+	Response
+}
+
+// Response is the result of a call to a source.
+type Response interface {
+	// Lag returns the time from the answer of the source to the end of the call: a large response takes long to arrive.
+	Lag() time.Duration
 }
 
 // Source is a versioned key-value store that can be listed and watched.
-type Source[B Batch, S any] interface {
+type Source[B Batch, S Response] interface {
 	// Snapshot returns the complete state.
 	Snapshot(ctx context.Context) (S, error)
 	// Watch returns the changes after a revision. It waits for them for at most hold, or less if the source limits the
@@ -35,14 +42,14 @@
 }
 
 // Sink stores the state that a follower reads.
-type Sink[B Batch, S any] interface {
+type Sink[B Batch, S Response] interface {
 	Revision() pimid.Revision
 	Apply(B) error
 	Restore(S) error
 }
 
 // Config holds the source, the sink and the callbacks of a follower.
-type Config[B Batch, S any] struct {
+type Config[B Batch, S Response] struct {
 	Source Source[B, S]
 	Sink   Sink[B, S]
 	// Enabled reports whether this VM reads the source at present; nil means always.
@@ -56,16 +63,16 @@
 	BatchDelay time.Duration
 	// Changed is called after each change of the sink; nil means no callback.
 	Changed func()
-	// Observe is called with the error of each read, or nil, before its result is applied, but not with ErrCompacted or
-	// ErrTooLarge of a watch; nil means no callback.
-	Observe func(err error)
+	// Observe is called with the error of each read, or nil and the lag of the response, before the result is applied, but
+	// not with ErrCompacted or ErrTooLarge of a watch; nil means no callback.
+	Observe func(lag time.Duration, err error)
 	// Backoff gives the delay after a failed read.
 	Backoff *Backoff
 	Log     zerolog.Logger
 }
 
 // Follower keeps a sink up to date while it is enabled.
-type Follower[B Batch, S any] struct {
+type Follower[B Batch, S Response] struct {
 	cfg Config[B, S]
 	wg  sync.WaitGroup
 }
@@ -77,7 +84,7 @@
 )
 
 // New starts a goroutine that follows the source until cleanup is called, which waits for the goroutine to end.
-func New[B Batch, S any](ctx context.Context, cfg Config[B, S]) (f *Follower[B, S], cleanup func()) {
+func New[B Batch, S Response](ctx context.Context, cfg Config[B, S]) (f *Follower[B, S], cleanup func()) {
 	if cfg.Enabled == nil {
 		cfg.Enabled = func() bool { return true }
 	}
@@ -91,7 +98,7 @@
 		cfg.Changed = func() {}
 	}
 	if cfg.Observe == nil {
-		cfg.Observe = func(error) {}
+		cfg.Observe = func(time.Duration, error) {}
 	}
 	f = &Follower[B, S]{cfg: cfg}
 	ctx, cancel := context.WithCancel(ctx)
@@ -142,19 +149,24 @@
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) {
 		return true, f.readAll(ctx)
 	}
-	f.cfg.Observe(err)
-	if err != nil || b.End() == from {
+	if err != nil {
+		f.cfg.Observe(0, err)
 		return false, err
 	}
+	f.cfg.Observe(b.Lag(), nil)
+	if b.End() == from {
+		return false, nil
+	}
 	return true, f.notifyApplied(f.cfg.Sink.Apply(b))
 }
 
 func (f *Follower[B, S]) readAll(ctx context.Context) error {
 	snap, err := f.cfg.Source.Snapshot(ctx)
-	f.cfg.Observe(err)
 	if err != nil {
+		f.cfg.Observe(0, err)
 		return err
 	}
+	f.cfg.Observe(snap.Lag(), nil)
 	return f.notifyApplied(f.cfg.Sink.Restore(snap))
 }
 
