fix: only one VM of a data centre waits at the platform for the first configuration

Cause: a VM without a configuration always read, which was meant for a VM without a view. And a VM whose list was older than that of the reader could not take the full state from it.

Change: only a VM without a view always reads; the others follow the reader, and a view without a configuration may be replaced by the full state of another VM.

TestOneVMWaitsForTheFirstConfiguration fails on the earlier code (not within 30 s).

--- a/internal/coordination/pimgossip/pull.go
+++ b/internal/coordination/pimgossip/pull.go
@@ -55,13 +55,13 @@
 
 // mayPullFull reports whether the full state may be pulled from the sender. A VM that lacks only some changes gets them
 // from another VM, or reads the platform once its view is old; only if it cannot read it, or its view is from an earlier
-// era, it pulls the full state again. Traffic between data centres is expensive, so another data centre is used only if the
+// era or has no configuration, it pulls the full state again. Traffic between data centres is expensive, so another data centre is used only if the
 // platform cannot be read.
 func (m *Mesh) mayPullFull(b *pimmesh.Heartbeat, v View) bool {
 	if !m.canRead {
 		return true
 	}
-	isUseless := v.Revision == 0 || v.Revision.Era() < b.Revision.Era()
+	isUseless := v.Revision == 0 || v.Config == 0 || v.Revision.Era() < b.Revision.Era()
 	return isUseless && b.DataCentre == m.cfg.DataCentre
 }
 
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -211,10 +211,10 @@
 	n.mesh.announce(false)
 }
 
-// shouldRead reports whether this VM reads the platform now. A VM without a configuration always does.
+// shouldRead reports whether this VM reads the platform now. A VM without a view always does.
 func (n *Node) shouldRead() bool {
 	now := n.clock.Now()
-	return !n.registry.Catalog().Ready() || n.mesh.gossip.ShouldRead(now, n.registry.Age(now))
+	return n.registry.Revision() == 0 || n.mesh.gossip.ShouldRead(now, n.registry.Age(now))
 }
 
 // watchTimeout returns how long the platform may hold the next watch.
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -309,6 +309,40 @@
 	}
 }
 
+// Guards against a fleet of which every VM watches the platform as long as no configuration is published, and against VMs that
+// then wait for the configuration although another VM has it.
+func TestOneVMWaitsForTheFirstConfiguration(t *testing.T) {
+	is := is.New(t)
+	const vms, inARow = 5, 4
+	env, cleanup, err := platformtest.NewEnvironment(84)
+	is.NoErr(err)
+	t.Cleanup(cleanup)
+	f := &fleet{Environment: env, t: t, nodes: map[int]*pimentry.Node{}, cleanups: map[int]func(){}}
+	var mu sync.Mutex
+	var callers []string
+	env.Store.SetOnCall(func(caller string) {
+		mu.Lock()
+		defer mu.Unlock()
+		callers = append(callers, caller)
+	})
+	for i := range vms {
+		f.start(i + 1)
+		t.Cleanup(func() { f.stop(i + 1) })
+		_, err = env.AddHost("desk", "ikeja", time.Millisecond) // the lists of the VMs have different revisions
+		is.NoErr(err)
+	}
+	f.await("the last calls are from one VM", func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		last := callers[max(0, len(callers)-inARow):]
+		return len(last) == inARow && len(slices.Compact(slices.Clone(last))) == 1
+	})
+	is.NoErr(env.Configure(platformtest.RouteConfig{Address: deskAddress, Service: "desk"}))
+	for i := range vms {
+		f.await(fmt.Sprintf("VM %d ready", i+1), func() bool { return f.ready(i + 1) })
+	}
+}
+
 // Guards against VMs that end, or no longer follow the platform, because of an entry of another writer among those of the backend
 // servers, and against flows that are sent to it.
 func TestOddEntriesOfAnotherWriterChangeNothing(t *testing.T) {
