fix: VMs retry failed reads of the platform at the rate of their data centre, not each for itself

What operators pay for: while the platform is away, each VM of a large data centre calls it every second or so, and all call at once when it returns; the platform answers a limited number of calls and charges for each.

Cause: the backoff after a failed read is up to 0.8 s, whatever the number of VMs that fail together.

Change: its ceiling grows with the number of running VMs beyond 4. The first VM that succeeds informs the others, so the data centre notices the return as soon as before.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -142,7 +142,7 @@
 	}
 	m.lastHello = now
 	var targets []netip.AddrPort
-	if isolated || m.rng.IntN(len(m.running(now))) < m.cfg.Fanout {
+	if isolated || m.rng.IntN(m.countRunning(now)) < m.cfg.Fanout {
 		// Only some VMs of a data centre send hellos to the seeds, so that a large one loads them no more than a small one.
 		targets = slices.Clone(m.cfg.Seeds)
 	}
@@ -188,6 +188,16 @@
 	return m.chosen(m.peers, func(p *peer) bool { return m.isRunning(now, p) })
 }
 
+// countRunning returns the number of other running VMs.
+func (m *Mesh) countRunning(now pimclock.Instant) (n int) {
+	for _, p := range m.peers {
+		if m.isRunning(now, p) {
+			n++
+		}
+	}
+	return n
+}
+
 // chosen returns the wanted VMs in the order of their addresses, so that what is sent depends only on the random numbers.
 func (m *Mesh) chosen(of map[netip.AddrPort]*peer, wanted func(*peer) bool) (chosen []*peer) {
 	for _, p := range of {
@@ -232,5 +242,5 @@
 func (m *Mesh) Running(now pimclock.Instant) int {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return len(m.running(now))
+	return m.countRunning(now)
 }
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -20,9 +20,13 @@
 	address  netip.AddrPort
 	revision pimid.Revision
 	asOf     pimclock.Instant
-	// A VM that is down neither sends nor receives; one that is cutOff cannot read the platform.
+	// A VM that is down neither sends nor receives; one that is cutOff cannot read the platform, and its calls get no answer if
+	// the platform hangs.
 	down, cutOff bool
 	reads        int
+	// After failures reads in a row, the next one is at retryAt or later.
+	failures int
+	retryAt  pimclock.Instant
 	// watchUntil is when the pending watch ends at the latest; 0 if there is none.
 	watchUntil pimclock.Instant
 	bytes      int
@@ -39,8 +43,12 @@
 	vms      []*vm
 	at       map[netip.AddrPort]*vm
 	revision pimid.Revision
+	// compacted is the revision up to which the platform has discarded its history.
+	compacted pimid.Revision
 	// loss is the share of messages that are lost; blocked reports whether messages from one VM to another are dropped.
-	loss    float64
+	loss float64
+	// hangs is set if calls of VMs that are cut off get no answer instead of an error.
+	hangs   bool
 	blocked func(from, to *vm) bool
 	// answerTime is how long the answer to a pull takes; answers holds those in transit.
 	answerTime time.Duration
@@ -52,6 +60,8 @@
 	at       pimclock.Instant
 	to       *vm
 	revision pimid.Revision
+	// base is that of the sender, if the answer holds its full state; zero for changes.
+	base pimid.Revision
 }
 
 const step = 10 * time.Millisecond
@@ -108,17 +118,35 @@
 		}
 		v.watchUntil = 0
 		v.mesh.SetCanRead(!v.cutOff)
-		if !v.cutOff {
-			v.asOf = f.now
-			f.setRevision(v, f.revision)
+		if v.cutOff {
+			v.retryAt = f.now.Add(f.retryDelay(v))
+			v.failures++
+			return
+		}
+		v.asOf, v.failures = f.now, 0
+		if v.revision < f.compacted { // the platform is listed
+			v.reads++
+			v.base = f.revision
 		}
+		f.setRevision(v, f.revision)
 		return
 	}
-	if !v.mesh.ShouldRead(f.now, f.now.Sub(v.asOf)) {
+	if f.now.Before(v.retryAt) || !v.mesh.ShouldRead(f.now, f.now.Sub(v.asOf)) {
 		return
 	}
 	v.reads++
 	v.watchUntil = f.now.Add(max(step, v.mesh.WatchTimeout(f.now.Sub(v.asOf))))
+	if f.hangs && v.cutOff {
+		const timeout = time.Second
+		v.watchUntil = v.watchUntil.Add(timeout)
+	}
+}
+
+// retryDelay returns the delay after a failed read, as pimfollow.Backoff does.
+func (f *fleet) retryDelay(v *vm) time.Duration {
+	const shortest, longest = 100 * time.Millisecond, 800 * time.Millisecond
+	ceiling := float64(min(shortest<<min(v.failures, 10), longest)) * v.mesh.RetryScale(f.now)
+	return shortest + time.Duration(f.rng.Float64()*(ceiling-float64(shortest)))
 }
 
 // setRevision moves a VM to a newer revision, which it announces; older revisions are ignored.
@@ -167,7 +195,11 @@
 		since = 0
 	}
 	to.received += int(from.revision - since)
-	f.answers = append(f.answers, answer{at: f.now.Add(f.answerTime), to: to, revision: from.revision})
+	a := answer{at: f.now.Add(f.answerTime), to: to, revision: from.revision}
+	if since == 0 {
+		a.base = from.base
+	}
+	f.answers = append(f.answers, a)
 	f.deliverAnswers()
 }
 
@@ -176,6 +208,7 @@
 	for len(f.answers) > 0 && !f.now.Before(f.answers[0].at) {
 		a := f.answers[0]
 		f.answers = f.answers[1:]
+		a.to.base = max(a.to.base, a.base)
 		f.setRevision(a.to, a.revision)
 	}
 }
@@ -199,6 +232,21 @@
 	return limit
 }
 
+// setPlatformAway lets all reads of the platform fail, at once or without an answer, or succeed again.
+func (f *fleet) setPlatformAway(away, hangs bool) {
+	f.hangs = hangs
+	for _, v := range f.vms {
+		v.cutOff = away
+	}
+}
+
+func (f *fleet) totalReads() (n int) {
+	for _, v := range f.vms {
+		n += v.reads
+	}
+	return n
+}
+
 func (f *fleet) reader() *vm {
 	for _, v := range f.vms {
 		if !v.down && v.mesh.IsReader() {
@@ -336,6 +384,43 @@
 	}
 }
 
+// Guards against a data centre whose VMs all read the platform at once when the reader has failed, and against one whose VMs all
+// call it again and again while it is away: the platform charges for each call and answers a limited number.
+func TestFewVMsReadAfterAFailure(t *testing.T) {
+	const within, vms, away = 6 * time.Second, 60, 8 * time.Second
+	for name, tc := range map[string]struct {
+		fail, end func(f *fleet)
+		most      int
+	}{
+		"platform away": {
+			fail: func(f *fleet) { f.setPlatformAway(true, false) }, end: func(f *fleet) { f.setPlatformAway(false, false) }, most: 4 * vms,
+		},
+		"platform hangs": {
+			fail: func(f *fleet) { f.setPlatformAway(true, true) }, end: func(f *fleet) { f.setPlatformAway(false, false) }, most: 4 * vms,
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := range uint64(5) {
+				f := newFleet(t, vms, within, seed)
+				f.run(3 * within)
+				tc.fail(f)
+				before := f.totalReads()
+				f.run(away)
+				tc.end(f)
+				if took := f.publish(within); took >= within {
+					t.Errorf("seed %d: a change is not in force after %v", seed, took)
+				}
+				f.run(within)
+				reads := f.totalReads() - before
+				t.Logf("seed %d: %d reads", seed, reads)
+				if reads > tc.most {
+					t.Errorf("seed %d: %d reads", seed, reads)
+				}
+			}
+		})
+	}
+}
+
 // Guards against VMs that stay isolated because their seeds were down when they started.
 func TestDiscoveryThroughLateSeeds(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/pimgossip/reader.go
+++ b/internal/coordination/pimgossip/reader.go
@@ -41,6 +41,15 @@
 	return time.Duration(float64(m.cfg.TakeoverSpread) * (float64(m.hash) / math.MaxUint64))
 }
 
+// RetryScale returns the factor by which the delay after a failed read of the platform is longer than that of a small data
+// centre. All VMs may be trying, so the delay grows with their number and the data centre calls at the same rate whatever its
+// size; the first VM that succeeds informs the others.
+func (m *Mesh) RetryScale(now pimclock.Instant) float64 {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return max(1, float64(m.countRunning(now)+1)/m.cfg.RetryingVMs)
+}
+
 // WatchTimeout returns how long the platform may hold the next watch: the view, whose age is given, must not get so old that
 // other VMs take over. A VM that takes over needs the answer at once.
 func (m *Mesh) WatchTimeout(age time.Duration) time.Duration {
--- a/internal/coordination/pimgossip/settings.go
+++ b/internal/coordination/pimgossip/settings.go
@@ -30,6 +30,8 @@
 	// TakeoverAge is the age of the view at which a VM takes over as the reader. The take-overs of the VMs of a data
 	// centre are spread over TakeoverSpread.
 	TakeoverAge, TakeoverSpread time.Duration
+	// RetryingVMs is the number of VMs up to which each one retries a failed read of the platform at the full rate.
+	RetryingVMs float64
 	// ClaimTTL is how long the claim of a reader counts.
 	ClaimTTL time.Duration
 	// LoadTTL is how long reported backend loads count.
@@ -49,6 +51,6 @@
 		MaxPullTimeout: 1200 * time.Millisecond,
 		WatchTimeout:   inForceWithin * 2 / 5,
 		TakeoverAge:    inForceWithin * 2 / 3, TakeoverSpread: inForceWithin / 5,
-		ClaimTTL: 1500 * time.Millisecond, LoadTTL: 1500 * time.Millisecond,
+		RetryingVMs: 4, ClaimTTL: 1500 * time.Millisecond, LoadTTL: 1500 * time.Millisecond,
 	}
 }
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -36,8 +36,8 @@
 	Metrics *metrics.Set
 }
 
-// The limits of the backoff after failed reads of the platform. Even with the longest wait, a change is in force within
-// the required 3 s.
+// The limits of the backoff after failed reads of the platform, for a VM that retries at the full rate. Even with the longest
+// wait, a change is in force within the required 3 s.
 const (
 	readBackoffMin = 100 * time.Millisecond
 	readBackoffMax = 800 * time.Millisecond
@@ -102,7 +102,7 @@
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
 		Source: n.platform.Source, Sink: n.registry, Changed: n.viewChanged, Observe: n.recordRead,
 		Enabled: n.shouldRead, Hold: n.watchTimeout, IdleCheck: readerCheckInterval, BatchDelay: batchDelay,
-		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), Log: n.log,
+		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale, Log: n.log,
 	})
 	n.addCleanup(stop)
 	if err := n.serveReadiness(ctx); err != nil {
@@ -222,6 +222,9 @@
 	return n.mesh.gossip.WatchTimeout(n.registry.Age(n.clock.Now()))
 }
 
+// retryScale returns how much longer than alone this VM waits after a failed read.
+func (n *Node) retryScale() float64 { return n.mesh.gossip.RetryScale(n.clock.Now()) }
+
 func (n *Node) addCleanup(f func()) { n.cleanups = append(n.cleanups, f) }
 
 func (n *Node) close() {
--- a/internal/transport/pimfollow/backoff.go
+++ b/internal/transport/pimfollow/backoff.go
@@ -9,6 +9,8 @@
 // time do not retry at the same time. It is not safe for concurrent use.
 type Backoff struct {
 	Min, Max time.Duration
+	// Scale multiplies the longest delay of each attempt, if it is above 1, for many readers that fail together.
+	Scale    float64
 	rng      *rand.Rand
 	failures int
 }
@@ -18,7 +20,7 @@
 	return &Backoff{Min: lo, Max: hi, rng: rng}
 }
 
-// Next records a failure and returns the delay before the next attempt: at least Min, at most Max.
+// Next records a failure and returns the delay before the next attempt: at least Min, at most Max times Scale.
 func (b *Backoff) Next() time.Duration {
 	ceiling := b.Min
 	for range b.failures {
@@ -28,6 +30,7 @@
 		}
 	}
 	b.failures++
+	ceiling = time.Duration(float64(ceiling) * max(1, b.Scale))
 	if ceiling <= b.Min {
 		return b.Min
 	}
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -66,9 +66,10 @@
 	// Observe is called with the error of each read, or nil and the lag of the response, before the result is applied, but
 	// not with ErrCompacted or ErrTooLarge of a watch; nil means no callback.
 	Observe func(lag time.Duration, err error)
-	// Backoff gives the delay after a failed read.
-	Backoff *Backoff
-	Log     zerolog.Logger
+	// Backoff gives the delay after a failed read, RetryScale its present scale; nil means 1.
+	Backoff    *Backoff
+	RetryScale func() float64
+	Log        zerolog.Logger
 }
 
 // Follower keeps a sink up to date while it is enabled.
@@ -94,6 +95,9 @@
 	if cfg.IdleCheck == 0 {
 		cfg.IdleCheck = defaultIdleCheck
 	}
+	if cfg.RetryScale == nil {
+		cfg.RetryScale = func() float64 { return 1 }
+	}
 	if cfg.Changed == nil {
 		cfg.Changed = func() {}
 	}
@@ -135,6 +139,7 @@
 	}
 	revision := f.cfg.Sink.Revision()
 	f.cfg.Log.Warn().Err(err).Uint64("era", uint64(revision.Era())).Uint64("revision", revision.Number()).Msg("platform read failed")
+	f.cfg.Backoff.Scale = f.cfg.RetryScale()
 	return f.cfg.Backoff.Next()
 }
 
