fix: the number of VMs that take over as reader of the platform doubles at equal intervals

What operators pay for: when the reader of a data centre of 60 VMs fails, a dozen or more VMs read the platform before the news of the first one has spread.

Cause: take-overs were spread evenly over a fifth of the bound, so most of the VMs followed within the half second that news needs; and the VM with the lowest hash began, although the one with the highest stops all others, so each later VM displaced the one before.

Change: the highest hash begins, and the number of VMs that have followed doubles at equal intervals; the last one takes over as late as before. Ruled out: a longer spread, since a change has to be in force in time even if the first VMs cannot read.

--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -392,6 +392,9 @@
 		fail, end func(f *fleet)
 		most      int
 	}{
+		"reader killed": {
+			fail: func(f *fleet) { f.reader().down = true }, end: func(*fleet) {}, most: vms / 4,
+		},
 		"platform away": {
 			fail: func(f *fleet) { f.setPlatformAway(true, false) }, end: func(f *fleet) { f.setPlatformAway(false, false) }, most: 4 * vms,
 		},
--- a/internal/coordination/pimgossip/reader.go
+++ b/internal/coordination/pimgossip/reader.go
@@ -21,14 +21,13 @@
 
 // ShouldRead reports whether this VM reads the platform now. One VM of a data centre is the reader; the others learn
 // from heartbeats about changes, or that there are none. A VM takes over when its view, whose age is given, is older
-// than it gets while a reader works; the hash spreads the take-overs in time, so that few VMs take over at once. If two
-// VMs read, the one with the lower hash stops. The last claim of a reader that has failed stops no other VM, since it
-// is older than the take-over.
+// than it gets while a reader works; see takeoverDelay. If two VMs read, the one with the lower hash stops. The last claim
+// of a reader that has failed stops no other VM, since it is older than the take-over.
 func (m *Mesh) ShouldRead(now pimclock.Instant, age time.Duration) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	switch {
-	case age > m.cfg.TakeoverAge+m.takeoverJitter():
+	case age > m.cfg.TakeoverAge && age > m.cfg.TakeoverAge+m.takeoverDelay(now):
 		m.reading, m.readingSince = true, now
 	case m.reading && m.claim.hash > m.hash && m.readingSince.Before(m.claim.at):
 		m.reading = false
@@ -36,9 +35,13 @@
 	return m.reading
 }
 
-// takeoverJitter is the delay of this VM within TakeoverSpread.
-func (m *Mesh) takeoverJitter() time.Duration {
-	return time.Duration(float64(m.cfg.TakeoverSpread) * (float64(m.hash) / math.MaxUint64))
+// takeoverDelay is the delay of this VM within TakeoverSpread. The VM with the highest hash takes over first, as it would stop
+// the others. The number of VMs that have taken over doubles at equal intervals: usually the first one succeeds, and the others
+// hear of it before many have followed; if the first ones cannot read the platform, all have tried soon.
+func (m *Mesh) takeoverDelay(now pimclock.Instant) time.Duration {
+	vms := float64(m.countRunning(now) + 1)
+	rank := vms * (1 - float64(m.hash)/math.MaxUint64)
+	return time.Duration(float64(m.cfg.TakeoverSpread) * math.Log2(1+rank) / math.Log2(1+vms))
 }
 
 // RetryScale returns the factor by which the delay after a failed read of the platform is longer than that of a small data
