fix: VMs with an old view take the full state from another VM instead of listing the platform

Cause: a reader that is answered 410 lists the platform, and from then on knows only the full state, since it cannot tell what was removed before. VMs with an older revision did not take a full state from another VM as long as they could read the platform themselves, which they all did once their view was old. The log of one data centre shows it: the reader was cut off, frontend-b-18 took over and listed in 0.3 s, and 40 VMs were answered 410 within the next 0.7 s.

Ruled out: an outage.

Change: a VM whose view is so old that it would take over may pull the full state from a VM of its own data centre.

--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -395,6 +395,14 @@
 		"reader killed": {
 			fail: func(f *fleet) { f.reader().down = true }, end: func(*fleet) {}, most: vms / 4,
 		},
+		"reader killed, history discarded": {
+			fail: func(f *fleet) {
+				f.reader().down = true
+				f.revision++
+				f.compacted = f.revision
+			},
+			end: func(*fleet) {}, most: vms / 2,
+		},
 		"platform away": {
 			fail: func(f *fleet) { f.setPlatformAway(true, false) }, end: func(f *fleet) { f.setPlatformAway(false, false) }, most: 4 * vms,
 		},
--- a/internal/coordination/pimgossip/pull.go
+++ b/internal/coordination/pimgossip/pull.go
@@ -54,15 +54,17 @@
 }
 
 // mayPullFull reports whether the full state may be pulled from the sender. A VM that lacks only some changes gets them
-// from another VM, or reads the platform once its view is old; only if it cannot read it, or its view is from an earlier
-// era or has no configuration, it pulls the full state again. Traffic between data centres is expensive, so another data centre is used only if the
-// platform cannot be read.
+// from another VM. It pulls the full state again if it cannot read the platform, if its view is from an earlier era or has no
+// configuration, or if the view is so old that the VM would read the platform: once the platform has discarded its history, the
+// reader has only the full state, and all VMs would list the platform. Traffic between data centres is expensive, so another
+// data centre is used only if the platform cannot be read.
 func (m *Mesh) mayPullFull(b *pimmesh.Heartbeat, v View) bool {
 	if !m.canRead {
 		return true
 	}
 	isUseless := v.Revision == 0 || v.Config == 0 || v.Revision.Era() < b.Revision.Era()
-	return isUseless && b.DataCentre == m.cfg.DataCentre
+	isOld := v.Age > m.cfg.TakeoverAge
+	return (isUseless || isOld) && b.DataCentre == m.cfg.DataCentre
 }
 
 func isDue(now, last pimclock.Instant, every time.Duration) bool {
