--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -343,6 +343,32 @@
 	}
 }
 
+// Guards against a backend server that leaves unnoticed, and is sent new flows, while a large configuration is arriving over a
+// slow link.
+func TestLeavingIsKnownWhileALargeConfigurationArrives(t *testing.T) {
+	is := is.New(t)
+	const routes = 2000
+	f := newFleet(t, 85, 2)
+	f.Store.SetFault(platformtest.Fault{SlowLink: true})
+	var many []platformtest.RouteConfig
+	for i := range routes {
+		address := netip.AddrPortFrom(netip.AddrFrom4([4]byte{198, 18, 1, byte(i >> 8)}), uint16(i))
+		many = append(many, platformtest.RouteConfig{Address: address, Service: "desk"})
+	}
+	// The next watch is answered with the configuration; the change after it can only come with another call.
+	answered := make(chan struct{}, 100)
+	f.Store.SetOnCall(func(string) { answered <- struct{}{} })
+	<-answered
+	is.NoErr(f.Configure(many...))
+	leaving := f.hostOf("desk")
+	leaving.Drain()
+	is.NoErr(f.Publish(leaving))
+	f.await("the VMs know that the backend server leaves", func() bool {
+		isLeaving := func(h pimentry.HostStatus) bool { return h.Name == leaving.Name() && h.Leaving }
+		return slices.ContainsFunc(f.nodes[1].Status().Hosts, isLeaving) && slices.ContainsFunc(f.nodes[2].Status().Hosts, isLeaving)
+	})
+}
+
 // Guards against VMs that end, or no longer follow the platform, because of an entry of another writer among those of the backend
 // servers, and against flows that are sent to it.
 func TestOddEntriesOfAnotherWriterChangeNothing(t *testing.T) {
