fix: the pause of the reader after a batch of changes follows the bound of the deployment

Cause: the reader waited for 150 ms after a batch, whether a change has to be in force within 3 s or within 6 s.

Change: a tenth of the bound. Ruled out: a longer pause, since news needs about 1 s to reach all VMs of a large data centre and the reader may have just failed.

--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -46,10 +46,9 @@
 // readerCheckInterval is how often a VM that does not read the platform checks whether it should.
 const readerCheckInterval = 100 * time.Millisecond
 
-// batchDelay is the time between a watch that returned changes and the next one, so that changes in quick succession, such
-// as the start of many backend servers, share a call to the platform. It is short compared with the seconds in which a
-// change has to be in force.
-const batchDelay = 150 * time.Millisecond
+// batchesInForceTime is the number of batches of changes that the reader takes from the platform within the time in which a
+// change has to be in force: changes in quick succession, such as the start of many backend servers, share a call.
+const batchesInForceTime = 10
 
 // httpTimeout bounds the wait for the header of a readiness check, and the time in which the operator server stops.
 const httpTimeout = 2 * time.Second
@@ -101,8 +100,9 @@
 	n.mesh.start()
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
 		Source: n.platform.Source, Sink: n.registry, Changed: n.viewChanged, Observe: n.recordRead,
-		Enabled: n.shouldRead, Hold: n.watchTimeout, IdleCheck: readerCheckInterval, BatchDelay: batchDelay,
-		Backoff: pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale, Log: n.log,
+		Enabled: n.shouldRead, Hold: n.watchTimeout, IdleCheck: readerCheckInterval,
+		BatchDelay: time.Duration(n.cfg.Platform.InForceWithin) / batchesInForceTime,
+		Backoff:    pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale, Log: n.log,
 	})
 	n.addCleanup(stop)
 	if err := n.serveReadiness(ctx); err != nil {
