--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -78,13 +78,17 @@
 
 func boundedWeight(s pimcatalog.Share) int64 { return int64(min(max(0, s.Weight), maxWeight)) }
 
-// service chooses a service at random by the weights of the route; without weights it returns the first one.
+// service chooses a service at random by the weights of the route; without weights it returns the first one. A route without
+// shares, which another VM may have sent, has no service.
 func (p *Placer) service(route *pimcatalog.Route) pimcatalog.Service {
 	total := int64(0)
 	for _, s := range route.Shares {
 		total += boundedWeight(s)
 	}
-	if len(route.Shares) == 1 || total == 0 {
+	switch {
+	case len(route.Shares) == 0:
+		return ""
+	case len(route.Shares) == 1 || total == 0:
 		return route.Shares[0].Service
 	}
 	n := p.rng.Int64N(total)
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -283,7 +283,7 @@
 	is.True(toB > flows*8/100 && toB < flows*12/100)
 }
 
-// Guards against weights whose sum overflows and ends the process.
+// Guards against weights whose sum overflows, and against a route without shares, that end the process.
 func TestWeightsOfAnySize(t *testing.T) {
 	is := is.New(t)
 	p := New("ikeja", &fakeObserver{noLoads: true}, pimpick.LeastLoaded{}, rand.New(rand.NewPCG(1, 1)))
@@ -295,4 +295,5 @@
 	}
 	is.True(chosen["a"] > 50 && chosen["b"] > 50)
 	is.Equal(len(chosen), 2)
+	is.Equal(p.service(&pimcatalog.Route{}), pimcatalog.Service(""))
 }
--- a/internal/coordination/pimregistry/era_test.go
+++ b/internal/coordination/pimregistry/era_test.go
@@ -34,7 +34,7 @@
 
 // viewOfEraOne returns a registry at revision 23 of era 1, with version 11 of the configuration and backend servers 7 and 8,
 // of which 8 is leaving.
-func viewOfEraOne(t *testing.T, clock pimclock.Clock) *Registry {
+func viewOfEraOne(t testing.TB, clock pimclock.Clock) *Registry {
 	t.Helper()
 	r := newRegistry(clock)
 	r.ReadSucceeded(0)
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -14,7 +14,7 @@
 )
 
 // startedRegistry returns a registry that has read a configuration with one route and backend servers 7 and 8.
-func startedRegistry(t *testing.T, clock pimclock.Clock) *Registry {
+func startedRegistry(t testing.TB, clock pimclock.Clock) *Registry {
 	t.Helper()
 	r := newRegistry(clock)
 	r.ReadSucceeded(0)
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -132,10 +132,10 @@
 	delete(f.nodes, i)
 }
 
-// hostOf returns a running backend server of a service.
-func (f *fleet) hostOf(service string) *platformtest.Host {
+// deskHost returns a running backend server of the service desk.
+func (f *fleet) deskHost() *platformtest.Host {
 	hosts := f.Hosts()
-	return hosts[slices.IndexFunc(hosts, func(h *platformtest.Host) bool { return h.Service() == service })]
+	return hosts[slices.IndexFunc(hosts, func(h *platformtest.Host) bool { return h.Service() == "desk" })]
 }
 
 // putInRotation waits until all VMs are ready and lets the fabric send packets to them.
@@ -360,7 +360,7 @@
 	f.Store.SetOnCall(func(string) { answered <- struct{}{} })
 	<-answered
 	is.NoErr(f.Configure(many...))
-	leaving := f.hostOf("desk")
+	leaving := f.deskHost()
 	leaving.Drain()
 	is.NoErr(f.Publish(leaving))
 	f.await("the VMs know that the backend server leaves", func() bool {
@@ -375,11 +375,11 @@
 	is := is.New(t)
 	f := newFleet(t, 83, 2)
 	entry := func(field string, value any) map[string]any {
-		e := f.hostOf("desk").Entry()
+		e := f.deskHost().Entry()
 		e[field] = value
 		return e
 	}
-	own := strings.TrimPrefix(f.hostOf("desk").Name(), "i-")
+	own := strings.TrimPrefix(f.deskHost().Name(), "i-")
 	for key, e := range map[string]map[string]any{
 		"i-0000e001": entry("capacity", uint64(math.MaxInt64)), "i-0000e002": entry("capacity", json.Number("1e999")),
 		"i-0000e003": entry("address", "127.0.0.1:0"), "i-0000e004": entry("address", "127.0.0.1:99999"),
@@ -417,7 +417,7 @@
 	copied := f.Store.Copy()
 	both := []platformtest.RouteConfig{{Address: deskAddress, Service: "desk"}, {Address: otherAddress, Service: "desk"}}
 	is.NoErr(f.Configure(both...))
-	leaving := f.hostOf("desk")
+	leaving := f.deskHost()
 	leaving.Drain()
 	is.NoErr(f.Publish(leaving))
 	isKnown := func(n int) bool {
