fix: a late second copy of an answer is not taken for the answer to the next request

What callers would see: the answer to somebody else's request, if a backend server of pimentoyard sends an answer twice and the second copy arrives when the connection is in use again. One of the reports of other operators; it can happen here.

Cause: an HTTP/1.1 connection tells answers apart by their order alone, and connections were reused whatever the backend server.

Ruled out: the copy on an idle connection, which net/http closes. pimentry carries packets and no answers.

Change: requests are numbered (Request-Id). A response on a reused connection must repeat the number of its request; otherwise the connection is closed and the outcome is unknown, since the request has been sent. A backend server that has not repeated a number gets each request on a connection of its own. The stand-in repeats it.

TestSecondCopyOfAnAnswerIsNotTheNextAnswer fails on the earlier code (/aa != /bb, with and without numbers). Tests about reused connections let their server repeat the number, or send one request more first, so that they reuse one as before. e2e tests pass.

--- a/internal/standin/standbackend/handler.go
+++ b/internal/standin/standbackend/handler.go
@@ -26,7 +26,18 @@
 	mux.HandleFunc("POST /silence", s.postSilence)
 	mux.HandleFunc("POST /mislead", s.postMislead)
 	mux.HandleFunc("/", s.handleRequest)
-	return mux
+	return repeatRequestID(mux)
+}
+
+// repeatRequestID repeats the number of each request in its response, so that the connection may be reused.
+func repeatRequestID(next http.Handler) http.Handler {
+	const header = "Request-Id"
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if id := r.Header.Get(header); id != "" {
+			w.Header().Set(header, id)
+		}
+		next.ServeHTTP(w, r)
+	})
 }
 
 func (s *Server) getHealth(w http.ResponseWriter, _ *http.Request) {
--- a/internal/standin/standbackend/server_test.go
+++ b/internal/standin/standbackend/server_test.go
@@ -96,6 +96,8 @@
 func TestStallSparesNewConnections(t *testing.T) {
 	is := is.New(t)
 	s, do := setup(t, Config{})
+	// The first answer repeats the number of its request, so the connection of the second one is kept.
+	is.Equal(do(http.MethodPost, "/?id=first", "").Outcome, pimedge.OutcomeAnswered)
 	is.Equal(do(http.MethodPost, "/?id=a", "").Outcome, pimedge.OutcomeAnswered)
 	s.StallConnections()
 	res := do(http.MethodPost, "/?id=b", "x")
--- a/internal/transport/pimhttp/attempt.go
+++ b/internal/transport/pimhttp/attempt.go
@@ -18,6 +18,8 @@
 
 	mu      sync.Mutex
 	current *conn
+	// isReused reports that the current connection carried another request before.
+	isReused bool
 	// wroteBefore reports that a byte of this request may have been written to an earlier connection.
 	wroteBefore bool
 }
@@ -44,7 +46,7 @@
 		a.wroteBefore = true
 	}
 	c.startRequest(a.deadline)
-	a.current = c
+	a.current, a.isReused = c, info.Reused
 }
 
 func (a *attempt) wroteRequest(info httptrace.WroteRequestInfo) {
@@ -53,6 +55,12 @@
 	}
 }
 
+func (a *attempt) usesReusedConn() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.isReused
+}
+
 func (a *attempt) conn() *conn {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/internal/transport/pimhttp/client.go
+++ b/internal/transport/pimhttp/client.go
@@ -1,8 +1,12 @@
 package pimhttp
 
 import (
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -61,12 +65,18 @@
 	cfg      Config
 	requests *http.Transport
 	probes   *http.Transport
+	// idPrefix and lastID number the requests; the prefix differs between clients.
+	idPrefix string
+	lastID   atomic.Uint64
+	// repeatsIDs holds the addresses of the backend servers that repeat the number of a request.
+	repeatsIDs sync.Map
 }
 
 // NewClient returns a client; the cleanup function closes its idle connections.
 func NewClient(cfg Config) (c *Client, cleanup func()) {
 	cfg = cfg.withDefaults()
 	c = &Client{cfg: cfg, requests: newTransport(cfg), probes: newTransport(cfg)}
+	c.idPrefix = strconv.FormatUint(rand.Uint64(), 16) + "-"
 	// Health and load requests use new connections, since a reused one does not show whether new connections work.
 	c.probes.DisableKeepAlives = true
 	cleanup = func() {
--- a/internal/transport/pimhttp/do.go
+++ b/internal/transport/pimhttp/do.go
@@ -46,6 +46,7 @@
 	if c.cfg.HostHeader != nil {
 		req.Host = c.cfg.HostHeader(b.Service)
 	}
+	id := c.setRequestID(req, b)
 	w := &watchdog{client: c, backend: b, attempt: a}
 	stop := w.start(ctx, cancel)
 	defer stop()
@@ -54,6 +55,9 @@
 		return a.failed(w.cause(err))
 	}
 	defer closeBody(resp)
+	if err = c.checkRequestID(resp, b, id, a.usesReusedConn()); err != nil {
+		return a.failed(err)
+	}
 	return a.read(resp, w)
 }
 
--- a/internal/transport/pimhttp/once_test.go
+++ b/internal/transport/pimhttp/once_test.go
@@ -70,6 +70,48 @@
 	return points
 }
 
+// answerTwice sends the answer to each request once more when the next request has arrived; with repeats, both copies repeat the
+// number of the request.
+func answerTwice(c net.Conn, repeats bool) {
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		answer := "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n"
+		if repeats {
+			answer += "Request-Id: " + req.Header.Get(RequestIDHeader) + "\r\n"
+		}
+		answer += "\r\n" + req.URL.Path[1:]
+		respond(c, answer)
+		if _, err = r.Peek(1); err != nil {
+			return
+		}
+		respond(c, answer)
+	}
+}
+
+// Guards against a second copy of an answer, sent late on a connection that is in use again, that is taken for the answer to the
+// next request.
+func TestSecondCopyOfAnAnswerIsNotTheNextAnswer(t *testing.T) {
+	for name, repeats := range map[string]bool{"numbered": true, "not numbered": false} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			_, b := startRawServer(t, func(_ *rawServer, _ int, c net.Conn) { answerTwice(c, repeats) })
+			c := newClient(t, Config{})
+			for _, path := range []string{"/aa", "/bb", "/cc", "/dd"} {
+				res := c.Do(t.Context(), b, http.MethodGet, path, nil, testDeadline())
+				if res.Outcome == pimedge.OutcomeAnswered {
+					is.Equal("/"+string(res.Body), path)
+					continue
+				}
+				is.Equal(res.Outcome, pimedge.OutcomeUnknown)
+			}
+		})
+	}
+}
+
 // Guards against a POST that net/http retries by itself, above all after a reused connection that the server closed,
 // and against a wrong report of whether it was sent. The server closes the connection of the second request at each of
 // many points; later connections would answer a retry.
@@ -92,7 +134,7 @@
 		r := bufio.NewReader(c)
 		if n == 1 && reused {
 			s.read(r, -1)
-			respond(c, okResponse)
+			s.respondOK(c)
 		}
 		if n > 1 {
 			s.read(r, -1)
@@ -108,6 +150,7 @@
 	})
 	c := newClient(t, Config{})
 	before := 0
+	c.repeatsIDs.Store(b.HTTPAddress, struct{}{}) // so that the first connection may be reused
 	if reused {
 		is.Equal(post(t, c, b, body).Outcome, pimedge.OutcomeAnswered)
 		before = 1
--- a/internal/transport/pimhttp/progress_test.go
+++ b/internal/transport/pimhttp/progress_test.go
@@ -27,12 +27,13 @@
 			respond(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\nConnection: close\r\n\r\nok")
 			return
 		}
-		respond(c, okResponse)
+		s.respondOK(c)
 		s.read(r, -1)
 		_, _ = r.ReadByte() // sends nothing until the client closes
 		close(closed)
 	})
 	c := newClient(t, Config{StallTimeout: 20 * time.Millisecond})
+	c.repeatsIDs.Store(b.HTTPAddress, struct{}{}) // so that the first connection may be reused
 	is.Equal(post(t, c, b, nil).Outcome, pimedge.OutcomeAnswered)
 	res := post(t, c, b, []byte("order"))
 	is.Equal(res.Outcome, pimedge.OutcomeUnknown)
--- a/internal/transport/pimhttp/result.go
+++ b/internal/transport/pimhttp/result.go
@@ -15,6 +15,8 @@
 	ErrNoProgress = errors.New("connection makes no progress")
 	// ErrIncomplete means that the body ended early or that its end cannot be verified.
 	ErrIncomplete = errors.New("incomplete response body")
+	// ErrMismatch means that the response may belong to another request.
+	ErrMismatch = errors.New("response does not repeat the number of the request")
 	// ErrTooLarge means that the response body exceeds the limit of one datagram.
 	ErrTooLarge = errors.New("response body too large")
 	// ErrPath means that the path does not start with a slash.
--- a/internal/transport/pimhttp/server_test.go
+++ b/internal/transport/pimhttp/server_test.go
@@ -24,6 +24,8 @@
 	// started counts requests of which at least one byte arrived, completed those that arrived with their whole body.
 	started, completed, connections int
 	open                            []net.Conn
+	// lastID is the number of the last complete request.
+	lastID string
 }
 
 func startRawServer(t *testing.T, serve func(s *rawServer, n int, c net.Conn)) (*rawServer, pimview.Backend) {
@@ -107,6 +109,7 @@
 	}
 	s.mu.Lock()
 	s.completed++
+	s.lastID = req.Header.Get(RequestIDHeader)
 	s.mu.Unlock()
 	return true
 }
@@ -116,4 +119,11 @@
 
 func respond(c net.Conn, text string) { _, _ = io.WriteString(c, text) }
 
+// respondOK answers the last complete request and repeats its number.
+func (s *rawServer) respondOK(c net.Conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	respond(c, "HTTP/1.1 200 OK\r\nRequest-Id: "+s.lastID+"\r\nContent-Length: 2\r\n\r\nok")
+}
+
 const okResponse = "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok"
