--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"slices"
+	"strings"
 	"syscall"
 	"time"
 
@@ -68,6 +69,24 @@
 	"cut_up":   proxyFault(impairment{DropUp: true}),
 	"cut_down": proxyFault(impairment{DropDown: true}),
 	"cut":      proxyFault(impairment{DropUp: true, DropDown: true}),
+	"refuse_some": func(r *run, rng *rand.Rand) func() {
+		// The platform turns half of the VMs away, possibly its reader, and serves the others.
+		var refused []*vm
+		for _, i := range rng.Perm(len(r.vms))[:len(r.vms)/2] {
+			r.vms[i].proxy.set(impairment{Refuse: true})
+			refused = append(refused, r.vms[i])
+		}
+		return func() {
+			for _, v := range refused {
+				v.proxy.set(impairment{})
+			}
+		}
+	},
+	"odd_entry": func(r *run, rng *rand.Rand) func() {
+		key := fmt.Sprintf("servers/i-%08x", 0xe0000000+rng.Uint32N(1<<20))
+		r.env.Store.Put(key, []byte(oddEntries[rng.IntN(len(oddEntries))]))
+		return func() { r.env.Store.Delete(key) }
+	},
 	"reset": func(r *run, rng *rand.Rand) func() {
 		r.randomVM(rng).proxy.reset()
 		return nil
@@ -101,6 +120,16 @@
 	"garbage": func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
 }
 
+// oddEntries are entries of another writer among those of the backend servers.
+var oddEntries = []string{
+	"", "null", "\xff\xfe", "[1,", strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000),
+	`{"service":"desk","address":"127.0.0.1:99999","zone":"ikeja","capacity":2,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:0","zone":"ikeja","capacity":2,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":9223372036854775807,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":1e999,"state":"ready"}`,
+	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":2,"state":"resting"}`,
+}
+
 // platformFault makes the metadata store fail for all VMs.
 func platformFault(f platformtest.Fault) fault {
 	return func(r *run, _ *rand.Rand) func() {
