refactor: the stand-ins of the platform have the odd entries of another writer

The test of pimentry and the soak had lists of their own, with the platform's names. platformtest.OddEntries holds them once, and the soak now tries all of them, those with the id of a backend server too.

--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -6,7 +6,6 @@
 	"errors"
 	"fmt"
 	"io"
-	"math"
 	"net/http"
 	"net/netip"
 	"slices"
@@ -374,24 +373,9 @@
 func TestOddEntriesOfAnotherWriterChangeNothing(t *testing.T) {
 	is := is.New(t)
 	f := newFleet(t, 83, 2)
-	entry := func(field string, value any) map[string]any {
-		e := f.deskHost().Entry()
-		e[field] = value
-		return e
+	for key, value := range platformtest.OddEntries(f.deskHost()) {
+		f.Store.Put(key, value)
 	}
-	own := strings.TrimPrefix(f.deskHost().Name(), "i-")
-	for key, e := range map[string]map[string]any{
-		"i-0000e001": entry("capacity", uint64(math.MaxInt64)), "i-0000e002": entry("capacity", json.Number("1e999")),
-		"i-0000e003": entry("address", "127.0.0.1:0"), "i-0000e004": entry("address", "127.0.0.1:99999"),
-		"i-0000e005": entry("warmup_left_ms", 1e300), "i-0000e006": entry("seq", json.Number("99999999999999999999")),
-		"x-" + own: entry("capacity", "two"), "y-" + own: entry("address", "[2001:db8::1]:80"),
-	} {
-		_, err := f.Store.PutJSON("servers/"+key, e)
-		is.NoErr(err)
-	}
-	const depth = 400_000
-	f.Store.Put("servers/i-0000e007", []byte(strings.Repeat("[", depth)+strings.Repeat("]", depth)))
-	f.Store.Put("servers/i-0000e008", []byte(strings.Repeat(`{"a":`, depth/8)))
 	routes := []platformtest.RouteConfig{
 		{Address: deskAddress, Service: "desk"}, {Address: otherAddress, Service: "desk"}, {Address: videoAddress, Service: "video"},
 	}
--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
 	"slices"
-	"strings"
 	"syscall"
 	"time"
 
@@ -83,8 +83,14 @@
 		}
 	},
 	"odd_entry": func(r *run, rng *rand.Rand) func() {
-		key := fmt.Sprintf("servers/i-%08x", 0xe0000000+rng.Uint32N(1<<20))
-		r.env.Store.Put(key, []byte(oddEntries[rng.IntN(len(oddEntries))]))
+		h := r.randomHost(rng)
+		if h == nil {
+			return nil
+		}
+		entries := platformtest.OddEntries(h)
+		keys := slices.Sorted(maps.Keys(entries))
+		key := keys[rng.IntN(len(keys))]
+		r.env.Store.Put(key, entries[key])
 		return func() { r.env.Store.Delete(key) }
 	},
 	"reset": func(r *run, rng *rand.Rand) func() {
@@ -120,16 +126,6 @@
 	"garbage": func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
 }
 
-// oddEntries are entries of another writer among those of the backend servers.
-var oddEntries = []string{
-	"", "null", "\xff\xfe", "[1,", strings.Repeat("[", 50_000) + strings.Repeat("]", 50_000),
-	`{"service":"desk","address":"127.0.0.1:99999","zone":"ikeja","capacity":2,"state":"ready"}`,
-	`{"service":"desk","address":"127.0.0.1:0","zone":"ikeja","capacity":2,"state":"ready"}`,
-	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":9223372036854775807,"state":"ready"}`,
-	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":1e999,"state":"ready"}`,
-	`{"service":"desk","address":"127.0.0.1:9","zone":"ikeja","capacity":2,"state":"resting"}`,
-}
-
 // platformFault makes the metadata store fail for all VMs.
 func platformFault(f platformtest.Fault) fault {
 	return func(r *run, _ *rand.Rand) func() {
