--- a/internal/transport/pimhttp/requestid.go
+++ b/internal/transport/pimhttp/requestid.go
@@ -10,11 +10,9 @@
 // RequestIDHeader is the header with the number of a request, which a backend server repeats in its response.
 const RequestIDHeader = "Request-Id"
 
-// A backend server that repeats the number of a request shows which request a response belongs to. Without that, a second copy
-// of an earlier response on a reused connection would be taken for the answer to the next request, so each request to a
-// backend server that has not repeated a number gets a connection of its own.
-
-// setRequestID numbers a request and returns the number.
+// setRequestID numbers a request and returns the number. A backend server that repeats it shows which request a response
+// belongs to. Otherwise, a second copy of an earlier response on a reused connection would be taken for the answer to the next
+// request, so each request to such a backend server gets a connection of its own.
 func (c *Client) setRequestID(req *http.Request, b pimview.Backend) (id string) {
 	id = c.idPrefix + strconv.FormatUint(c.lastID.Add(1), 16)
 	req.Header.Set(RequestIDHeader, id)
