--- a/review/standin/deployment.go
+++ b/review/standin/deployment.go
@@ -16,6 +16,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,10 +49,10 @@
 	// trouble is unset if the case is to run without its disruption.
 	trouble bool
 	dir     string
-	// storeAddress is where VMs reach the store.
-	storeAddress netip.AddrPort
-	vms          []*vm
-	cleanups     []func()
+	// lastCaller is the number of the VM that has called the store last.
+	lastCaller atomic.Int64
+	vms        []*vm
+	cleanups   []func()
 
 	mu   sync.Mutex
 	born map[*platformtest.Host]int64
@@ -80,7 +81,7 @@
 		return nil, nil, err
 	}
 	d.cleanups = append(d.cleanups, func() { _ = os.RemoveAll(d.dir) })
-	return d, cleanup, d.serveStore()
+	return d, cleanup, nil
 }
 
 // pagesOnly removes the header with the era, which the users' pages do not name, from the responses of the stand-in store.
@@ -96,18 +97,19 @@
 	w.ResponseWriter.WriteHeader(status)
 }
 
-func (d *deployment) serveStore() error {
-	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", "127.83.0.2:0")
+// serveStore serves the store for one VM at an address of its own, so that its calls can be told from those of the others.
+func (d *deployment) serveStore(vm int) (address netip.AddrPort, err error) {
+	listener, err := new(net.ListenConfig).Listen(context.Background(), "tcp4", fmt.Sprintf("127.%d.0.%d:0", network, 10+vm))
 	if err != nil {
-		return err
+		return address, err
 	}
-	d.storeAddress = netip.MustParseAddrPort(listener.Addr().String())
 	server := &http.Server{ReadHeaderTimeout: time.Minute, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		d.lastCaller.Store(int64(vm))
 		d.Store.ServeHTTP(pagesOnly{w}, r)
 	})}
 	go func() { _ = server.Serve(listener) }() // ends with server.Close
 	d.cleanups = append(d.cleanups, func() { _ = server.Close() })
-	return nil
+	return netip.MustParseAddrPort(listener.Addr().String()), nil
 }
 
 // addHosts starts n backend servers of a service and publishes their entries with their own start times.
@@ -190,7 +192,11 @@
 func (d *deployment) addVM(seeds ...int) (v *vm, err error) {
 	n := len(d.vms) + 1
 	v = &vm{d: d, n: n, address: d.VMAddress(n), file: filepath.Join(d.dir, fmt.Sprintf("vm-%d.toml", n)), ended: make(chan error, 1)}
-	if err = v.writeSettings(seeds...); err != nil {
+	store, err := d.serveStore(n)
+	if err != nil {
+		return nil, err
+	}
+	if err = v.writeSettings(store, seeds...); err != nil {
 		return nil, err
 	}
 	if v.log, err = os.Create(filepath.Join(d.dir, fmt.Sprintf("vm-%d.log", n))); err != nil {
@@ -201,13 +207,13 @@
 	return v, nil
 }
 
-func (v *vm) writeSettings(seeds ...int) error {
+func (v *vm) writeSettings(store netip.AddrPort, seeds ...int) error {
 	d := v.d
 	var list []string
 	for _, s := range seeds {
 		list = append(list, fmt.Sprintf("%q", netip.AddrPortFrom(d.VMAddress(s), d.OpsPort)))
 	}
-	text := fmt.Sprintf(settings, dataCentre, v.n, v.address, d.PacketPort, d.ReadyPort, d.PeerPort, d.OpsPort, d.storeAddress, strings.Join(list, ", "))
+	text := fmt.Sprintf(settings, dataCentre, v.n, v.address, d.PacketPort, d.ReadyPort, d.PeerPort, d.OpsPort, store, strings.Join(list, ", "))
 	return os.WriteFile(v.file, []byte(text), 0o600)
 }
 
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -15,8 +15,10 @@
 
 // load keeps long flows open and counts what their callers see.
 type load struct {
-	d                              *deployment
-	stop                           chan struct{}
+	d    *deployment
+	stop chan struct{}
+	// each is how long a flow is used; it is well below flow_max_s.
+	each                           time.Duration
 	wg                             sync.WaitGroup
 	opened, sent, answered, failed atomic.Int64
 	// resets counts open flows that were reset, but not by a backend server.
@@ -29,8 +31,6 @@
 const (
 	pause       = 100 * time.Millisecond
 	answerLimit = 1500 * time.Millisecond
-	// flowLength is well below flow_max_s.
-	flowLength = 30 * time.Second
 )
 
 // startShortFlows starts callers that open a flow for each request to a service.
@@ -67,7 +67,17 @@
 
 // startLongFlows starts callers with one long flow each to a service.
 func (d *deployment) startLongFlows(callers int, service string) (*load, error) {
-	l := &load{d: d, stop: make(chan struct{})}
+	return d.startFlows(callers, service, 30*time.Second)
+}
+
+// startFreshFlows starts callers that open a new flow to a service every two seconds, and use it meanwhile.
+func (d *deployment) startFreshFlows(callers int, service string) (*load, error) {
+	return d.startFlows(callers, service, 2*time.Second)
+}
+
+// startFlows starts callers that use one flow after the other, each for some time.
+func (d *deployment) startFlows(callers int, service string, each time.Duration) (*load, error) {
+	l := &load{d: d, stop: make(chan struct{}), each: each}
 	for n := 1; n <= callers; n++ {
 		c, err := d.NewCaller(n)
 		if err != nil {
@@ -99,7 +109,7 @@
 // use sends requests on one flow until it ends.
 func (l *load) use(f *platformtest.CallerFlow, n int, service string) {
 	defer f.Close()
-	for i, end := 0, time.Now().Add(flowLength); time.Now().Before(end); i++ {
+	for i, end := 0, time.Now().Add(l.each); time.Now().Before(end); i++ {
 		select {
 		case <-l.stop:
 			return
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -20,9 +20,10 @@
 
 // cases contains the cases by name; each returns the number of breaches of its rule.
 var cases = map[string]func(d *deployment) (breaches int, err error){
-	"odd-service": oddService,
-	"odd-copy":    oddCopy,
-	"odd-other":   oddOther,
+	"rolled-twice": rolledTwice,
+	"odd-service":  oddService,
+	"odd-copy":     oddCopy,
+	"odd-other":    oddOther,
 }
 
 // longest is the longest time that a case may take.
