refactor: a placer says why no backend server takes a flow, and whether a later copy may be placed

Until now a placer returned a backend server or nothing, so all refusals had the reason no_host. Evacuations, slow start and admission need reasons of their own, and some let a later copy of the opening packet decide.

--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -5,6 +5,7 @@
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -46,10 +47,10 @@
 	return &Placer{home: home, observer: observer, policy: policy, rng: rng}
 }
 
-// Place chooses a backend server for an opening packet; it returns nil if there is none.
+// Place chooses a backend server for an opening packet.
 func (p *Placer) Place(
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
-) *pimcatalog.Host {
+) pimsteer.Placement {
 	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
 	for _, h := range c.Service(p.service(route)) {
@@ -63,14 +64,15 @@
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
 	}
 	if len(p.candidates) == 0 {
-		return nil
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
 	}
 	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
 	p.rng.Shuffle(len(p.candidates), func(i, j int) {
 		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
 		p.costs[i], p.costs[j] = p.costs[j], p.costs[i]
 	})
-	return p.candidates[p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })]
+	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
+	return pimsteer.Placement{Host: p.candidates[chosen]}
 }
 
 // maxWeight bounds a weight, so that the sum of all weights of a route does not overflow.
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -141,7 +141,7 @@
 	table := s.tables[vm]
 	table.Expire(s.now)
 	p := pimpacket.Packet{Flow: flow, Flags: pimpacket.Open, Seq: 10, Attempt: attempt}
-	h := s.placers[vm].Place(s.now, s.catalog, s.route, &p)
+	h := s.placers[vm].Place(s.now, s.catalog, s.route, &p).Host
 	table.RecordOpening(s.now, &p, h.ID)
 	if s.unresponsive[h.ID] {
 		s.toUnresponsive++
@@ -255,7 +255,7 @@
 	route := &pimcatalog.Route{Shares: []pimcatalog.Share{{Service: "desk"}}}
 	place := func(busy int, hosts ...*pimcatalog.Host) *pimcatalog.Host {
 		p := placerWith(map[pimcatalog.HostID]Load{1: {Load: pimflow.Load{Busy: busy}}})
-		return p.Place(0, pimcatalog.NewCatalog(1, nil, hosts), route, &pimpacket.Packet{})
+		return p.Place(0, pimcatalog.NewCatalog(1, nil, hosts), route, &pimpacket.Packet{}).Host
 	}
 	is.Equal(place(9, home, away), home)
 	is.Equal(place(20, home, away), away)
@@ -276,7 +276,7 @@
 	p, toB := placerWith(nil), 0
 	const flows = 10_000
 	for range flows {
-		if p.Place(0, c, route, &pimpacket.Packet{}) == b {
+		if p.Place(0, c, route, &pimpacket.Packet{}).Host == b {
 			toB++
 		}
 	}
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -48,12 +48,18 @@
 	ReasonUntagged
 	// ReasonHostUnresponsive means that the backend server of the flow does not answer any VM.
 	ReasonHostUnresponsive
+	// ReasonEvacuated means that all backend servers that could take the flow are in evacuated data centres.
+	ReasonEvacuated
+	// ReasonSlowStart means that all backend servers that could take the flow are in slow start and get no more flows now.
+	ReasonSlowStart
+	// ReasonNoRoom means that no backend server has room for a flow of this priority.
+	ReasonNoRoom
 	reasonCount
 )
 
 var reasonNames = [reasonCount]string{
 	"placed", "established", "no_route", "no_host", "host_gone", "unknown_host", "view_behind", "no_view", "untagged",
-	"host_dark",
+	"host_dark", "evacuated", "slow_start", "no_room",
 }
 
 // String returns the name of the reason in logs and metrics.
@@ -95,10 +101,19 @@
 	Unresponsive func(id pimcatalog.HostID) bool
 }
 
+// Placement is the choice for a new flow.
+type Placement struct {
+	// Host receives the flow; nil if no backend server may.
+	Host *pimcatalog.Host
+	// Reason says why no backend server may receive the flow.
+	Reason Reason
+	// Later is set if a later copy of the opening packet may be placed: the packet is then dropped, not answered with a reset.
+	Later bool
+}
+
 // Placer chooses the backend server of a new flow.
 type Placer interface {
-	// Place returns nil if no backend server may receive the flow.
-	Place(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, p *pimpacket.Packet) *pimcatalog.Host
+	Place(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, p *pimpacket.Packet) Placement
 }
 
 // Steer returns the verdict for one packet; placer is used only for packets that open a flow.
@@ -119,13 +134,17 @@
 	if route == nil {
 		return refuse(v.Fresh, ReasonNoRoute)
 	}
-	host := placer.Place(now, v.Catalog, route, p)
-	if host == nil {
-		verdict := refuse(v.Fresh, ReasonNoHost)
+	placement := placer.Place(now, v.Catalog, route, p)
+	switch {
+	case placement.Host != nil:
+		return Verdict{Action: Forward, Reason: ReasonPlaced, Host: placement.Host, Route: route}
+	case placement.Later:
+		return Verdict{Action: Drop, Reason: placement.Reason, Route: route}
+	default:
+		verdict := refuse(v.Fresh, placement.Reason)
 		verdict.Route = route
 		return verdict
 	}
-	return Verdict{Action: Forward, Reason: ReasonPlaced, Host: host, Route: route}
 }
 
 // established forwards a packet to the backend server of its tag. It ignores the current route, because a configuration
--- a/internal/coordination/pimsteer/steer_test.go
+++ b/internal/coordination/pimsteer/steer_test.go
@@ -21,13 +21,13 @@
 // firstOpenHost places flows on the first open backend server.
 type firstOpenHost struct{}
 
-func (firstOpenHost) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) *pimcatalog.Host {
+func (firstOpenHost) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) Placement {
 	for _, h := range c.Service(r.Shares[0].Service) {
 		if h.AcceptsNewFlows(now) {
-			return h
+			return Placement{Host: h}
 		}
 	}
-	return nil
+	return Placement{Reason: ReasonNoHost}
 }
 
 func catalog(hosts ...*pimcatalog.Host) *pimcatalog.Catalog {
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -326,7 +326,7 @@
 // randomPlacer chooses among the backend servers that may get new flows.
 type randomPlacer struct{ rng *rand.Rand }
 
-func (p randomPlacer) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) *pimcatalog.Host {
+func (p randomPlacer) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) pimsteer.Placement {
 	var candidates []*pimcatalog.Host
 	for _, h := range c.Service(r.Shares[0].Service) {
 		if h.AcceptsNewFlows(now) {
@@ -334,9 +334,9 @@
 		}
 	}
 	if len(candidates) == 0 {
-		return nil
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
 	}
-	return candidates[p.rng.IntN(len(candidates))]
+	return pimsteer.Placement{Host: candidates[p.rng.IntN(len(candidates))]}
 }
 
 // steer decides about a packet as the edge does.
