feat: admission of new flows by priority, within the places that a VM may fill

Cause: VMs placed flows by reports that are about a second old. Priority was read by nothing.

Change: the places of the backend servers of a data centre are divided evenly among its VMs, so that each VM knows the load of its share exactly. A flow that opens counts as running. Services whose routes all have one priority are placed as before.

--- /dev/null
+++ b/internal/coordination/pimadmit/level.go
@@ -0,0 +1,69 @@
+package pimadmit
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// The bounds of the activity of a priority.
+const (
+	// activityHalfLife is how fast a priority without new flows loses its weight.
+	activityHalfLife = 5 * time.Second
+	// minActivity is the part of the new flows of a service from which a priority counts. Routes that are published but
+	// hardly used must not take places from the others.
+	minActivity = 0.01
+)
+
+// priority is the recent number of new flows of one priority.
+type priority struct {
+	value pimcatalog.Priority
+	flows float64
+	at    pimclock.Instant
+}
+
+func (p *priority) weight(now pimclock.Instant) float64 {
+	return p.flows * math.Exp2(-float64(now.Sub(p.at))/float64(activityHalfLife))
+}
+
+// Activity counts the new flows of one service by priority; the zero value is empty.
+type Activity struct {
+	// priorities are in the order of their values, the most urgent one first.
+	priorities []priority
+}
+
+// Record counts a new flow and returns its level.
+func (a *Activity) Record(now pimclock.Instant, value pimcatalog.Priority) Level {
+	i, ok := slices.BinarySearchFunc(a.priorities, value, func(p priority, v pimcatalog.Priority) int { return int(p.value) - int(v) })
+	if !ok {
+		a.priorities = slices.Insert(a.priorities, i, priority{value: value})
+	}
+	p := &a.priorities[i]
+	p.flows, p.at = p.weight(now)+1, now
+	return a.Level(now, value)
+}
+
+// Level is the rank of a priority among those of a service that have recent flows: Rank 0 is the most urgent of Count.
+type Level struct{ Rank, Count int }
+
+// Level returns the level of a priority without counting a flow.
+func (a *Activity) Level(now pimclock.Instant, value pimcatalog.Priority) (l Level) {
+	total := 0.0
+	for i := range a.priorities {
+		total += a.priorities[i].weight(now)
+	}
+	for i := range a.priorities {
+		p := &a.priorities[i]
+		if p.value != value && p.weight(now) < minActivity*total {
+			continue
+		}
+		l.Count++
+		if p.value < value {
+			l.Rank++
+		}
+	}
+	return l
+}
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -58,9 +58,10 @@
 	lastSeen pimclock.Instant
 	// sent is the sequence number after the last byte from the caller, acked the last number that the caller acknowledged.
 	sent, acked pimpacket.Sequence
-	// running is set from the request to the first sign of its answer, for at most RunningFor.
-	running      bool
-	runningSince pimclock.Instant
+	// running is set from the request to the first sign of its answer, for at most RunningFor. isExpected is set if the request
+	// has not arrived yet: a flow that opens counts as running, since its request follows within a round trip.
+	running, isExpected bool
+	runningSince        pimclock.Instant
 	// requestedAt is when the last request was forwarded; it is zero once a sign of its answer was seen.
 	requestedAt pimclock.Instant
 	// countedAsMiss is set once the flow has been counted as a miss, so that data that is retransmitted several times
@@ -139,6 +140,8 @@
 	}
 	t.host(now, id).open++
 	t.unanswered.push(p.Flow, now)
+	t.startRequest(now, p.Flow, r)
+	r.isExpected = true
 }
 
 // RecordForwarded records that a packet of an open flow was forwarded to a backend server. The first packet after the
@@ -162,7 +165,7 @@
 		t.finishRequest(now, r, h)
 	}
 	if p.Data > 0 {
-		t.recordData(now, p, r, h)
+		t.recordData(now, p, r)
 	}
 	if p.Flags.Has(pimpacket.Close) || p.Flags.Has(pimpacket.Reset) {
 		t.uncount(now, r)
@@ -187,7 +190,7 @@
 }
 
 // recordData records a request, or a miss if the caller sends data again.
-func (t *Table) recordData(now pimclock.Instant, p *pimpacket.Packet, r *record, h *host) {
+func (t *Table) recordData(now pimclock.Instant, p *pimpacket.Packet, r *record) {
 	end := p.Seq + pimpacket.Sequence(p.Data)
 	if end.After(r.sent) <= 0 {
 		// The backend server has not acknowledged the data within the caller's retransmission time.
@@ -196,12 +199,20 @@
 	}
 	r.sent = end
 	r.requestedAt = now
-	if r.running {
+	t.startRequest(now, p.Flow, r)
+}
+
+// startRequest counts a request as running at the backend server of a flow, or takes over the count of an expected one.
+func (t *Table) startRequest(now pimclock.Instant, f pimpacket.Flow, r *record) {
+	if r.running && !r.isExpected {
 		return
 	}
-	r.running, r.runningSince = true, now
-	h.setBusy(now, h.busy+1)
-	t.unfinished.push(p.Flow, now)
+	if !r.running {
+		h := t.host(now, r.host)
+		h.setBusy(now, h.busy+1)
+	}
+	r.running, r.isExpected, r.runningSince = true, false, now
+	t.unfinished.push(f, now)
 }
 
 // finishRequest ends the running request of a flow at the first sign of its answer.
--- /dev/null
+++ b/internal/coordination/pimplace/admission.go
@@ -0,0 +1,177 @@
+package pimplace
+
+import (
+	"slices"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// admission places the flows of services whose routes have different priorities. The VM fills its own share of the backend servers, whose
+// load it knows exactly, and uses others only if they seem to have free slots.
+type admission struct {
+	cfg    pimadmit.Settings
+	choice *pimadmit.Choice
+	// self and vms are the names of this VM and of all running VMs of the data centre.
+	self string
+	vms  []string
+	// shares and isOwn follow from vms and catalog.
+	catalog  *pimcatalog.Catalog
+	shares   map[pimcatalog.Service][]pimadmit.Share
+	isOwn    map[pimcatalog.HostID]bool
+	activity map[pimcatalog.Service]*pimadmit.Activity
+}
+
+// EnableAdmission lets the placer refuse flows for lack of room; self is the name of this VM.
+func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
+	p.admission = &admission{
+		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{},
+	}
+}
+
+// SetVMs sets the names of the other running VMs of the data centre, sorted.
+func (p *Placer) SetVMs(names []string) {
+	if a := p.admission; a != nil && !slices.Equal(a.vms, names) {
+		a.vms, a.catalog = names, nil
+	}
+}
+
+// maxRemoteFlows is the number of requests that a VM may have under way in other data centres while its own one has no room.
+// Their load is unknown, so that all VMs of a data centre together must not fill the others.
+const maxRemoteFlows = 6
+
+// maxRemoteLoad is the number of own requests per slot up to which a remote backend server gets another one.
+const maxRemoteLoad = 0.5
+
+// admit chooses a backend server for an opening packet, or refuses it.
+func (p *Placer) admit(
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
+) pimsteer.Placement {
+	a := p.admission
+	p.allot(now, c)
+	demand := pimadmit.Demand{
+		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+	}
+	a.choice.Reset()
+	last, before := p.observer.Tried(pkt.Flow)
+	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
+	for _, s := range a.shares[service] {
+		p.addOwn(now, s, wasTried(s.Host.ID))
+	}
+	if h := a.choice.OwnSlot(); h != nil {
+		return pimsteer.Placement{Host: h, Rule: pimadmit.OwnSlot.String()}
+	}
+	isRemoteOpen := p.addOthers(now, c, service, wasTried)
+	h, rule := a.choice.Decide(&demand, isRemoteOpen)
+	switch {
+	case h != nil:
+		return pimsteer.Placement{Host: h, Rule: rule.String()}
+	case rule == pimadmit.NoCandidate:
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost, Rule: rule.String()}
+	default:
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: demand.MayWait(), Rule: rule.String()}
+	}
+}
+
+// recordFlow counts a new flow, but not the later copies of its opening packet, and returns its level.
+func (a *admission) recordFlow(
+	now pimclock.Instant, service pimcatalog.Service, route *pimcatalog.Route, attempt int,
+) pimadmit.Level {
+	activity := a.activity[service]
+	if activity == nil {
+		activity = &pimadmit.Activity{}
+		a.activity[service] = activity
+	}
+	if attempt > 0 {
+		return activity.Level(now, route.Priority)
+	}
+	return activity.Record(now, route.Priority)
+}
+
+// addOwn adds a backend server of the VM's own share.
+func (p *Placer) addOwn(now pimclock.Instant, s pimadmit.Share, wasTried bool) {
+	if !s.Host.AcceptsNewFlows(now) {
+		return
+	}
+	load := p.observer.Load(now, s.Host.ID)
+	if load.Suspect || wasTried {
+		p.addAvoided(now, s.Host, wasTried)
+		return
+	}
+	fill := (float64(load.Busy) + openCost*float64(load.Open)) / float64(s.Places)
+	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host))
+}
+
+// addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
+// another data centre.
+func (p *Placer) addOthers(
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, wasTried func(pimcatalog.HostID) bool,
+) (isRemoteOpen bool) {
+	a := p.admission
+	remoteFlows, isRemoteIdle := 0, false
+	for _, h := range c.Service(service) {
+		if a.isOwn[h.ID] || !h.AcceptsNewFlows(now) {
+			continue
+		}
+		load := p.observer.Load(now, h.ID)
+		slots := float64(max(1, h.Slots))
+		isHome := h.DataCentre == p.home
+		if !isHome {
+			remoteFlows += load.Busy
+		}
+		switch {
+		case load.Suspect || wasTried(h.ID):
+			p.addAvoided(now, h, wasTried(h.ID))
+		case isHome:
+			busy := float64(load.Busy) + load.BusyElsewhere + openCost*(float64(load.Open)+load.OpenElsewhere)
+			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h))
+		default:
+			busy := (float64(load.Busy) + openCost*float64(load.Open)) / slots
+			isRemoteIdle = isRemoteIdle || busy < maxRemoteLoad
+			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h))
+		}
+	}
+	return isRemoteIdle && remoteFlows < maxRemoteFlows
+}
+
+// addAvoided adds a backend server that has not answered recently.
+func (p *Placer) addAvoided(now pimclock.Instant, h *pimcatalog.Host, wasTried bool) {
+	cost := p.cost(now, h)
+	if wasTried {
+		cost += alreadyTriedCost
+	}
+	p.admission.choice.Add(pimadmit.Avoided, h, cost)
+}
+
+// slowdown is the factor by which requests take longer at a backend server that has just started.
+func slowdown(now pimclock.Instant, h *pimcatalog.Host) float64 {
+	if h.ColdFor(now) > 0 {
+		return coldFactor
+	}
+	return 1
+}
+
+// allot divides the backend servers of the data centre among its VMs again if either has changed.
+func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog) {
+	a := p.admission
+	if a.catalog == c {
+		return
+	}
+	a.catalog, a.shares, a.isOwn = c, map[pimcatalog.Service][]pimadmit.Share{}, map[pimcatalog.HostID]bool{}
+	byService := map[pimcatalog.Service][]*pimcatalog.Host{}
+	for _, h := range c.Hosts() {
+		if h.DataCentre == p.home && h.AcceptsNewFlows(now) && c.Routes.HasPriorities(h.Service) {
+			byService[h.Service] = append(byService[h.Service], h)
+		}
+	}
+	for service, hosts := range byService {
+		a.shares[service] = pimadmit.Allot(a.cfg, hosts, a.vms, a.self)
+		for _, s := range a.shares[service] {
+			a.isOwn[s.Host.ID] = true
+		}
+	}
+}
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -40,6 +40,8 @@
 	// candidates and costs are buffers that Place reuses.
 	candidates []*pimcatalog.Host
 	costs      []float64
+	// admission is nil if flows are never refused for lack of room.
+	admission *admission
 }
 
 // New returns a placer for a VM in the data centre home.
@@ -51,9 +53,13 @@
 func (p *Placer) Place(
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
+	service := p.service(route)
+	if p.admission != nil && c.Routes.HasPriorities(service) {
+		return p.admit(now, c, service, route, pkt)
+	}
 	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
-	for _, h := range c.Service(p.service(route)) {
+	for _, h := range c.Service(service) {
 		if !h.AcceptsNewFlows(now) {
 			continue
 		}
--- a/internal/coordination/pimsteer/steer.go
+++ b/internal/coordination/pimsteer/steer.go
@@ -82,6 +82,8 @@
 	Host *pimcatalog.Host
 	// Route is the route of an opening packet; nil for other packets and if there is none.
 	Route *pimcatalog.Route
+	// Rule is the name of the rule by which an opening packet was placed or refused.
+	Rule string
 }
 
 // View is the state known to the VM when the packet arrives.
@@ -109,6 +111,8 @@
 	Reason Reason
 	// Later is set if a later copy of the opening packet may be placed: the packet is then dropped, not answered with a reset.
 	Later bool
+	// Rule is the name of the rule that decided, for logs and explanations.
+	Rule string
 }
 
 // Placer chooses the backend server of a new flow.
@@ -137,12 +141,12 @@
 	placement := placer.Place(now, v.Catalog, route, p)
 	switch {
 	case placement.Host != nil:
-		return Verdict{Action: Forward, Reason: ReasonPlaced, Host: placement.Host, Route: route}
+		return Verdict{Action: Forward, Reason: ReasonPlaced, Host: placement.Host, Route: route, Rule: placement.Rule}
 	case placement.Later:
-		return Verdict{Action: Drop, Reason: placement.Reason, Route: route}
+		return Verdict{Action: Drop, Reason: placement.Reason, Route: route, Rule: placement.Rule}
 	default:
 		verdict := refuse(v.Fresh, placement.Reason)
-		verdict.Route = route
+		verdict.Route, verdict.Rule = route, placement.Rule
 		return verdict
 	}
 }
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -218,6 +218,7 @@
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
 	e.observer.peerLoads = e.node.mesh.gossip.Loads(now)
+	e.placer.SetVMs(e.node.mesh.gossip.Names(now))
 	e.table.Prune(e.node.registry.Catalog())
 	e.updateUnresponsive(now)
 }
--- a/internal/pimentry/log.go
+++ b/internal/pimentry/log.go
@@ -32,7 +32,7 @@
 		Stringer("action", verdict.Action).Stringer("reason", verdict.Reason)
 	withRevision(line, v.Catalog.Revision).Int64("view_age_ms", e.node.registry.Age(now).Milliseconds())
 	if p.IsOpen() {
-		line.Int("attempt", p.Attempt)
+		line.Int("attempt", p.Attempt).Str("rule", verdict.Rule)
 	} else {
 		line.Uint32("tag", uint32(p.Tag))
 	}
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -14,6 +14,7 @@
 	"github.com/rs/zerolog"
 	"github.com/samber/oops"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
@@ -122,6 +123,7 @@
 	table := pimflow.New(cfg)
 	obs := &observer{table: table}
 	placer := pimplace.New(n.cfg.Node.DataCentre, obs, pimpick.LeastLoaded{}, newRand())
+	placer.EnableAdmission(pimadmit.DefaultSettings(), n.cfg.Node.Name)
 	n.edge = newEdge(n, conn, obs, placer)
 	n.addCleanup(n.edge.close)
 	return nil
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -13,6 +13,8 @@
 	byAddr  map[netip.AddrPort]*Route
 	// services holds the names of the published services.
 	services map[Service]bool
+	// mixed holds the services with routes of different priorities.
+	mixed map[Service]bool
 }
 
 // NewRouteTable indexes a configuration.
@@ -27,9 +29,30 @@
 	for _, s := range cfg.Services {
 		t.services[s] = true
 	}
+	t.mixed = mixedPriorities(cfg.Routes)
 	return t
 }
 
+// mixedPriorities returns the services with routes of different priorities.
+func mixedPriorities(routes []Route) map[Service]bool {
+	mixed, first := map[Service]bool{}, map[Service]Priority{}
+	for i := range routes {
+		for _, share := range routes[i].Shares {
+			before, ok := first[share.Service]
+			switch {
+			case !ok:
+				first[share.Service] = routes[i].Priority
+			case before != routes[i].Priority:
+				mixed[share.Service] = true
+			}
+		}
+	}
+	return mixed
+}
+
+// HasPriorities reports whether the routes of a service have different priorities.
+func (t *RouteTable) HasPriorities(s Service) bool { return t.mixed[s] }
+
 // Route returns the route of an address, or nil.
 func (t *RouteTable) Route(address netip.AddrPort) *Route { return t.byAddr[address] }
 
