feat: new flows leave a data centre while its evacuation is published

Operators had no means to empty a data centre: backend servers leave one by one, and VMs prefer their own data centre. The key op/evacuate/ZONE now excludes the backend servers of a data centre from new flows; open flows go on. If only they could take a flow, it is refused with the reason evacuated.

Each delta carries all requests with their revisions and the revision up to which they are complete, so that a missing request of a lower revision has been removed, and late copies need no record of removals. Ruled out: changes only, as for backend servers, which need such records and a rule for parts of a delta. A VM that received a delta of the previous version watches the platform from the revision up to which it knows the requests.

--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -53,8 +53,10 @@
 ) pimsteer.Placement {
 	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
+	reason := pimsteer.ReasonNoHost
 	for _, h := range c.Service(p.service(route)) {
-		if !h.AcceptsNewFlows(now) {
+		if excludedFor, ok := p.exclude(now, c, h); ok {
+			reason = max(reason, excludedFor)
 			continue
 		}
 		cost := p.cost(now, h)
@@ -64,7 +66,7 @@
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
 	}
 	if len(p.candidates) == 0 {
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
+		return pimsteer.Placement{Reason: reason}
 	}
 	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
 	p.rng.Shuffle(len(p.candidates), func(i, j int) {
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -8,7 +8,7 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// Change is one change of one published entry; at most one of Host and Config is set.
+// Change is one change of one published entry; at most one of Host, Config and Evacuation is set.
 type Change struct {
 	// Revision is that of the change, Created that at which the entry first appeared.
 	Revision, Created pimid.Revision
@@ -21,6 +21,8 @@
 	Host *pimcatalog.Host
 	// Config is a new configuration.
 	Config *pimcatalog.Config
+	// Evacuation is the data centre whose evacuation the entry requests; a Fault does not make the request void.
+	Evacuation pimid.DataCentre
 	// Fault says why the entry could not be read.
 	Fault error
 	// Removed is set if the entry is no longer published.
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -32,6 +32,8 @@
 	Hosts   []HostState        `cbor:"4,keyasint,omitempty"`
 	// Removed are the entries that disappeared and whose backend servers are no longer in the catalog.
 	Removed []RemovedHost `cbor:"5,keyasint,omitempty"`
+	// Evacuations are those that the sender knows; nil if it knows of none, or is of a version that does not.
+	Evacuations *EvacuationSet `cbor:"9,keyasint,omitempty"`
 }
 
 // ConfigDelta is the difference between two configurations.
@@ -105,7 +107,10 @@
 			q.Config = 0
 		}
 	}
-	d := Delta{From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base), Version: r.version()}
+	d := Delta{
+		From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base), Version: r.version(),
+		Evacuations: r.evacuations.set(),
+	}
 	if last, ok := r.lastRevisionOfPart(q.From, limit); ok {
 		d.To, d.More = last, true
 	}
@@ -191,11 +196,13 @@
 
 // Merge applies a delta from another VM. A delta that starts after the revision of this VM is refused with ErrGap, since the
 // changes between would be missed, and so is one that does not lead to the state of the sender; the next request then asks
-// for more. A delta that holds nothing new is ignored.
+// for more. A delta that holds nothing new is ignored. Its evacuations are complete in any case, and apply even if the rest is
+// refused.
 func (r *Registry) Merge(d Delta) (err error) {
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %v to %v", d.From, d.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mergeEvacuations(d.Evacuations)
 	if d.To <= r.revision {
 		return nil
 	}
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -60,8 +60,10 @@
 	Superseded Decision = "superseded"
 	// Foreign means that the entry has the id of a backend server with another name, and is ignored.
 	Foreign Decision = "foreign"
-	// Relayed means that the state of a backend server was taken from another VM.
+	// Relayed means that the state of a backend server, or the begin or end of an evacuation, was taken from another VM.
 	Relayed Decision = "relayed"
+	// Renewed means that the request for an evacuation in progress was published again.
+	Renewed Decision = "renewed"
 )
 
 // Registry holds the view of a VM; it is safe for concurrent use.
@@ -88,6 +90,7 @@
 	// removed holds the revisions at which entries disappeared, so that a late copy of an entry does not restore it.
 	removed      map[pimcatalog.HostID]pimid.Revision
 	reachability reachability
+	evacuations  evacuations
 	// lapsed holds the instants by which entries that have lapsed must return; see endOutage. An entry that has returned or ended
 	// may still be in it.
 	lapsed map[pimcatalog.HostID]pimclock.Instant
@@ -115,7 +118,8 @@
 		cfg: cfg, clock: clock, notify: notify,
 		hosts:   map[pimcatalog.HostID]*pimcatalog.Host{},
 		removed: map[pimcatalog.HostID]pimid.Revision{}, retired: map[pimcatalog.HostID]bool{},
-		lapsed: map[pimcatalog.HostID]pimclock.Instant{},
+		lapsed:      map[pimcatalog.HostID]pimclock.Instant{},
+		evacuations: evacuations{published: map[pimid.DataCentre]pimid.Revision{}},
 
 		routeVersions: map[netip.AddrPort]pimcatalog.Version{}, droppedRoutes: map[netip.AddrPort]pimcatalog.Version{},
 		readAsOf: never,
@@ -143,6 +147,7 @@
 	if b.To < b.From {
 		return ErrStale
 	}
+	r.applyEvacuations(&b)
 	if b.To <= r.revision {
 		// Another VM has sent the same changes in the meantime.
 		r.confirmRead()
@@ -164,6 +169,7 @@
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "restore revision %v", s.Revision) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.restoreEvacuations(&s)
 	if s.Revision < r.revision {
 		// Another VM has sent later changes in the meantime.
 		r.confirmRead()
@@ -191,6 +197,8 @@
 // applyChange applies one change of the platform unless it is outdated or unreadable.
 func (r *Registry) applyChange(now pimclock.Instant, c Change) {
 	switch {
+	case c.Evacuation != "":
+		// See applyEvacuations and restoreEvacuations.
 	case c.Config != nil:
 		r.applyConfig(c)
 	case c.ID == 0:
@@ -328,5 +336,5 @@
 		}
 	}
 	r.endEarlierOwners(hosts)
-	r.catalog.Store(pimcatalog.NewCatalog(r.revision, r.routes, hosts))
+	r.catalog.Store(pimcatalog.NewCatalog(r.revision, r.routes, hosts, r.evacuations.names()...))
 }
--- a/internal/coordination/pimsteer/steer_test.go
+++ b/internal/coordination/pimsteer/steer_test.go
@@ -124,3 +124,26 @@
 		t.Fatalf("%v allocations", n)
 	}
 }
+
+// refusing places no flow, for a reason.
+type refusing struct{ reason Reason }
+
+func (p refusing) Place(pimclock.Instant, *pimcatalog.Catalog, *pimcatalog.Route, *pimpacket.Packet) Placement {
+	return Placement{Reason: p.reason}
+}
+
+// Guards against a flow that waits although all its data centres are evacuated, against a refusal by a view in which the request may
+// be out of date, and against open flows that an evacuation ends.
+func TestSteerInEvacuatedDataCentre(t *testing.T) {
+	is := is.New(t)
+	h := &pimcatalog.Host{ID: 7, Service: "desk", DataCentre: "ikeja"}
+	c := pimcatalog.NewCatalog(3, catalog().Routes, []*pimcatalog.Host{h}, "ikeja")
+	opening := pimpacket.Packet{Flow: pimpacket.Flow{Caller: caller, Destination: published}, Flags: pimpacket.Open}
+	placer := refusing{ReasonEvacuated}
+	got := Steer(0, View{Catalog: c, Fresh: true}, placer, &opening)
+	is.Equal([]any{got.Action, got.Reason}, []any{Reset, ReasonEvacuated})
+	got = Steer(0, View{Catalog: c}, placer, &opening)
+	is.Equal([]any{got.Action, got.Reason}, []any{Drop, ReasonViewBehind})
+	data := pimpacket.Packet{Flow: opening.Flow, Flags: pimpacket.Ack, Tag: h.Tag(), Data: 10}
+	is.Equal(Steer(0, View{Catalog: c, Fresh: true, Settled: true}, placer, &data).Action, Forward)
+}
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -47,16 +47,20 @@
 	hosts     []*Host
 	byTag     map[Tag]*Host
 	byService map[Service][]*Host
+	// evacuated is sorted.
+	evacuated []pimid.DataCentre
 }
 
 // NewCatalog indexes the backend servers. If two have the same tag, the one that was published first keeps it and the
-// other one gets no new flows, so that a tag never moves to another backend server while flows use it.
-func NewCatalog(revision pimid.Revision, routes *RouteTable, hosts []*Host) *Catalog {
+// other one gets no new flows, so that a tag never moves to another backend server while flows use it. The data centres that
+// are evacuated follow.
+func NewCatalog(revision pimid.Revision, routes *RouteTable, hosts []*Host, evacuated ...pimid.DataCentre) *Catalog {
 	hosts = slices.Clone(hosts)
 	slices.SortFunc(hosts, compareCreated)
 	c := &Catalog{
 		Revision: revision, Routes: routes, hosts: hosts,
 		byTag: make(map[Tag]*Host, len(hosts)), byService: map[Service][]*Host{},
+		evacuated: slices.Sorted(slices.Values(evacuated)),
 	}
 	for _, h := range hosts {
 		if c.byTag[h.Tag()] != nil {
@@ -96,5 +100,14 @@
 // was read; the caller must not change them. Those that are leaving or have ended are included.
 func (c *Catalog) Service(s Service) []*Host { return c.byService[s] }
 
+// IsEvacuated reports whether the operator has requested that no new flows are placed in a data centre.
+func (c *Catalog) IsEvacuated(dc pimid.DataCentre) bool {
+	_, ok := slices.BinarySearch(c.evacuated, dc)
+	return ok
+}
+
+// Evacuated returns the evacuated data centres, sorted, which the caller must not change.
+func (c *Catalog) Evacuated() []pimid.DataCentre { return c.evacuated }
+
 // Ready reports whether a configuration was read.
 func (c *Catalog) Ready() bool { return c != nil && c.Routes != nil }
