feat: a bound for evacuations in the settings, and evacuations in status, metrics and log

Status lists the evacuated data centres, pimentoyard_evacuated_data_centres counts them, and each begin and end is one line "evacuation". The line about an entry that belongs to no backend server no longer calls it one.

--- a/internal/pimentry/log.go
+++ b/internal/pimentry/log.go
@@ -58,10 +58,14 @@
 		return
 	}
 	level := n.log.Info()
-	if d == pimregistry.Unreadable {
+	if d == pimregistry.Unreadable || c.Evacuation != "" && c.Fault != nil {
 		level = n.log.Warn().Err(c.Fault)
 	}
 	event := withRevision(level.Str("decision", string(d)), c.Revision)
+	if c.Evacuation != "" {
+		event.Str("data_centre", string(c.Evacuation)).Bool("removed", c.Removed).Msg("evacuation")
+		return
+	}
 	if c.Config != nil {
 		event.Uint64("version", uint64(c.Config.Version)).Int("routes", len(c.Config.Routes)).Msg("configuration")
 		return
@@ -69,5 +73,10 @@
 	if c.Host != nil {
 		event.Str("host", c.Host.Name).Str("service", string(c.Host.Service)).Bool("leaving", c.Host.Leaving)
 	}
-	event.Bool("removed", c.Removed).Msg("backend server")
+	event.Bool("removed", c.Removed)
+	if c.ID == 0 {
+		event.Msg("entry")
+		return
+	}
+	event.Msg("backend server")
 }
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -58,7 +58,7 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	cfg := pimgossip.DefaultSettings(time.Duration(n.cfg.Platform.InForceWithin))
+	cfg := pimgossip.DefaultSettings(n.cfg.Platform.ConfirmWithin())
 	cfg.Name, cfg.DataCentre = n.cfg.Node.Name, n.cfg.Node.DataCentre
 	cfg.Address, cfg.Seeds = n.cfg.Peer.Address, n.cfg.Peer.SeedAddresses()
 	m = &mesh{
--- a/internal/pimentry/metrics.go
+++ b/internal/pimentry/metrics.go
@@ -34,6 +34,7 @@
 	gauge("pimentoyard_platform_era", func() float64 { return float64(n.registry.Catalog().Revision.Era()) })
 	gauge("pimentoyard_view_age_seconds", func() float64 { return n.registry.Age(n.clock.Now()).Seconds() })
 	gauge("pimentoyard_peer_deltas_discarded_total", func() float64 { return float64(n.mesh.gossip.DiscardedTransfers()) })
+	gauge("pimentoyard_evacuated_data_centres", func() float64 { return float64(len(n.registry.Catalog().Evacuated())) })
 	gauge("pimentoyard_view_hosts", func() float64 { return float64(len(n.registry.Catalog().Hosts())) })
 }
 
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -23,6 +23,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimfollow"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimops"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // Platform holds what depends on the platform that a VM runs on.
@@ -78,7 +79,7 @@
 	defer func() { err = oops.In("pimentry").Wrapf(err, "start VM") }()
 	n = &Node{cfg: cfg, platform: p, log: log, clock: clock, started: clock.Now(), set: metrics.NewSet()}
 	n.linger.Store(int64(cfg.Drain.Linger))
-	n.registry = pimregistry.New(pimregistry.DefaultSettings(time.Duration(cfg.Platform.InForceWithin)), clock, n.logDecision)
+	n.registry = pimregistry.New(pimregistry.DefaultSettings(cfg.Platform.ConfirmWithin()), clock, n.logDecision)
 	if err = n.start(ctx); err != nil {
 		n.close()
 		return nil, nil, err
@@ -99,9 +100,9 @@
 	n.addCleanup(closeMesh)
 	n.mesh.start()
 	_, stop := pimfollow.New(ctx, pimfollow.Config[pimregistry.Batch, pimregistry.Snapshot]{
-		Source: n.platform.Source, Sink: n.registry, Changed: n.viewChanged, Unchanged: n.registry.ConfirmRead, Observe: n.recordRead,
+		Source: n.platform.Source, Sink: sink{n.registry}, Changed: n.viewChanged, Unchanged: n.registry.ConfirmRead, Observe: n.recordRead,
 		Enabled: n.shouldRead, Hold: n.watchTimeout, IdleCheck: readerCheckInterval,
-		BatchDelay: time.Duration(n.cfg.Platform.InForceWithin) / batchesInForceTime,
+		BatchDelay: n.cfg.Platform.ConfirmWithin() / batchesInForceTime,
 		Backoff:    pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale, Log: n.log,
 	})
 	n.addCleanup(stop)
@@ -171,6 +172,11 @@
 	return nil
 }
 
+// sink is the registry, with the revision from which the platform has to be watched.
+type sink struct{ *pimregistry.Registry }
+
+func (s sink) Revision() pimid.Revision { return s.ReadFrom() }
+
 // isReady reports whether the fabric may send new flows here.
 func (n *Node) isReady() bool { return !n.stopping.Load() && n.registry.Catalog().Ready() }
 
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -20,6 +20,8 @@
 	Routes    int   `json:"routes"`
 	// Reader is set if this VM reads the platform for its data centre.
 	Reader bool `json:"reader"`
+	// Evacuated are the data centres that get no new flows at the request of the operator.
+	Evacuated []pimid.DataCentre `json:"evacuated"`
 	// Peers are the names of the other running VMs of the data centre.
 	Peers []string     `json:"peers"`
 	Hosts []HostStatus `json:"hosts"`
@@ -45,7 +47,7 @@
 	s := Status{
 		Name: n.cfg.Node.Name, DataCentre: n.cfg.Node.DataCentre, Ready: n.isReady(), Era: c.Revision.Era(), Revision: c.Revision.Number(),
 		ViewAgeMs: n.registry.Age(now).Milliseconds(), UptimeMs: now.Sub(n.started).Milliseconds(),
-		Reader: n.mesh.gossip.IsReader(), Peers: n.mesh.gossip.Names(now),
+		Evacuated: c.Evacuated(), Reader: n.mesh.gossip.IsReader(), Peers: n.mesh.gossip.Names(now),
 	}
 	if c.Ready() {
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -46,6 +46,16 @@
 	// InForceWithin is the time within which a change has to be in force on all VMs. How long a call may wait for a
 	// change, and when another VM takes over from the reader of the platform, are derived from it.
 	InForceWithin pimcontract.Duration `toml:"in_force_within"`
+	// EvacuatedWithin is the time within which new flows must leave a data centre that is evacuated; zero means no bound.
+	EvacuatedWithin pimcontract.Duration `toml:"evacuated_within"`
+}
+
+// ConfirmWithin returns the time within which a VM must have its view confirmed: the shortest of the bounds.
+func (p EntryPlatform) ConfirmWithin() time.Duration {
+	if p.EvacuatedWithin > 0 {
+		return time.Duration(min(p.InForceWithin, p.EvacuatedWithin))
+	}
+	return time.Duration(p.InForceWithin)
 }
 
 // EntryPeer holds the addresses with which this VM finds the others.
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -47,6 +47,9 @@
 	v.address(s.Platform.Address, "platform.address")
 	v.positive(s.Platform.Timeout, "platform.timeout")
 	v.positive(s.Platform.InForceWithin, "platform.in_force_within")
+	if v.doc.Has("platform.evacuated_within") {
+		v.positive(s.Platform.EvacuatedWithin, "platform.evacuated_within")
+	}
 	v.address(s.Operator.Address, "operator.address")
 	v.oneOf(s.Log.Level, "log.level", "trace", "debug", "info", "warn", "error")
 	v.positive(s.Drain.Linger, "drain.linger")
