--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -23,6 +23,8 @@
 	shares   map[pimcatalog.Service][]pimadmit.Share
 	isOwn    map[pimcatalog.HostID]bool
 	activity map[pimcatalog.Service]*pimadmit.Activity
+	// excluded is why backend servers were excluded from the present choice; see Placer.exclude.
+	excluded pimsteer.Reason
 }
 
 // EnableAdmission lets the placer refuse flows for lack of room; self is the name of this VM.
@@ -57,10 +59,11 @@
 		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
 	a.choice.Reset()
+	a.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
 	for _, s := range a.shares[service] {
-		p.addOwn(now, s, wasTried(s.Host.ID))
+		p.addOwn(now, c, s, wasTried(s.Host.ID))
 	}
 	if h := a.choice.OwnSlot(); h != nil {
 		return pimsteer.Placement{Host: h, Rule: pimadmit.OwnSlot.String()}
@@ -71,7 +74,7 @@
 	case h != nil:
 		return pimsteer.Placement{Host: h, Rule: rule.String()}
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost, Rule: rule.String()}
+		return pimsteer.Placement{Reason: a.excluded, Rule: rule.String()}
 	default:
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: demand.MayWait(), Rule: rule.String()}
 	}
@@ -92,9 +95,18 @@
 	return activity.Record(now, route.Priority)
 }
 
+// isExcluded reports whether a backend server may receive no new flow now, and records why.
+func (p *Placer) isExcluded(now pimclock.Instant, c *pimcatalog.Catalog, h *pimcatalog.Host) bool {
+	reason, isExcluded := p.exclude(now, c, h)
+	if isExcluded {
+		p.admission.excluded = max(p.admission.excluded, reason)
+	}
+	return isExcluded
+}
+
 // addOwn adds a backend server of the VM's own share.
-func (p *Placer) addOwn(now pimclock.Instant, s pimadmit.Share, wasTried bool) {
-	if !s.Host.AcceptsNewFlows(now) {
+func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) {
+	if p.isExcluded(now, c, s.Host) {
 		return
 	}
 	load := p.observer.Load(now, s.Host.ID)
@@ -114,7 +126,7 @@
 	a := p.admission
 	remoteFlows, isRemoteIdle := 0, false
 	for _, h := range c.Service(service) {
-		if a.isOwn[h.ID] || !h.AcceptsNewFlows(now) {
+		if a.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
 		load := p.observer.Load(now, h.ID)
