--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -40,8 +40,11 @@
 	receivedAt pimclock.Instant
 	namedAt    pimclock.Instant
 	leaving    bool
-	// incarnation identifies the process run of the VM.
+	// incarnation identifies the process run of the VM, which was first heard from at heardSince.
 	incarnation uint64
+	heardSince  pimclock.Instant
+	// known is the number of VMs of the data centre that it last reported to know, itself included; zero if it reports none.
+	known int
 	// offset is the smallest difference between the local clock when a heartbeat arrived and the sender's clock when it
 	// was sent, as of offsetAt, and isOffsetKnown whether it is that of a heartbeat that did not wait. compared is the
 	// heartbeat with which the next one is compared to find that out.
@@ -63,6 +66,8 @@
 	remotePeers   map[pimid.DataCentre]map[netip.AddrPort]*peer
 	lastHeartbeat pimclock.Instant
 	lastHello     pimclock.Instant
+	// runningSince is when this VM started, or resumed after a pause; lastReceived is when the last heartbeat arrived.
+	runningSince, lastReceived pimclock.Instant
 	// hash is the rank of this VM among readers; see readerHash. reading is set while this VM should read the platform,
 	// canRead unless the last read failed.
 	hash             uint64
@@ -106,6 +111,9 @@
 	if m.lastHeartbeat != 0 && now.Sub(m.lastHeartbeat) < m.cfg.HeartbeatInterval {
 		return nil
 	}
+	if m.hasPaused(now) {
+		m.runningSince = now
+	}
 	m.lastHeartbeat = now
 	m.expirePeers(now)
 	out = m.heartbeats(now, v)
@@ -175,7 +183,7 @@
 	return pimmesh.Message{Heartbeat: &pimmesh.Heartbeat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
-		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base,
+		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Known: len(m.peers) + 1,
 	}}
 }
 
@@ -235,10 +243,13 @@
 	return max(m.cfg.PeerTimeout, missedHeartbeats*meanInterval)
 }
 
+// removalTimeout is how long a silent VM is known.
+func (m *Mesh) removalTimeout() time.Duration { return m.peerTimeout() + m.cfg.RemoveAfter }
+
 func (m *Mesh) expirePeers(now pimclock.Instant) {
 	expire := func(of map[netip.AddrPort]*peer) {
 		for address, p := range of {
-			if now.Sub(max(p.receivedAt, p.namedAt)) > m.peerTimeout()+m.cfg.RemoveAfter {
+			if now.Sub(max(p.receivedAt, p.namedAt)) > m.removalTimeout() {
 				delete(of, address)
 			}
 		}
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -120,7 +120,11 @@
 		of[b.Address] = p
 	}
 	isNew = !m.isRunning(now, p)
-	p.name, p.address, p.receivedAt, p.leaving = b.Name, b.Address, now, b.Leaving
+	if p.heardSince == 0 || p.incarnation != b.Incarnation {
+		p.heardSince = now
+	}
+	p.name, p.address, p.receivedAt, p.leaving, p.known = b.Name, b.Address, now, b.Leaving, b.Known
+	m.lastReceived = now
 	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
 	for _, load := range b.Loads {
 		p.loads[load.ID] = load
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -46,6 +46,9 @@
 	Base pimid.Revision `cbor:"13,keyasint,omitempty"`
 	// TakeOver asks the receiver to read the platform in place of the sender, which is about to stop.
 	TakeOver bool `cbor:"14,keyasint,omitempty"`
+	// Known is the number of VMs of its data centre that the sender knows, silent ones and itself included; VMs of earlier
+	// versions send none.
+	Known int `cbor:"18,keyasint,omitempty"`
 }
 
 // Claim is the claim of a VM to be the reader of the platform.
