--- a/internal/coordination/pimgossip/membership.go
+++ b/internal/coordination/pimgossip/membership.go
@@ -34,7 +34,7 @@
 func (m *Mesh) Membership(now pimclock.Instant) Membership {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	s := Membership{Incomplete: m.isCutOff(now) || m.lacksPeers(now)}
+	s := Membership{Incomplete: m.isIncomplete(now)}
 	if !m.hasPaused(now) {
 		s.RunningFor = now.Sub(m.runningSince)
 	}
@@ -54,18 +54,59 @@
 	return m.lastHeartbeat == 0 || now.Sub(m.lastHeartbeat) > pauseGap
 }
 
-// isCutOff reports whether no VM has been heard from since this VM started or resumed, although it has seeds. Like any silent VM,
-// the seeds count as running for the removal timeout.
-func (m *Mesh) isCutOff(now pimclock.Instant) bool {
-	hasSeeds := slices.ContainsFunc(m.cfg.Seeds, func(a netip.AddrPort) bool { return a != m.cfg.Address })
-	return hasSeeds && m.lastReceived < m.runningSince && now.Sub(m.runningSince) <= m.removalTimeout()
+// isIncomplete reports whether there may be VMs that this VM does not know: it knows fewer than another one, or has had no way yet to
+// learn of all. After a start or a pause, it has to hear from a VM that knows all, or to wait for the hellos that any VM sends to
+// a silent one. Each seed counts as running for the removal timeout, like any VM that does not answer.
+func (m *Mesh) isIncomplete(now pimclock.Instant) bool {
+	isOther := func(a netip.AddrPort) bool { return a != m.cfg.Address }
+	isUnknown := func(a netip.AddrPort) bool { return isOther(a) && !m.hasHeard(a) }
+	age := now.Sub(m.runningSince)
+	switch {
+	case m.lacksPeers():
+		return true
+	case !slices.ContainsFunc(m.cfg.Seeds, isOther) || age > m.removalTimeout():
+		return false
+	case !m.informed && age <= m.cfg.HelloInterval+m.cfg.PeerTimeout:
+		return true
+	default:
+		return m.lastReceived < m.runningSince || slices.ContainsFunc(m.cfg.Seeds, isUnknown)
+	}
+}
+
+// knownToReport returns the number of VMs of the data centre that this VM knows, or zero if there may be others.
+func (m *Mesh) knownToReport(now pimclock.Instant) int {
+	if m.isIncomplete(now) {
+		return 0
+	}
+	return len(m.peers) + 1
+}
+
+// recordKnown records the number of VMs that the sender of a heartbeat knows. A heartbeat that has waited since before this VM started or
+// resumed may be out of date.
+func (m *Mesh) recordKnown(p *peer, sentAt pimclock.Instant, known int) {
+	if known > 0 && !sentAt.Before(m.runningSince) {
+		p.known, m.informed = known, true
+	}
+}
+
+// hasHeard reports whether a VM of any data centre is known that has been heard from.
+func (m *Mesh) hasHeard(a netip.AddrPort) bool {
+	if p := m.peers[a]; p != nil && p.receivedAt != 0 {
+		return true
+	}
+	for _, of := range m.remotePeers {
+		if p := of[a]; p != nil && p.receivedAt != 0 {
+			return true
+		}
+	}
+	return false
 }
 
-// lacksPeers reports whether a running VM knows more VMs than this one. Heartbeats name running VMs only, so a VM that starts
-// does not learn of one that is silent; without the number, it would take over the work of that VM.
-func (m *Mesh) lacksPeers(now pimclock.Instant) bool {
+// lacksPeers reports whether another VM knew more VMs than this one when it was last heard from. Heartbeats name running VMs only,
+// so a VM that starts does not learn of one that is silent; without the number, it would take over the work of that VM.
+func (m *Mesh) lacksPeers() bool {
 	for _, p := range m.peers {
-		if p.known > len(m.peers)+1 && m.isRunning(now, p) {
+		if p.known > len(m.peers)+1 {
 			return true
 		}
 	}
--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -43,7 +43,7 @@
 	// incarnation identifies the process run of the VM, which was first heard from at heardSince.
 	incarnation uint64
 	heardSince  pimclock.Instant
-	// known is the number of VMs of the data centre that it last reported to know, itself included; zero if it reports none.
+	// known is the number of VMs of the data centre, itself included, that it last reported to know; zero if it has reported none.
 	known int
 	// offset is the smallest difference between the local clock when a heartbeat arrived and the sender's clock when it
 	// was sent, as of offsetAt, and isOffsetKnown whether it is that of a heartbeat that did not wait. compared is the
@@ -66,8 +66,10 @@
 	remotePeers   map[pimid.DataCentre]map[netip.AddrPort]*peer
 	lastHeartbeat pimclock.Instant
 	lastHello     pimclock.Instant
-	// runningSince is when this VM started, or resumed after a pause; lastReceived is when the last heartbeat arrived.
+	// runningSince is when this VM started, or resumed after a pause; lastReceived is when the last heartbeat
+	// arrived, which may have waited until it was read. informed is set once a VM has reported since how many VMs it knows.
 	runningSince, lastReceived pimclock.Instant
+	informed                   bool
 	// hash is the rank of this VM among readers; see readerHash. reading is set while this VM should read the platform,
 	// canRead unless the last read failed.
 	hash             uint64
@@ -112,7 +114,7 @@
 		return nil
 	}
 	if m.hasPaused(now) {
-		m.runningSince = now
+		m.runningSince, m.informed = now, false
 	}
 	m.lastHeartbeat = now
 	m.expirePeers(now)
@@ -183,7 +185,7 @@
 	return pimmesh.Message{Heartbeat: &pimmesh.Heartbeat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
-		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Known: len(m.peers) + 1,
+		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Known: m.knownToReport(now),
 	}}
 }
 
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -70,8 +70,12 @@
 	p, isNew := m.recordSender(now, b)
 	delay, isDelayKnown := p.delay(now, b)
 	h.Delay = delay
+	if isDelayKnown {
+		m.lastReceived = max(m.lastReceived, now.Add(-delay))
+	}
 	if b.DataCentre == m.cfg.DataCentre && isDelayKnown {
 		m.mergeClaim(now.Add(-delay), b.Claim)
+		m.recordKnown(p, now.Add(-delay), b.Known)
 	}
 	// A heartbeat names VMs of the receiver's data centre.
 	m.addNamed(now, b.Peers)
@@ -123,8 +127,7 @@
 	if p.heardSince == 0 || p.incarnation != b.Incarnation {
 		p.heardSince = now
 	}
-	p.name, p.address, p.receivedAt, p.leaving, p.known = b.Name, b.Address, now, b.Leaving, b.Known
-	m.lastReceived = now
+	p.name, p.address, p.receivedAt, p.leaving = b.Name, b.Address, now, b.Leaving
 	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
 	for _, load := range b.Loads {
 		p.loads[load.ID] = load
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -46,8 +46,8 @@
 	Base pimid.Revision `cbor:"13,keyasint,omitempty"`
 	// TakeOver asks the receiver to read the platform in place of the sender, which is about to stop.
 	TakeOver bool `cbor:"14,keyasint,omitempty"`
-	// Known is the number of VMs of its data centre that the sender knows, silent ones and itself included; VMs of earlier
-	// versions send none.
+	// Known is the number of VMs of its data centre that the sender knows, silent ones and itself included. It is zero if there may
+	// be others that it does not know, and in heartbeats of earlier versions.
 	Known int `cbor:"18,keyasint,omitempty"`
 }
 
