feat: backend servers in slow start get a limited number of opening packets

Cause: nothing bounds the requests that all VMs together send to a backend server that has just started. Change: warmup_s and warmup_per_s of a service are decoded and passed on between VMs (keys 9 and 10 of ConfigDelta, optional); settings slow_start.overage and slow_start.slack; pimplace leaves out backend servers that the limiter does not allow, and drops the packet if the next copy may be placed; the VM records each opening packet before it sends it. The end of a slow start has a margin for rounding and for clocks of different speed. Without the settings or without warmup_per_s nothing changes. Ruled out: limits in the checksum of the routes; they are always sent whole. A configuration from a VM of the previous version, which leaves the limits out, counts as having the lowest ones.

--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -40,6 +40,8 @@
 	// candidates and costs are buffers that Place reuses.
 	candidates []*pimcatalog.Host
 	costs      []float64
+	// slowStart is nil if backend servers in slow start have no limit.
+	slowStart SlowStart
 }
 
 // New returns a placer for a VM in the data centre home.
@@ -53,17 +55,28 @@
 ) pimsteer.Placement {
 	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
-	for _, h := range c.Service(p.service(route)) {
+	service, slowStarts := p.service(route), 0
+	for _, h := range c.Service(service) {
 		if !h.AcceptsNewFlows(now) {
 			continue
 		}
+		if reason, isExcluded := p.exclude(now, c, h); isExcluded {
+			if reason == pimsteer.ReasonSlowStart {
+				slowStarts++
+			}
+			continue
+		}
 		cost := p.cost(now, h)
 		if h.ID == last || h.ID == before {
 			cost += alreadyTriedCost
 		}
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
 	}
-	if len(p.candidates) == 0 {
+	switch {
+	case len(p.candidates) > 0:
+	case slowStarts > 0:
+		return p.refuseSlowStart(now, c, service, pkt)
+	default:
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
 	}
 	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -46,6 +46,10 @@
 	Routes      []pimcatalog.Route   `cbor:"5,keyasint,omitempty"`
 	// Dropped holds the addresses of removed routes.
 	Dropped []netip.AddrPort `cbor:"6,keyasint,omitempty"`
+	// SlowStart holds all limits of services during the slow start, like Services. HasSlowStart is set if the sender knows them; VMs of
+	// earlier versions leave both out.
+	SlowStart    []pimcatalog.SlowStart `cbor:"9,keyasint,omitempty"`
+	HasSlowStart bool                   `cbor:"10,keyasint,omitempty"`
 }
 
 // HostState is a backend server with its instants as durations from the time of sending, since VMs do not share a
@@ -170,7 +174,10 @@
 // services are always complete. This VM may not know all routes that were removed: a list has only the last version, and a
 // platform that was restored has lost some. The checksum tells.
 func (r *Registry) configSince(since pimcatalog.Version) *ConfigDelta {
-	d := &ConfigDelta{Version: r.config.Version, IdleTimeout: r.config.IdleTimeout, Services: r.config.Services}
+	d := &ConfigDelta{
+		Version: r.config.Version, IdleTimeout: r.config.IdleTimeout, Services: r.config.Services,
+		SlowStart: r.config.SlowStart, HasSlowStart: !r.config.SlowStartUnknown,
+	}
 	if since == 0 {
 		d.Routes = r.config.Routes
 		return d
@@ -272,7 +279,10 @@
 
 // patchedConfig returns the configuration of this VM with the changes of a delta.
 func (r *Registry) patchedConfig(d *ConfigDelta) *pimcatalog.Config {
-	cfg := &pimcatalog.Config{Version: d.Version, IdleTimeout: d.IdleTimeout, Services: d.Services}
+	cfg := &pimcatalog.Config{
+		Version: d.Version, IdleTimeout: d.IdleTimeout, Services: d.Services,
+		SlowStart: d.SlowStart, SlowStartUnknown: !d.HasSlowStart,
+	}
 	if d.Since == 0 {
 		cfg.Routes = d.Routes
 		return cfg
@@ -296,7 +306,7 @@
 // mergeHost stores the state of a backend server from another VM if it is newer.
 func (r *Registry) mergeHost(now pimclock.Instant, s HostState) {
 	h := s.Host
-	h.ColdUntil = now.Add(s.ColdFor)
+	h.ColdUntil = coldUntil(now, s.ColdFor)
 	if h.Unlisted {
 		h.GoneAt = now.Add(s.GoneIn)
 	}
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -243,7 +243,7 @@
 // applyConfig puts a configuration in force if its version is higher than the current one. Its revision does not count: a
 // platform that was restored from an older copy publishes an older version at a higher revision, and the same version again.
 func (r *Registry) applyConfig(c Change) {
-	if r.config != nil && c.Config.Version <= r.config.Version {
+	if r.config != nil && c.Config.Version <= r.config.Version && !r.addsSlowStart(c.Config) {
 		r.notify(c, Outdated)
 		return
 	}
@@ -251,6 +251,11 @@
 	r.notify(c, Applied)
 }
 
+// addsSlowStart reports whether a configuration is the one in force, which came without the limits during the slow start.
+func (r *Registry) addsSlowStart(cfg *pimcatalog.Config) bool {
+	return cfg.Version == r.config.Version && r.config.SlowStartUnknown && !cfg.SlowStartUnknown
+}
+
 // setConfig puts a configuration in force.
 func (r *Registry) setConfig(cfg *pimcatalog.Config) {
 	r.recordRouteChanges(cfg)
@@ -289,7 +294,7 @@
 // putHost stores a new or changed entry.
 func (r *Registry) putHost(now pimclock.Instant, c Change) {
 	h := *c.Host
-	h.ColdUntil = now.Add(h.Warmup)
+	h.ColdUntil = coldUntil(now, h.Warmup)
 	h.Revision, h.Created = c.Revision, c.Created
 	decision := r.storeHost(&h)
 	if r.isFirstList && decision == Applied {
@@ -298,6 +303,21 @@
 	r.notify(c, decision)
 }
 
+// The margins of the end of a slow start: its rest is published in whole milliseconds, and the clocks of two machines differ in speed
+// by up to one in coldDriftDivisor.
+const (
+	coldRounding     = time.Millisecond
+	coldDriftDivisor = 1000
+)
+
+// coldUntil returns the end of a slow start of which some was left when its entry was published or sent; it is never too early.
+func coldUntil(now pimclock.Instant, rest time.Duration) pimclock.Instant {
+	if rest <= 0 {
+		return now
+	}
+	return now.Add(rest + rest/coldDriftDivisor + coldRounding)
+}
+
 // storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era.
 func (r *Registry) storeHost(h *pimcatalog.Host) Decision {
 	if r.keepReport(h) {
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -38,7 +38,9 @@
 	placer   *pimplace.Placer
 	// unresponsive holds the backend servers that do not answer any VM and whose waiting flows were reset.
 	unresponsive map[pimcatalog.HostID]bool
-	counters     edgeCounters
+	// slowStart is nil if backend servers in slow start have no limit.
+	slowStart *slowStart
+	counters  edgeCounters
 	once         sync.Once
 	wg           sync.WaitGroup
 	buf          [hostPrefixBytes + maxPacketBytes]byte
@@ -139,6 +141,7 @@
 		if p.IsOpen() {
 			codec.SetTag(datagram, verdict.Host.Tag())
 			e.table.RecordOpening(now, &p, verdict.Host.ID)
+			e.slowStart.record(now, view.Catalog, verdict.Host)
 		} else {
 			e.table.RecordForwarded(now, &p, verdict.Host.ID)
 		}
@@ -215,6 +218,7 @@
 		return
 	}
 	e.reportedAt = now
+	e.slowStart.update(now)
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
 	e.observer.peerLoads = e.node.mesh.gossip.Loads(now)
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -123,6 +123,10 @@
 	obs := &observer{table: table}
 	placer := pimplace.New(n.cfg.Node.DataCentre, obs, pimpick.LeastLoaded{}, newRand())
 	n.edge = newEdge(n, conn, obs, placer)
+	if cfg := n.cfg.SlowStart; cfg != nil {
+		n.edge.slowStart = newSlowStart(n, cfg)
+		placer.LimitSlowStart(n.edge.slowStart)
+	}
 	n.addCleanup(n.edge.close)
 	return nil
 }
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -21,7 +21,9 @@
 	// Reader is set if this VM reads the platform for its data centre.
 	Reader bool `json:"reader"`
 	// Peers are the names of the other running VMs of the data centre.
-	Peers []string     `json:"peers"`
+	Peers []string `json:"peers"`
+	// SlowStart are the names of the backend servers in slow start to which only this VM sends new flows; nil if there is no limit.
+	SlowStart []string `json:"slow_start,omitempty"`
 	Hosts []HostStatus `json:"hosts"`
 }
 
@@ -50,6 +52,7 @@
 	if c.Ready() {
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
 	}
+	s.SlowStart = n.edge.slowStart.owned(now, c)
 	for _, h := range c.Hosts() {
 		s.Hosts = append(s.Hosts, HostStatus{
 			Name: h.Name, Tag: h.Tag(), Service: h.Service, Address: h.Address.String(), DataCentre: h.DataCentre,
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -22,6 +22,8 @@
 	Operator Operator      `toml:"operator"`
 	Log      Log           `toml:"log"`
 	Drain    EntryDrain    `toml:"drain"`
+	// SlowStart is nil if backend servers in slow start have no limit.
+	SlowStart *EntrySlowStart `toml:"slow_start"`
 }
 
 // EntryNode is the name and the data centre of this VM.
@@ -70,6 +72,13 @@
 	Linger pimcontract.Duration `toml:"linger"`
 }
 
+// EntrySlowStart bounds the opening packets to a backend server in slow start: if it can handle n requests a second meanwhile, it gets
+// at most n*Overage+Slack of them in any second, from all VMs together.
+type EntrySlowStart struct {
+	Overage float64 `toml:"overage"`
+	Slack   float64 `toml:"slack"`
+}
+
 // DefaultEntry returns the values of the settings that a file does not set.
 func DefaultEntry() Entry {
 	return Entry{
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -50,8 +50,18 @@
 	v.address(s.Operator.Address, "operator.address")
 	v.oneOf(s.Log.Level, "log.level", "trace", "debug", "info", "warn", "error")
 	v.positive(s.Drain.Linger, "drain.linger")
+	if s.SlowStart != nil {
+		v.check(s.SlowStart.Overage > 0 && s.SlowStart.Overage <= maxOverage, "slow_start.overage", "must be above 0 and at most %d", maxOverage)
+		v.check(s.SlowStart.Slack >= 0 && s.SlowStart.Slack <= maxSlack, "slow_start.slack", "must be between 0 and %d", maxSlack)
+	}
 }
 
+// The bounds of the limits during the slow start; a higher one limits nothing and is a mistake.
+const (
+	maxOverage = 1000
+	maxSlack   = 1_000_000
+)
+
 func (v *validator) node(n Node) {
 	v.check(n.ID != 0, "node.id", "is required and must be above 0")
 	v.check(n.DataCentre != "", "node.data_centre", "is required")
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -13,6 +13,9 @@
 	byAddr  map[netip.AddrPort]*Route
 	// services holds the names of the published services.
 	services map[Service]bool
+	// slowStart holds the requests per second of the services that have a limit during the slow start.
+	slowStart        map[Service]float64
+	slowStartUnknown bool
 }
 
 // NewRouteTable indexes a configuration.
@@ -20,6 +23,7 @@
 	t := &RouteTable{
 		Version: cfg.Version,
 		byAddr:  make(map[netip.AddrPort]*Route, len(cfg.Routes)), services: make(map[Service]bool, len(cfg.Services)),
+		slowStart: make(map[Service]float64, len(cfg.SlowStart)), slowStartUnknown: cfg.SlowStartUnknown,
 	}
 	for i := range cfg.Routes {
 		t.byAddr[cfg.Routes[i].Address] = &cfg.Routes[i]
@@ -27,6 +31,9 @@
 	for _, s := range cfg.Services {
 		t.services[s] = true
 	}
+	for _, s := range cfg.SlowStart {
+		t.slowStart[s.Service] = s.PerSecond
+	}
 	return t
 }
 
@@ -96,5 +103,15 @@
 // was read; the caller must not change them. Those that are leaving or have ended are included.
 func (c *Catalog) Service(s Service) []*Host { return c.byService[s] }
 
+// SlowStart returns the requests per second that a backend server of a service can handle during its slow start; ok is false if the
+// service has no limit. If the limits are not known, each service counts as having the lowest one.
+func (c *Catalog) SlowStart(s Service) (perSecond float64, ok bool) {
+	if c.Routes == nil {
+		return 0, false
+	}
+	perSecond, ok = c.Routes.slowStart[s]
+	return perSecond, ok || c.Routes.slowStartUnknown
+}
+
 // Ready reports whether a configuration was read.
 func (c *Catalog) Ready() bool { return c != nil && c.Routes != nil }
--- a/internal/state/pimcatalog/config.go
+++ b/internal/state/pimcatalog/config.go
@@ -46,6 +46,16 @@
 		r.Timeout == other.Timeout && r.Target == other.Target && slices.Equal(r.Shares, other.Shares)
 }
 
+// SlowStart is the limit of a service for its backend servers in slow start. It is encoded under its field names in messages between
+// VMs.
+type SlowStart struct {
+	Service Service
+	// Duration is the length of a slow start; zero if it is not published. The entry of a backend server states the rest.
+	Duration time.Duration
+	// PerSecond is the number of requests per second that a backend server can handle during its slow start.
+	PerSecond float64
+}
+
 // Version numbers configurations; a later one has a higher version.
 type Version uint64
 
@@ -57,4 +67,8 @@
 	Services []Service
 	// IdleTimeout is how long a flow may go without packets.
 	IdleTimeout time.Duration
+	// SlowStart holds the limits of the services that have one.
+	SlowStart []SlowStart
+	// SlowStartUnknown is set if the configuration came from a VM of an earlier version, which leaves the limits out.
+	SlowStartUnknown bool
 }
