feat: a copy of a forwarded opening packet is dropped, not answered with a reset, in slow start

Cause: a backend server in slow start answers late, so that a copy of its opening packet arrives when the allowance is used up; a reset could reach the caller after the answer and break the open flow. Change: the copy is dropped if this VM has forwarded an earlier one.

--- a/internal/coordination/pimplace/exclude.go
+++ b/internal/coordination/pimplace/exclude.go
@@ -40,11 +40,12 @@
 var untilNextCopy = []time.Duration{200 * time.Millisecond, 400 * time.Millisecond}
 
 // refuseSlowStart returns the placement for a packet that only backend servers in slow start could have taken. If the next copy may be
-// placed on one of them, the caller need not begin a new attempt.
+// placed on one of them, the caller need not begin a new attempt. isTried is set if an earlier copy was forwarded: its answer may be on
+// the way, and a reset could reach the caller after it and break the open flow.
 func (p *Placer) refuseSlowStart(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, pkt *pimpacket.Packet,
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, pkt *pimpacket.Packet, isTried bool,
 ) pimsteer.Placement {
-	refusal := pimsteer.Placement{Reason: pimsteer.ReasonSlowStart}
+	refusal := pimsteer.Placement{Reason: pimsteer.ReasonSlowStart, Later: isTried}
 	if pkt.Attempt < 0 || pkt.Attempt >= len(untilNextCopy) {
 		return refusal
 	}
--- a/internal/coordination/pimplace/exclude_test.go
+++ b/internal/coordination/pimplace/exclude_test.go
@@ -88,6 +88,17 @@
 	}
 }
 
+// Guards against a reset that breaks a flow, since the answer to an earlier copy of the opening packet was on the way.
+func TestCopyOfAForwardedPacketIsNotAnsweredWithAReset(t *testing.T) {
+	is := is.New(t)
+	p := placerWith(nil)
+	p.LimitSlowStart(&fakeSlowStart{})
+	pkt := &pimpacket.Packet{Attempt: 2}
+	is.Equal(p.Place(0, slowStartCatalog(true), shares("desk"), pkt).Later, false)
+	p.observer.(*fakeObserver).table.RecordOpening(0, pkt, 2)
+	is.Equal(p.Place(0, slowStartCatalog(true), shares("desk"), pkt), pimsteer.Placement{Reason: pimsteer.ReasonSlowStart, Later: true})
+}
+
 // Guards against the reason slow_start where the slow start is not the cause.
 func TestNoBackendServerAtAll(t *testing.T) {
 	is := is.New(t)
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -75,7 +75,7 @@
 	switch {
 	case len(p.candidates) > 0:
 	case slowStarts > 0:
-		return p.refuseSlowStart(now, c, service, pkt)
+		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	default:
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
 	}
--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -42,6 +42,8 @@
 	nodes    map[int]*pimentry.Node
 	cleanups map[int]func()
 	logs     syncBuffer
+	// slowStart is the limit of the VMs that are started; nil means none.
+	slowStart *pimsettings.EntrySlowStart
 }
 
 // syncBuffer is a log buffer that several VMs write to.
@@ -102,6 +104,7 @@
 	cfg.Platform.Address = f.StoreAddress
 	cfg.Platform.Timeout = pimcontract.Duration(300 * time.Millisecond)
 	cfg.Operator.Address = at(i, f.OpsPort)
+	cfg.SlowStart = f.slowStart
 	return cfg
 }
 
