--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -39,6 +39,8 @@
 	OtherDataCentre
 	// LastResort places it on a backend server that has not answered recently, since there is no other.
 	LastResort
+	// LaterCopy places a later copy of an opening packet regardless of the limits, since an earlier one may have been forwarded.
+	LaterCopy
 	// NoRoom refuses it.
 	NoRoom
 	// NoCandidate means that there is no backend server at all.
@@ -47,7 +49,7 @@
 )
 
 var ruleNames = [ruleCount]string{
-	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "no_room", "no_candidate",
+	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "later_copy", "no_room", "no_candidate",
 }
 
 // String returns the name of the rule in logs and explanations.
@@ -124,3 +126,13 @@
 		return nil, NoRoom
 	}
 }
+
+// LeastLoaded returns the best backend server regardless of the limits, with the rule LaterCopy, or nil if there is no candidate.
+func (c *Choice) LeastLoaded() (*pimcatalog.Host, Rule) {
+	for _, b := range c.best {
+		if b.host != nil {
+			return b.host, LaterCopy
+		}
+	}
+	return nil, NoCandidate
+}
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -23,6 +23,8 @@
 	shares   map[pimcatalog.Service][]pimadmit.Share
 	isOwn    map[pimcatalog.HostID]bool
 	activity map[pimcatalog.Service]*pimadmit.Activity
+	// deferred holds the flows that were left to the next copy of their opening packet.
+	deferred deferredFlows
 	// excluded is why backend servers were excluded from the present choice; see Placer.exclude.
 	excluded pimsteer.Reason
 }
@@ -31,7 +33,7 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, deferred: deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}},
 	}
 }
 
@@ -72,12 +74,21 @@
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
 	switch {
 	case h != nil:
-		return pimsteer.Placement{Host: h, Rule: rule.String()}
+	case rule == pimadmit.NoCandidate && a.excluded == pimsteer.ReasonSlowStart:
+		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	case rule == pimadmit.NoCandidate:
 		return pimsteer.Placement{Reason: a.excluded, Rule: rule.String()}
+	case pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
+		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
+		h, rule = a.choice.LeastLoaded()
+	case demand.MayWait():
+		a.deferred.add(now, pkt.Flow)
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
 	default:
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: demand.MayWait(), Rule: rule.String()}
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Rule: rule.String()}
 	}
+	a.deferred.remove(pkt.Flow)
+	return pimsteer.Placement{Host: h, Rule: rule.String()}
 }
 
 // recordFlow counts a new flow, but not the later copies of its opening packet, and returns its level.
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -42,6 +42,8 @@
 	costs      []float64
 	// admission is nil if flows are never refused for lack of room.
 	admission *admission
+	// slowStart is nil if backend servers in slow start have no limit.
+	slowStart SlowStart
 }
 
 // New returns a placer for a VM in the data centre home.
@@ -71,7 +73,11 @@
 		}
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
 	}
-	if len(p.candidates) == 0 {
+	switch {
+	case len(p.candidates) > 0:
+	case reason == pimsteer.ReasonSlowStart:
+		return p.refuseSlowStart(now, c, service, pkt, last != 0)
+	default:
 		return pimsteer.Placement{Reason: reason}
 	}
 	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -126,6 +126,10 @@
 	placer := pimplace.New(n.cfg.Node.DataCentre, obs, pimpick.LeastLoaded{}, newRand())
 	placer.EnableAdmission(pimadmit.DefaultSettings(), n.cfg.Node.Name)
 	n.edge = newEdge(n, conn, obs, placer)
+	if cfg := n.cfg.SlowStart; cfg != nil {
+		n.edge.slowStart = newSlowStart(n, cfg)
+		placer.LimitSlowStart(n.edge.slowStart)
+	}
 	n.addCleanup(n.edge.close)
 	return nil
 }
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -23,8 +23,10 @@
 	// Evacuated are the data centres that get no new flows at the request of the operator.
 	Evacuated []pimid.DataCentre `json:"evacuated"`
 	// Peers are the names of the other running VMs of the data centre.
-	Peers []string     `json:"peers"`
-	Hosts []HostStatus `json:"hosts"`
+	Peers []string `json:"peers"`
+	// SlowStart are the names of the backend servers in slow start to which only this VM sends new flows; nil if there is no limit.
+	SlowStart []string     `json:"slow_start,omitempty"`
+	Hosts     []HostStatus `json:"hosts"`
 }
 
 // HostStatus is the state of one backend server as a VM knows it.
@@ -52,6 +54,7 @@
 	if c.Ready() {
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
 	}
+	s.SlowStart = n.edge.slowStart.owned(now, c)
 	for _, h := range c.Hosts() {
 		s.Hosts = append(s.Hosts, HostStatus{
 			Name: h.Name, Tag: h.Tag(), Service: h.Service, Address: h.Address.String(), DataCentre: h.DataCentre,
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -15,6 +15,9 @@
 	services map[Service]bool
 	// mixed holds the services with routes of different priorities.
 	mixed map[Service]bool
+	// slowStart holds the requests per second of the services that have a limit during the slow start.
+	slowStart        map[Service]float64
+	slowStartUnknown bool
 }
 
 // NewRouteTable indexes a configuration.
@@ -22,6 +25,7 @@
 	t := &RouteTable{
 		Version: cfg.Version,
 		byAddr:  make(map[netip.AddrPort]*Route, len(cfg.Routes)), services: make(map[Service]bool, len(cfg.Services)),
+		slowStart: make(map[Service]float64, len(cfg.SlowStart)), slowStartUnknown: cfg.SlowStartUnknown,
 	}
 	for i := range cfg.Routes {
 		t.byAddr[cfg.Routes[i].Address] = &cfg.Routes[i]
@@ -30,6 +34,9 @@
 		t.services[s] = true
 	}
 	t.mixed = mixedPriorities(cfg.Routes)
+	for _, s := range cfg.SlowStart {
+		t.slowStart[s.Service] = s.PerSecond
+	}
 	return t
 }
 
@@ -132,5 +139,15 @@
 // Evacuated returns the evacuated data centres, sorted, which the caller must not change.
 func (c *Catalog) Evacuated() []pimid.DataCentre { return c.evacuated }
 
+// SlowStart returns the requests per second that a backend server of a service can handle during its slow start; ok is false if the
+// service has no limit. If the limits are not known, each service counts as having the lowest one.
+func (c *Catalog) SlowStart(s Service) (perSecond float64, ok bool) {
+	if c.Routes == nil {
+		return 0, false
+	}
+	perSecond, ok = c.Routes.slowStart[s]
+	return perSecond, ok || c.Routes.slowStartUnknown
+}
+
 // Ready reports whether a configuration was read.
 func (c *Catalog) Ready() bool { return c != nil && c.Routes != nil }
