--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -41,13 +41,16 @@
 	LastResort
 	// NoRoom refuses it.
 	NoRoom
+	// Expired refuses it because it would not be answered within its timeout.
+	Expired
 	// NoCandidate means that there is no backend server at all.
 	NoCandidate
 	ruleCount
 )
 
 var ruleNames = [ruleCount]string{
-	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "no_room", "no_candidate",
+	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "no_room", "expired",
+	"no_candidate",
 }
 
 // String returns the name of the rule in logs and explanations.
@@ -97,7 +100,7 @@
 	return nil
 }
 
-// Decide chooses a backend server for a flow; it returns nil with the rules NoRoom and NoCandidate. isRemoteOpen is set if the VM may send
+// Decide chooses a backend server for a flow; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen is set if the VM may send
 // one more flow to another data centre.
 func (c *Choice) Decide(d *Demand, isRemoteOpen bool) (h *pimcatalog.Host, r Rule) {
 	own, shared, remote, avoided := &c.best[Own], &c.best[Shared], &c.best[Remote], &c.best[Avoided]
@@ -107,7 +110,7 @@
 	case !hasHome && remote.host == nil && avoided.host == nil:
 		return nil, NoCandidate
 	case d.isExpired():
-		return nil, NoRoom
+		return nil, Expired
 	case c.OwnSlot() != nil:
 		return own.host, OwnSlot
 	case shared.host != nil && shared.load < sharedSlotLoad:
--- a/internal/coordination/pimadmit/level.go
+++ b/internal/coordination/pimadmit/level.go
@@ -1,6 +1,7 @@
 package pimadmit
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -16,6 +17,8 @@
 	// minActivity is the part of the new flows of a service from which a priority counts. Routes that are published but
 	// hardly used must not take places from the others.
 	minActivity = 0.01
+	// minWeight is the weight from which a priority without further flows is removed: one flow after 50 s.
+	minWeight = 0.001
 )
 
 // priority is the recent number of new flows of one priority.
@@ -37,13 +40,23 @@
 
 // Record counts a new flow and returns its level.
 func (a *Activity) Record(now pimclock.Instant, value pimcatalog.Priority) Level {
-	i, ok := slices.BinarySearchFunc(a.priorities, value, func(p priority, v pimcatalog.Priority) int { return int(p.value) - int(v) })
+	p := a.find(now, value)
+	p.flows, p.at = p.weight(now)+1, now
+	return a.Level(now, value)
+}
+
+// find returns the entry of a priority. If there is none, it adds one and removes those whose last flows were long ago.
+func (a *Activity) find(now pimclock.Instant, value pimcatalog.Priority) *priority {
+	search := func() (int, bool) {
+		return slices.BinarySearchFunc(a.priorities, value, func(p priority, v pimcatalog.Priority) int { return cmp.Compare(p.value, v) })
+	}
+	i, ok := search()
 	if !ok {
+		a.priorities = slices.DeleteFunc(a.priorities, func(p priority) bool { return p.weight(now) < minWeight })
+		i, _ = search()
 		a.priorities = slices.Insert(a.priorities, i, priority{value: value})
 	}
-	p := &a.priorities[i]
-	p.flows, p.at = p.weight(now)+1, now
-	return a.Level(now, value)
+	return &a.priorities[i]
 }
 
 // Level is the rank of a priority among those of a service that have recent flows: Rank 0 is the most urgent of Count.
