fix: idle open flows and entries without their tag take no places; an expired flow is not placed

Cause: each open flow counted as 0.05 requests against the limit. At the design scale (48 million open flows at 33,000 backend servers, 1,450 each) every share was full without a request. Shares were made from all entries of a data centre, also from those whose tag belongs to another backend server, to which the platform delivers the later packets. A free slot was used before the time left was looked at, so that the same flow was refused or placed by the load. HasPriorities failed without a configuration.

Ruled out: a bound on the cost of open flows, which still keeps places free that nobody uses.

Change: open flows decide only between backend servers of equal load. Shares are made per service with its first flow, from the backend servers that own their tags. All flows are decided by Choice.Decide.

--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -59,7 +59,8 @@
 // sharedSlotLoad is the reported load in requests per slot up to which another VM's backend server seems to have a free slot.
 const sharedSlotLoad = 0.75
 
-// Choice collects the candidates for one flow and keeps the least loaded of each kind, of equal ones a random one.
+// Choice collects the candidates for one flow and keeps the least loaded of each kind; of equal ones that with the fewest open flows, of
+// several of those a random one. Open flows do not count as load, since most of them may be idle for minutes.
 type Choice struct {
 	cfg  Settings
 	rng  *rand.Rand
@@ -69,7 +70,8 @@
 type best struct {
 	host *pimcatalog.Host
 	load float64
-	// ties is the number of candidates with this load.
+	open float64
+	// ties is the number of candidates with this load and number of open flows.
 	ties int
 }
 
@@ -79,13 +81,14 @@
 // Reset removes all candidates.
 func (c *Choice) Reset() { c.best = [kindCount]best{} }
 
-// Add adds a candidate. The load of an own backend server is the filled part of the share, that of others the requests per slot.
-func (c *Choice) Add(k Kind, h *pimcatalog.Host, load float64) {
+// Add adds a candidate with a number of open flows. The load of an own backend server is the filled part of the share, that of others
+// the requests per slot.
+func (c *Choice) Add(k Kind, h *pimcatalog.Host, load, open float64) {
 	b := &c.best[k]
 	switch {
-	case b.host == nil || load < b.load:
-		*b = best{host: h, load: load, ties: 1}
-	case load == b.load:
+	case b.host == nil || load < b.load || load == b.load && open < b.open:
+		*b = best{host: h, load: load, open: open, ties: 1}
+	case load == b.load && open == b.open:
 		if b.ties++; c.rng.IntN(b.ties) == 0 {
 			b.host = h
 		}
--- a/internal/coordination/pimadmit/choice_test.go
+++ b/internal/coordination/pimadmit/choice_test.go
@@ -44,7 +44,7 @@
 			is := is.New(t)
 			choice := NewChoice(DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
 			for k, l := range c.loads {
-				choice.Add(k, &pimcatalog.Host{ID: pimcatalog.HostID(k + 1)}, l)
+				choice.Add(k, &pimcatalog.Host{ID: pimcatalog.HostID(k + 1)}, l, 0)
 			}
 			h, rule := choice.Decide(&Demand{Level: c.level, Timeout: c.timeout, Attempt: 2}, c.isRemoteOpen)
 			is.Equal(rule.String(), c.want.String())
@@ -62,7 +62,7 @@
 	for range rounds {
 		choice.Reset()
 		for _, h := range hosts {
-			choice.Add(Own, h, 0)
+			choice.Add(Own, h, 0, 0)
 		}
 		h, _ := choice.Decide(&Demand{}, false)
 		chosen[h]++
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -18,11 +18,16 @@
 	// self and vms are the names of this VM and of all running VMs of the data centre.
 	self string
 	vms  []string
-	// shares and isOwn follow from vms and catalog.
-	catalog  *pimcatalog.Catalog
-	shares   map[pimcatalog.Service][]pimadmit.Share
-	isOwn    map[pimcatalog.HostID]bool
-	activity map[pimcatalog.Service]*pimadmit.Activity
+	// allotments follow from vms and catalog; that of a service is made with its first flow.
+	catalog    *pimcatalog.Catalog
+	allotments map[pimcatalog.Service]*allotment
+	activity   map[pimcatalog.Service]*pimadmit.Activity
+}
+
+// allotment is the share of this VM in the backend servers of one service.
+type allotment struct {
+	shares []pimadmit.Share
+	isOwn  map[pimcatalog.HostID]bool
 }
 
 // EnableAdmission lets the placer refuse flows for lack of room; self is the name of this VM.
@@ -52,20 +57,20 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
 	a := p.admission
-	p.allot(now, c)
+	own := p.allot(now, c, service)
 	demand := pimadmit.Demand{
 		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
 	a.choice.Reset()
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
-	for _, s := range a.shares[service] {
+	for _, s := range own.shares {
 		p.addOwn(now, s, wasTried(s.Host.ID))
 	}
-	if h := a.choice.OwnSlot(); h != nil {
-		return pimsteer.Placement{Host: h, Rule: pimadmit.OwnSlot.String()}
+	isRemoteOpen := false
+	if a.choice.OwnSlot() == nil {
+		isRemoteOpen = p.addOthers(now, c.Service(service), own, wasTried)
 	}
-	isRemoteOpen := p.addOthers(now, c, service, wasTried)
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
 	switch {
 	case h != nil:
@@ -102,19 +107,19 @@
 		p.addAvoided(now, s.Host, wasTried)
 		return
 	}
-	fill := (float64(load.Busy) + openCost*float64(load.Open)) / float64(s.Places)
-	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host))
+	fill := float64(load.Busy) / float64(s.Places)
+	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
 // another data centre.
 func (p *Placer) addOthers(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, wasTried func(pimcatalog.HostID) bool,
+	now pimclock.Instant, hosts []*pimcatalog.Host, own *allotment, wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
 	remoteFlows, isRemoteIdle := 0, false
-	for _, h := range c.Service(service) {
-		if a.isOwn[h.ID] || !h.AcceptsNewFlows(now) {
+	for _, h := range hosts {
+		if own.isOwn[h.ID] || !h.AcceptsNewFlows(now) {
 			continue
 		}
 		load := p.observer.Load(now, h.ID)
@@ -127,12 +132,12 @@
 		case load.Suspect || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case isHome:
-			busy := float64(load.Busy) + load.BusyElsewhere + openCost*(float64(load.Open)+load.OpenElsewhere)
-			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h))
+			busy := float64(load.Busy) + load.BusyElsewhere
+			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
 		default:
-			busy := (float64(load.Busy) + openCost*float64(load.Open)) / slots
+			busy := float64(load.Busy) / slots
 			isRemoteIdle = isRemoteIdle || busy < maxRemoteLoad
-			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h))
+			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h), float64(load.Open))
 		}
 	}
 	return isRemoteIdle && remoteFlows < maxRemoteFlows
@@ -144,7 +149,7 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, cost)
+	p.admission.choice.Add(pimadmit.Avoided, h, cost, 0)
 }
 
 // slowdown is the factor by which requests take longer at a backend server that has just started.
@@ -155,23 +160,26 @@
 	return 1
 }
 
-// allot divides the backend servers of the data centre among its VMs again if either has changed.
-func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog) {
+// allot returns the share of this VM in the backend servers of a service in the data centre. They are divided among its VMs again if
+// either has changed. A backend server whose tag belongs to another one gets no flows, thus has no share.
+func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) *allotment {
 	a := p.admission
-	if a.catalog == c {
-		return
+	if a.catalog != c {
+		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
 	}
-	a.catalog, a.shares, a.isOwn = c, map[pimcatalog.Service][]pimadmit.Share{}, map[pimcatalog.HostID]bool{}
-	byService := map[pimcatalog.Service][]*pimcatalog.Host{}
-	for _, h := range c.Hosts() {
-		if h.DataCentre == p.home && h.AcceptsNewFlows(now) && c.Routes.HasPriorities(h.Service) {
-			byService[h.Service] = append(byService[h.Service], h)
-		}
+	if own := a.allotments[service]; own != nil {
+		return own
 	}
-	for service, hosts := range byService {
-		a.shares[service] = pimadmit.Allot(a.cfg, hosts, a.vms, a.self)
-		for _, s := range a.shares[service] {
-			a.isOwn[s.Host.ID] = true
+	var hosts []*pimcatalog.Host
+	for _, h := range c.Service(service) {
+		if h.DataCentre == p.home && h.AcceptsNewFlows(now) {
+			hosts = append(hosts, h)
 		}
 	}
+	own := &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
+	for _, s := range own.shares {
+		own.isOwn[s.Host.ID] = true
+	}
+	a.allotments[service] = own
+	return own
 }
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -50,8 +50,8 @@
 	return mixed
 }
 
-// HasPriorities reports whether the routes of a service have different priorities.
-func (t *RouteTable) HasPriorities(s Service) bool { return t.mixed[s] }
+// HasPriorities reports whether the routes of a service have different priorities; it is false until a configuration was read.
+func (t *RouteTable) HasPriorities(s Service) bool { return t != nil && t.mixed[s] }
 
 // Route returns the route of an address, or nil.
 func (t *RouteTable) Route(address netip.AddrPort) *Route { return t.byAddr[address] }
