--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -43,13 +43,16 @@
 	LaterCopy
 	// NoRoom refuses it.
 	NoRoom
+	// Expired refuses it because it would not be answered within its timeout.
+	Expired
 	// NoCandidate means that there is no backend server at all.
 	NoCandidate
 	ruleCount
 )
 
 var ruleNames = [ruleCount]string{
-	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "later_copy", "no_room", "no_candidate",
+	"own_slot", "shared_slot", "own_queue", "shared_queue", "other_data_centre", "last_resort", "later_copy", "no_room", "expired",
+	"no_candidate",
 }
 
 // String returns the name of the rule in logs and explanations.
@@ -58,7 +61,8 @@
 // sharedSlotLoad is the reported load in requests per slot up to which another VM's backend server seems to have a free slot.
 const sharedSlotLoad = 0.75
 
-// Choice collects the candidates for one flow and keeps the least loaded of each kind, of equal ones a random one.
+// Choice collects the candidates for one flow and keeps the least loaded of each kind; of equal ones that with the fewest open flows, of
+// several of those a random one. Open flows do not count as load, since most of them may be idle for minutes.
 type Choice struct {
 	cfg  Settings
 	rng  *rand.Rand
@@ -68,7 +72,8 @@
 type best struct {
 	host *pimcatalog.Host
 	load float64
-	// ties is the number of candidates with this load.
+	open float64
+	// ties is the number of candidates with this load and number of open flows.
 	ties int
 }
 
@@ -78,13 +83,14 @@
 // Reset removes all candidates.
 func (c *Choice) Reset() { c.best = [kindCount]best{} }
 
-// Add adds a candidate. The load of an own backend server is the filled part of the share, that of others the requests per slot.
-func (c *Choice) Add(k Kind, h *pimcatalog.Host, load float64) {
+// Add adds a candidate with a number of open flows. The load of an own backend server is the filled part of the share, that of others
+// the requests per slot.
+func (c *Choice) Add(k Kind, h *pimcatalog.Host, load, open float64) {
 	b := &c.best[k]
 	switch {
-	case b.host == nil || load < b.load:
-		*b = best{host: h, load: load, ties: 1}
-	case load == b.load:
+	case b.host == nil || load < b.load || load == b.load && open < b.open:
+		*b = best{host: h, load: load, open: open, ties: 1}
+	case load == b.load && open == b.open:
 		if b.ties++; c.rng.IntN(b.ties) == 0 {
 			b.host = h
 		}
@@ -99,7 +105,7 @@
 	return nil
 }
 
-// Decide chooses a backend server for a flow; it returns nil with the rules NoRoom and NoCandidate. isRemoteOpen is set if the VM may send
+// Decide chooses a backend server for a flow; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen is set if the VM may send
 // one more flow to another data centre.
 func (c *Choice) Decide(d *Demand, isRemoteOpen bool) (h *pimcatalog.Host, r Rule) {
 	own, shared, remote, avoided := &c.best[Own], &c.best[Shared], &c.best[Remote], &c.best[Avoided]
@@ -109,7 +115,7 @@
 	case !hasHome && remote.host == nil && avoided.host == nil:
 		return nil, NoCandidate
 	case d.isExpired():
-		return nil, NoRoom
+		return nil, Expired
 	case c.OwnSlot() != nil:
 		return own.host, OwnSlot
 	case shared.host != nil && shared.load < sharedSlotLoad:
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -18,17 +18,22 @@
 	// self and vms are the names of this VM and of all running VMs of the data centre.
 	self string
 	vms  []string
-	// shares and isOwn follow from vms and catalog.
-	catalog  *pimcatalog.Catalog
-	shares   map[pimcatalog.Service][]pimadmit.Share
-	isOwn    map[pimcatalog.HostID]bool
-	activity map[pimcatalog.Service]*pimadmit.Activity
+	// allotments follow from vms and catalog; that of a service is made with its first flow.
+	catalog    *pimcatalog.Catalog
+	allotments map[pimcatalog.Service]*allotment
+	activity   map[pimcatalog.Service]*pimadmit.Activity
 	// deferred holds the flows that were left to the next copy of their opening packet.
 	deferred deferredFlows
 	// excluded is why backend servers were excluded from the present choice; see Placer.exclude.
 	excluded pimsteer.Reason
 }
 
+// allotment is the share of this VM in the backend servers of one service.
+type allotment struct {
+	shares []pimadmit.Share
+	isOwn  map[pimcatalog.HostID]bool
+}
+
 // EnableAdmission lets the placer refuse flows for lack of room; self is the name of this VM.
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
@@ -56,7 +61,7 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
 	a := p.admission
-	p.allot(now, c)
+	own := p.allot(now, c, service)
 	demand := pimadmit.Demand{
 		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
@@ -64,13 +69,13 @@
 	a.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
-	for _, s := range a.shares[service] {
+	for _, s := range own.shares {
 		p.addOwn(now, c, s, wasTried(s.Host.ID))
 	}
-	if h := a.choice.OwnSlot(); h != nil {
-		return pimsteer.Placement{Host: h, Rule: pimadmit.OwnSlot.String()}
+	isRemoteOpen := false
+	if a.choice.OwnSlot() == nil {
+		isRemoteOpen = p.addOthers(now, c, service, own, wasTried)
 	}
-	isRemoteOpen := p.addOthers(now, c, service, wasTried)
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
 	switch {
 	case h != nil:
@@ -78,14 +83,14 @@
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	case rule == pimadmit.NoCandidate:
 		return pimsteer.Placement{Reason: a.excluded, Rule: rule.String()}
-	case pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
+	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
 	case demand.MayWait():
 		a.deferred.add(now, pkt.Flow)
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
 	default:
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Rule: rule.String()}
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
 	return pimsteer.Placement{Host: h, Rule: rule.String()}
@@ -125,19 +130,19 @@
 		p.addAvoided(now, s.Host, wasTried)
 		return
 	}
-	fill := (float64(load.Busy) + openCost*float64(load.Open)) / float64(s.Places)
-	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host))
+	fill := float64(load.Busy) / float64(s.Places)
+	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
 // another data centre.
 func (p *Placer) addOthers(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, wasTried func(pimcatalog.HostID) bool,
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, own *allotment, wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
 	remoteFlows, isRemoteIdle := 0, false
 	for _, h := range c.Service(service) {
-		if a.isOwn[h.ID] || p.isExcluded(now, c, h) {
+		if own.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
 		load := p.observer.Load(now, h.ID)
@@ -150,12 +155,12 @@
 		case load.Suspect || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case isHome:
-			busy := float64(load.Busy) + load.BusyElsewhere + openCost*(float64(load.Open)+load.OpenElsewhere)
-			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h))
+			busy := float64(load.Busy) + load.BusyElsewhere
+			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
 		default:
-			busy := (float64(load.Busy) + openCost*float64(load.Open)) / slots
+			busy := float64(load.Busy) / slots
 			isRemoteIdle = isRemoteIdle || busy < maxRemoteLoad
-			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h))
+			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h), float64(load.Open))
 		}
 	}
 	return isRemoteIdle && remoteFlows < maxRemoteFlows
@@ -167,7 +172,7 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, cost)
+	p.admission.choice.Add(pimadmit.Avoided, h, cost, 0)
 }
 
 // slowdown is the factor by which requests take longer at a backend server that has just started.
@@ -178,23 +183,26 @@
 	return 1
 }
 
-// allot divides the backend servers of the data centre among its VMs again if either has changed.
-func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog) {
+// allot returns the share of this VM in the backend servers of a service in the data centre. They are divided among its VMs again if
+// either has changed. A backend server whose tag belongs to another one gets no flows, thus has no share.
+func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) *allotment {
 	a := p.admission
-	if a.catalog == c {
-		return
+	if a.catalog != c {
+		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
 	}
-	a.catalog, a.shares, a.isOwn = c, map[pimcatalog.Service][]pimadmit.Share{}, map[pimcatalog.HostID]bool{}
-	byService := map[pimcatalog.Service][]*pimcatalog.Host{}
-	for _, h := range c.Hosts() {
-		if h.DataCentre == p.home && h.AcceptsNewFlows(now) && c.Routes.HasPriorities(h.Service) {
-			byService[h.Service] = append(byService[h.Service], h)
-		}
+	if own := a.allotments[service]; own != nil {
+		return own
 	}
-	for service, hosts := range byService {
-		a.shares[service] = pimadmit.Allot(a.cfg, hosts, a.vms, a.self)
-		for _, s := range a.shares[service] {
-			a.isOwn[s.Host.ID] = true
+	var hosts []*pimcatalog.Host
+	for _, h := range c.Service(service) {
+		if h.DataCentre == p.home && h.AcceptsNewFlows(now) {
+			hosts = append(hosts, h)
 		}
 	}
+	own := &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
+	for _, s := range own.shares {
+		own.isOwn[s.Host.ID] = true
+	}
+	a.allotments[service] = own
+	return own
 }
--- /dev/null
+++ b/internal/coordination/pimplace/deferred_test.go
@@ -0,0 +1,48 @@
+package pimplace
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/matryer/is"
+
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+)
+
+// Guards against a reset for a later copy of an opening packet whose earlier copy was forwarded: it could reach the caller after the answer
+// and break the open flow. A flow of which no copy was forwarded may be reset.
+func TestLaterCopyIsRefusedOnlyAfterADeferral(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(1, 1, "ikeja")...)
+	a.cfg.Routes[0].Target = 300 * time.Millisecond
+	a.set(1, 30, 30, 0)
+	is.Equal(a.place(0, 1).Rule, pimadmit.LaterCopy.String()) // another VM may have forwarded the first copy
+	p := a.place(0, 0)
+	is.True(p.Host == nil && p.Later)
+	is.Equal(p.Reason, pimsteer.ReasonNoRoom)
+	p = a.place(0, 1)
+	is.True(p.Host == nil && !p.Later)
+}
+
+// Guards against memory that grows with the flows that were left to a later copy.
+func TestDeferredFlowsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	d := deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}}
+	flow := func(port int) pimpacket.Flow {
+		return pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), uint16(port))}
+	}
+	now := pimclock.Instant(time.Hour)
+	for i := range 2 * maxDeferred {
+		d.add(now, flow(i))
+	}
+	is.Equal(len(d.at), maxDeferred)
+	is.True(d.has(flow(0)))
+	d.remove(flow(0))
+	is.True(!d.has(flow(0)))
+	d.add(now.Add(deferredFor), flow(1))
+	is.Equal(len(d.at), 1)
+}
