test: the simulation evacuates data centres, and checks that VMs follow

Random schedules gain the event "evacuation": a data centre is evacuated and returned to use after some seconds; a third of the values cannot be read, and a restored store is written again by the operator. EVACUATE is broken by a new flow there, or a view that differs from the store, after 3 s in a VM that is in touch; by a refusal although no data centre is evacuated; and by a change that is not newer than the view that takes it. The last check is there since a late copy that counts is undone by the next delta, within the bound.

The seeds 988, 3939 and 4003 are those of the list of events before.

--- a/internal/scenario/pimviews/config.go
+++ b/internal/scenario/pimviews/config.go
@@ -10,6 +10,8 @@
 	Length           time.Duration
 	// Planned leaves out all events that are no planned work, and entries of another writer.
 	Planned bool
+	// NoEvacuations leaves out evacuations.
+	NoEvacuations bool
 	// Omit holds the numbers of drawn events that do not happen; see Shrink.
 	Omit []int
 	// Order names the events that happen, one in each orderInterval; if it is empty, events are drawn at random.
@@ -20,6 +22,8 @@
 const (
 	inForceWithin = 3 * time.Second
 	drainWithin   = 3 * time.Second
+	// evacuatedWithin is the bound for the begin and the end of an evacuation.
+	evacuatedWithin = 3 * time.Second
 	// goneWithin is how long a backend server may get new flows after its entry was removed: a VM that has started since does not know
 	// whether the store was away before, and entries that expire then may return within two seconds and the delay of a watch.
 	goneWithin = inForceWithin + 2500*time.Millisecond
--- a/internal/scenario/pimviews/events.go
+++ b/internal/scenario/pimviews/events.go
@@ -32,6 +32,15 @@
 	{"history dropped", 1, true, func(s *sim) { s.store.compacted = s.store.revision }},
 	{"store restored", 1, true, (*sim).restoreStore},
 	{"odd entry", 2, true, (*sim).writeOdd},
+	{evacuation, 2, false, (*sim).evacuate},
+}
+
+// evacuation is the last event: schedules without it are those of earlier versions with the same seed.
+const evacuation = "evacuation"
+
+// isDrawn reports whether an event may be drawn.
+func (c *Config) isDrawn(e *event) bool {
+	return !(c.Planned && e.unplanned) && !(c.NoEvacuations && e.name == evacuation)
 }
 
 // scheduleEvent draws event i and its instant. Each event has random numbers of its own, so that the others stay as they are if
@@ -40,7 +49,7 @@
 	rng := rand.New(rand.NewPCG(s.cfg.Seed, uint64(i)+1))
 	s.After(time.Duration(rng.ExpFloat64()*float64(eventInterval)), func() {
 		s.report.Events++
-		if e := draw(rng, s.cfg.Planned); !slices.Contains(s.cfg.Omit, i) {
+		if e := draw(rng, &s.cfg); !slices.Contains(s.cfg.Omit, i) {
 			s.runEvent(e, rng)
 		}
 		s.scheduleEvent(i + 1)
@@ -66,16 +75,16 @@
 }
 
 // draw chooses an event by its weight.
-func draw(rng *rand.Rand, planned bool) *event {
+func draw(rng *rand.Rand, cfg *Config) *event {
 	total := 0
 	for i := range events {
-		if !planned || !events[i].unplanned {
+		if cfg.isDrawn(&events[i]) {
 			total += events[i].weight
 		}
 	}
 	n := rng.IntN(total)
 	for i := range events {
-		if planned && events[i].unplanned {
+		if !cfg.isDrawn(&events[i]) {
 			continue
 		}
 		if n -= events[i].weight; n < 0 {
@@ -171,6 +180,7 @@
 		s.store.away = false
 		s.store.restore(c)
 		s.store.publish(s.routes, s.version)
+		s.requestAgain()
 		for _, h := range s.hosts {
 			if h.living {
 				s.writeAgain(h)
--- a/internal/scenario/pimviews/sim.go
+++ b/internal/scenario/pimviews/sim.go
@@ -35,6 +35,9 @@
 	// allowed holds all services to which a port ever led.
 	allowed map[uint16]map[pimcatalog.Service]bool
 	odd     []string
+	// evacuations holds the present state of the requests in the store, wanted the data centres whose evacuation the operator requests.
+	evacuations map[pimid.DataCentre]evacuationState
+	wanted      map[pimid.DataCentre]bool
 	// unplannedAt is when the last event ended that is no planned work.
 	unplannedAt pimclock.Instant
 	report      *Report
@@ -46,6 +49,7 @@
 		Loop: pimsim.NewLoop(cfg.Seed), cfg: cfg, report: &r, routes: map[uint16]pimcatalog.Service{},
 		addedAt: map[uint16]pimclock.Instant{}, droppedAt: map[uint16]pimclock.Instant{},
 		allowed: map[uint16]map[pimcatalog.Service]bool{}, nextID: 0x1001,
+		evacuations: map[pimid.DataCentre]evacuationState{}, wanted: map[pimid.DataCentre]bool{},
 	}
 	s.Clock.Advance(time.Hour)
 	s.unplannedAt = -pimclock.Instant(time.Hour)
--- a/internal/scenario/pimviews/sim_test.go
+++ b/internal/scenario/pimviews/sim_test.go
@@ -21,7 +21,7 @@
 }
 
 // Guards against orders of events in which a VM resets a flow whose backend server lives, sends new flows to one that leaves or
-// to another service, or handles them by an older configuration.
+// to another service, handles them by an older configuration, or ignores an evacuation or its end.
 func TestRandomSchedulesBreakNoRule(t *testing.T) {
 	const seeds = 200
 	for name, cfg := range map[string]Config{
@@ -44,11 +44,11 @@
 }
 
 // Guards against what random schedules have found before: 988 and 4003, a view confirmed by heartbeats that waited while the VM was
-// paused; 3939, an entry of another writer that stood for a backend server that had ended. Seeds are those of the present list of
-// events.
+// paused; 3939, an entry of another writer that stood for a backend server that had ended. Seeds are those of the list of
+// events without evacuations.
 func TestSchedulesThatBrokeARule(t *testing.T) {
 	for _, seed := range []uint64{988, 3939, 4003} {
-		checkSchedule(t, Config{Seed: seed, VMs: 4, DataCentres: 1, Length: 30 * time.Second})
+		checkSchedule(t, Config{Seed: seed, VMs: 4, DataCentres: 1, NoEvacuations: true, Length: 30 * time.Second})
 	}
 }
 
--- a/internal/scenario/pimviews/store.go
+++ b/internal/scenario/pimviews/store.go
@@ -68,6 +68,7 @@
 	}
 	s.revision = inEra(c.revision)
 	s.compacted = s.revision
+	s.sim.noteEvacuations()
 }
 
 // put writes an entry and answers the waiting watches.
@@ -88,11 +89,12 @@
 	}
 	s.revision++
 	delete(s.entries, name)
-	s.append(pimregistry.Change{Revision: s.revision, ID: e.change.ID, Name: e.change.Name, Removed: true})
+	s.append(pimregistry.Change{Revision: s.revision, ID: e.change.ID, Name: e.change.Name, Evacuation: e.change.Evacuation, Removed: true})
 }
 
 func (s *store) append(c pimregistry.Change) {
 	s.log = append(s.log, c)
+	s.sim.noteEvacuations()
 	waiting := s.waiting
 	s.waiting = nil
 	for _, wake := range waiting {
--- a/internal/scenario/pimviews/traffic.go
+++ b/internal/scenario/pimviews/traffic.go
@@ -43,6 +43,7 @@
 	}}
 	verdict := v.steer(&pimpacket.Packet{Flow: f.flow, Flags: pimpacket.Open, Seq: 10})
 	isInTouch := v.isInTouch()
+	s.checkEvacuations(v, isInTouch)
 	service := s.routes[port] // "" if the port has no route
 	switch verdict.Action {
 	case pimsteer.Reset:
@@ -50,6 +51,9 @@
 		if verdict.Reason == pimsteer.ReasonNoRoute && service != "" && s.isBefore(s.addedAt[port], inForceWithin) {
 			s.violate("CONFIG: %s refuses port %d, which has a route since %v", v.name, port, s.Now().Sub(s.addedAt[port]))
 		}
+		if verdict.Reason == pimsteer.ReasonEvacuated {
+			s.checkRefusal(v, service)
+		}
 		return
 	case pimsteer.Drop:
 		s.report.Dropped++
@@ -58,6 +62,7 @@
 	if service == "" && s.isBefore(s.droppedAt[port], inForceWithin) && isInTouch {
 		s.violate("CONFIG: %s places a flow to port %d, whose route was dropped before %v", v.name, port, s.Now().Sub(s.droppedAt[port]))
 	}
+	s.checkEvacuated(v, verdict.Host, isInTouch)
 	if f.host = s.atAddress(verdict.Host); f.host == nil {
 		s.checkEnded(v, verdict.Host, isInTouch)
 		return
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -78,8 +78,12 @@
 	v.sim.After(d, act)
 }
 
-// traceDecision records what the registry did with a change of a backend server.
+// traceDecision records what the registry did with a change of a backend server or an evacuation.
 func (v *vm) traceDecision(c pimregistry.Change, d pimregistry.Decision) {
+	if c.Evacuation != "" && d != pimregistry.Outdated {
+		v.sim.trace("%s: evacuation of %s, revision %d, removed %v, is %s", v.name, c.Evacuation, c.Revision, c.Removed, d)
+		v.checkNew(&c)
+	}
 	if c.Host != nil && d != pimregistry.Outdated && d != pimregistry.Listed {
 		v.sim.trace("%s: %s of revision %d is %s", v.name, c.Host.Name, c.Revision, d)
 	}
@@ -328,13 +332,18 @@
 
 func (p randomPlacer) Place(now pimclock.Instant, c *pimcatalog.Catalog, r *pimcatalog.Route, _ *pimpacket.Packet) pimsteer.Placement {
 	var candidates []*pimcatalog.Host
+	reason := pimsteer.ReasonNoHost
 	for _, h := range c.Service(r.Shares[0].Service) {
-		if h.AcceptsNewFlows(now) {
+		switch {
+		case !h.AcceptsNewFlows(now):
+		case c.IsEvacuated(h.DataCentre):
+			reason = pimsteer.ReasonEvacuated
+		default:
 			candidates = append(candidates, h)
 		}
 	}
 	if len(candidates) == 0 {
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
+		return pimsteer.Placement{Reason: reason}
 	}
 	return pimsteer.Placement{Host: candidates[p.rng.IntN(len(candidates))]}
 }
