feat: speeds of backend servers are learned, exchanged and used in the cost

The flow table now fits the logarithm of each answer time as the work of the route plus the slowness of the backend server. Only requests that found it nearly idle count, and only signs that follow the answer. Speeds travel in heartbeats with their weights.

Misses of other VMs since the last sign of life are passed on as well, and make a backend server suspect for new flows only. Ruled out: an openCost of 0.5, and a cost that counts only requests beyond the first one: no gain at 80% and 95% load.

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -1,6 +1,8 @@
 package pimflow
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
@@ -24,6 +26,17 @@
 	// busyArea is the integral of busy over time from busyFrom to busyAt.
 	busyArea         time.Duration
 	busyFrom, busyAt pimclock.Instant
+	// class, slots, startedAt and coldUntil are those of the catalog; slots is 0 until it has had the backend server.
+	class     class
+	slots     int
+	startedAt int64
+	coldUntil pimclock.Instant
+	// slowness is what this VM has learned since the backend server started, elsewhere what the other VMs have reported, and
+	// speed follows from both; resetAt is when this VM saw the last restart.
+	slowness  slowness
+	elsewhere Elsewhere
+	speed     float64
+	resetAt   pimclock.Instant
 }
 
 // Load is what a VM has observed of a backend server.
@@ -42,6 +55,8 @@
 	OpenFlowMisses int
 	// AliveAt is the last time that a packet of a caller showed an answer.
 	AliveAt pimclock.Instant
+	// Speed is the speed relative to the mean of the backend servers of the same service and data centre; 0 means unknown.
+	Speed float64
 }
 
 // host returns the entry of a backend server and creates it on first use.
@@ -56,21 +71,33 @@
 
 // Load returns what was observed of a backend server; it is zero for an unknown one.
 func (t *Table) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
+	l, _ := t.Loads(now, id)
+	return l
+}
+
+// Loads returns what was observed of a backend server here and elsewhere, both zero for an unknown one. The caller must not
+// change or keep what was observed elsewhere.
+func (t *Table) Loads(now pimclock.Instant, id pimcatalog.HostID) (Load, *Elsewhere) {
 	h := t.hosts[id]
 	if h == nil {
-		return Load{}
+		return Load{}, &Elsewhere{}
 	}
 	return Load{
 		Busy: h.busy, Open: h.open, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
 		MissedAt:       h.missedAt,
-		OpenFlowMisses: h.openFlowMisses, AliveAt: h.aliveAt,
-	}
+		OpenFlowMisses: h.openFlowMisses, AliveAt: h.aliveAt, Speed: h.speed,
+	}, &h.elsewhere
 }
 
-// Prune removes the backend servers that are no longer in the catalog and have no flows left.
-func (t *Table) Prune(c *pimcatalog.Catalog) {
+// Prune removes the backend servers that are no longer in the catalog and have no flows left, and takes over what the catalog
+// says of the others.
+func (t *Table) Prune(now pimclock.Instant, c *pimcatalog.Catalog) {
 	for id, h := range t.hosts {
-		if h.open == 0 && h.busy == 0 && c.Host(id.Tag()) == nil {
+		listed := c.Host(id.Tag())
+		switch {
+		case listed != nil && listed.ID == id:
+			h.describe(now, listed)
+		case h.open == 0 && h.busy == 0 && listed == nil:
 			delete(t.hosts, id)
 		}
 	}
@@ -136,15 +163,56 @@
 	Open int
 	// SilentFor is the time since the last sign of life.
 	SilentFor time.Duration
+	// Slowness is the mean logarithm of answer times against the mean of the service, and Weight the number of answers; 0
+	// means unknown.
+	Slowness, Weight float64
+	// Misses is the number of misses since the last sign of life, and MissedFor the time since the last one.
+	Misses    int
+	MissedFor time.Duration
 }
 
-// Report returns the backend servers with load, for the other VMs, and starts a new interval for the mean.
+// Report returns the backend servers with load, and those with misses or a learned speed, for the other VMs, and starts a new
+// interval for the mean. Those with misses come first, then those with load; each report begins with another one, since a
+// heartbeat has room for only some of them.
 func (t *Table) Report(now pimclock.Instant) (reports []Report) {
+	means := classMeans(t.hosts, func(h *host) (mean, weight float64) {
+		h.slowness.decay(now)
+		return h.slowness.mean(), h.slowness.weight
+	})
 	for id, h := range t.hosts {
 		r := Report{ID: id, Busy: h.meanBusy(now), Open: h.open, SilentFor: now.Sub(h.aliveAt)}
-		if r.Busy > 0 || r.Open > 0 {
+		if m := means[h.class]; h.slowness.weight >= minReportedWeight && m.hosts > 1 {
+			r.Slowness, r.Weight = h.slowness.sum/h.slowness.weight-m.mean(), h.slowness.weight
+		}
+		if r.Misses = h.currentMisses(now, t.cfg.SuspectMax); r.Misses > 0 {
+			r.MissedFor = now.Sub(h.missedAt)
+		}
+		if r.Busy > 0 || r.Open > 0 || r.Weight > 0 || r.Misses > 0 {
 			reports = append(reports, r)
 		}
 	}
+	first := t.nextReport
+	slices.SortFunc(reports, func(a, b Report) int {
+		return cmp.Or(cmp.Compare(a.rank(), b.rank()), cmp.Compare(a.ID-first, b.ID-first))
+	})
+	if len(reports) > 0 {
+		// Ids are distributed at random, so that the difference of two reports is one of a few backend servers.
+		t.nextReport = reports[min(len(reports)-1, reportStep)].ID
+	}
 	return reports
 }
+
+// reportStep is the number of backend servers by which the first one of a report moves on.
+const reportStep = 20
+
+// rank orders reports by their urgency.
+func (r *Report) rank() int {
+	switch {
+	case r.Misses > 0:
+		return 0
+	case r.Busy > 0 || r.Open > 0:
+		return 1
+	default:
+		return 2 //nolint:mnd // the last rank
+	}
+}
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -1,6 +1,7 @@
 package pimflow
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
@@ -63,6 +64,10 @@
 	runningSince pimclock.Instant
 	// requestedAt is when the last request was forwarded; it is zero once a sign of its answer was seen.
 	requestedAt pimclock.Instant
+	// requests is the number of requests, and foundIdle is set if the running one found its backend server idle and was not
+	// sent again.
+	requests  uint32
+	foundIdle bool
 	// countedAsMiss is set once the flow has been counted as a miss, so that data that is retransmitted several times
 	// counts once. A sign of an answer or a retransmission of the opening packet clears it.
 	countedAsMiss bool
@@ -75,6 +80,10 @@
 	hosts map[pimcatalog.HostID]*host
 	// sightings holds flows without a record, whose backend servers are unknown or have ended.
 	sightings map[pimpacket.Flow]sighting
+	// works holds the answer times of routes by their published addresses.
+	works map[netip.AddrPort][]*work
+	// nextReport is the backend server with which the next report begins.
+	nextReport pimcatalog.HostID
 	// unanswered holds the opening flows and unfinished the flows with running requests, both oldest first.
 	unanswered, unfinished flowQueue
 	lastSweep              pimclock.Instant
@@ -106,7 +115,7 @@
 func New(cfg Settings) *Table {
 	return &Table{
 		cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{},
-		sightings: map[pimpacket.Flow]sighting{},
+		sightings: map[pimpacket.Flow]sighting{}, works: map[netip.AddrPort][]*work{},
 	}
 }
 
@@ -157,6 +166,7 @@
 		h.recordAnswer(now)
 	}
 	if p.Acked.After(r.acked) > 0 {
+		t.learn(now, p, r, h)
 		r.acked, r.countedAsMiss, r.requestedAt = p.Acked, false, 0
 		h.recordAnswer(now)
 		t.finishRequest(now, r, h)
@@ -191,6 +201,7 @@
 	end := p.Seq + pimpacket.Sequence(p.Data)
 	if end.After(r.sent) <= 0 {
 		// The backend server has not acknowledged the data within the caller's retransmission time.
+		r.foundIdle = false
 		t.recordMiss(now, now.Add(-t.cfg.RetransmitAfter), r, CauseRetransmitted)
 		return
 	}
@@ -199,7 +210,8 @@
 	if r.running {
 		return
 	}
-	r.running, r.runningSince = true, now
+	r.running, r.runningSince, r.foundIdle = true, now, h.isIdle()
+	r.requests++
 	h.setBusy(now, h.busy+1)
 	t.unfinished.push(p.Flow, now)
 }
@@ -298,6 +310,7 @@
 	}
 	t.lastSweep = now
 	t.sweepSightings(now)
+	t.sweepWorks(now)
 	for f, r := range t.flows {
 		if now.Sub(r.lastSeen) > t.cfg.IdleFor || r.opening && now.Sub(r.lastSeen) > openingFor {
 			t.uncount(now, r)
--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -1,6 +1,9 @@
 package pimgossip
 
 import (
+	"time"
+
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
@@ -11,10 +14,74 @@
 	Busy, Open float64
 	// AliveAt is the time of the last sign of life, which is evidence that the backend server answers.
 	AliveAt pimclock.Instant
+	// Slowness is the mean logarithm of answer times against the mean of the service, and Weight the number of answers from
+	// which it was learned; zero means unknown.
+	Slowness, Weight float64
+	// Misses is the number of flows without an answer, of each VM since its last sign of life, and MissedAt the time of the
+	// last one.
+	Misses   int
+	MissedAt pimclock.Instant
+}
+
+// busyUnit is the unit of HostLoad.Busy in a heartbeat: hundredths of a request; slownessUnit is that of HostLoad.Slowness.
+const (
+	busyUnit     = 0.01
+	slownessUnit = 0.01
+)
+
+// The limits of what a VM may report of a speed, so that a damaged report does not outweigh the others.
+const (
+	maxSlowness = 2
+	maxWeight   = 24
+)
+
+// maxMisses bounds the misses that a VM reports.
+const maxMisses = 10
+
+// speedTTL is how long a reported speed counts. Only some loads of a heartbeat have one, so it outlasts the loads.
+const speedTTL = 8 * time.Second
+
+// speedReport is the last speed of a backend server that a VM has reported.
+type speedReport struct {
+	slowness, weight float64
+	at               pimclock.Instant
 }
 
-// busyUnit is the unit of HostLoad.Busy in a heartbeat: hundredths of a request.
-const busyUnit = 0.01
+// recordLoads replaces the loads of a VM, and adds the speeds that they contain.
+func (p *peer) recordLoads(now pimclock.Instant, loads []pimmesh.HostLoad) {
+	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(loads))
+	for id, s := range p.speeds {
+		if now.Sub(s.at) > speedTTL {
+			delete(p.speeds, id)
+		}
+	}
+	for _, l := range loads {
+		p.loads[l.ID] = l
+		if l.Weight <= 0 {
+			continue
+		}
+		if p.speeds == nil {
+			p.speeds = map[pimcatalog.HostID]speedReport{}
+		}
+		p.speeds[l.ID] = speedReport{
+			slowness: min(max(float64(l.Slowness)*slownessUnit, -maxSlowness), maxSlowness),
+			weight:   float64(min(l.Weight, maxWeight)), at: now,
+		}
+	}
+}
+
+// addSpeeds adds the speeds that a VM has reported within speedTTL.
+func (p *peer) addSpeeds(now pimclock.Instant, loads map[pimcatalog.HostID]Load) {
+	for id, s := range p.speeds {
+		if now.Sub(s.at) > speedTTL {
+			continue
+		}
+		l := loads[id]
+		l.Slowness = (l.Slowness*l.Weight + s.slowness*s.weight) / (l.Weight + s.weight)
+		l.Weight += s.weight
+		loads[id] = l
+	}
+}
 
 // Loads sums the loads that running VMs reported within Settings.LoadTTL. In a large data centre only some of the VMs
 // have reported that recently, so their sum is scaled up to all running VMs.
@@ -28,6 +95,7 @@
 			continue
 		}
 		running++
+		p.addSpeeds(now, loads)
 		if now.Sub(p.receivedAt) > m.cfg.LoadTTL {
 			continue
 		}
@@ -37,6 +105,10 @@
 			l.Busy += float64(reported.Busy) * busyUnit
 			l.Open += float64(reported.Open)
 			l.AliveAt = max(l.AliveAt, p.receivedAt.Add(-reported.SilentFor-transitAllowance))
+			if reported.Misses > 0 && reported.MissedFor >= 0 {
+				l.Misses += min(reported.Misses, maxMisses)
+				l.MissedAt = max(l.MissedAt, p.receivedAt.Add(-reported.MissedFor))
+			}
 			loads[id] = l
 		}
 	}
--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -50,6 +50,7 @@
 	isOffsetKnown bool
 	compared      *sample
 	loads         map[pimcatalog.HostID]pimmesh.HostLoad
+	speeds        map[pimcatalog.HostID]speedReport
 }
 
 // Mesh holds what a VM knows about the other VMs; it is safe for concurrent use.
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
-	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
@@ -121,10 +120,7 @@
 	}
 	isNew = !m.isRunning(now, p)
 	p.name, p.address, p.receivedAt, p.leaving = b.Name, b.Address, now, b.Leaving
-	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
-	for _, load := range b.Loads {
-		p.loads[load.ID] = load
-	}
+	p.recordLoads(now, b.Loads)
 	return p, isNew
 }
 
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -20,6 +20,18 @@
 	BusyElsewhere, OpenElsewhere float64
 	// AliveElsewhere is the last sign of life that they reported.
 	AliveElsewhere pimclock.Instant
+	// MissesElsewhere is the number of flows without an answer that they reported, and MissedElsewhere the time of the last one.
+	MissesElsewhere int
+	MissedElsewhere pimclock.Instant
+}
+
+// LoadOf returns what a flow table has observed of a backend server and what the other VMs have reported.
+func LoadOf(now pimclock.Instant, t *pimflow.Table, id pimcatalog.HostID) Load {
+	load, e := t.Loads(now, id)
+	return Load{
+		Load: load, BusyElsewhere: e.Busy, OpenElsewhere: e.Open, AliveElsewhere: e.AliveAt,
+		MissesElsewhere: e.Misses, MissedElsewhere: e.MissedAt,
+	}
 }
 
 // Observer provides observations of flows and backend servers.
@@ -53,11 +65,15 @@
 ) pimsteer.Placement {
 	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
-	for _, h := range c.Service(p.service(route)) {
+	hosts := c.Service(p.service(route))
+	// The random order and tieBreak keep VMs without observations from all choosing the same backend server.
+	first := p.rng.IntN(max(1, len(hosts)))
+	for i := range hosts {
+		h := hosts[(first+i)%len(hosts)]
 		if !h.AcceptsNewFlows(now) {
 			continue
 		}
-		cost := p.cost(now, h)
+		cost := p.cost(now, h) + tieBreak*p.rng.Float64()
 		if h.ID == last || h.ID == before {
 			cost += alreadyTriedCost
 		}
@@ -66,11 +82,6 @@
 	if len(p.candidates) == 0 {
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
 	}
-	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
-	p.rng.Shuffle(len(p.candidates), func(i, j int) {
-		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
-		p.costs[i], p.costs[j] = p.costs[j], p.costs[i]
-	})
 	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
 	return pimsteer.Placement{Host: p.candidates[chosen]}
 }
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -22,6 +22,8 @@
 	table   *pimflow.Table
 	noLoads bool
 	loads   map[pimcatalog.HostID]Load
+	// noSpeeds hides the learned speeds.
+	noSpeeds bool
 }
 
 func (o *fakeObserver) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
@@ -31,7 +33,11 @@
 	if l, ok := o.loads[id]; ok {
 		return l
 	}
-	return Load{Load: o.table.Load(now, id)}
+	l := LoadOf(now, o.table, id)
+	if o.noSpeeds {
+		l.Speed = 0
+	}
+	return l
 }
 
 func (o *fakeObserver) Tried(f pimpacket.Flow) (last, before pimcatalog.HostID) {
@@ -84,6 +90,18 @@
 	tables       []*pimflow.Table
 	placers      []*Placer
 	port         uint16
+	// speeds holds the speeds of backend servers that differ from 1, and slowShare is the share of requests that take slowFactor
+	// times as long as others.
+	speeds    map[pimcatalog.HostID]float64
+	slowShare float64
+	// exchangeUntil is how long the VMs exchange their loads.
+	exchangeUntil pimclock.Instant
+	// inPhases is set if run leaves the events after its end to the next run.
+	inPhases bool
+	// answerTimes is the sum of the answer times of all requests that were not shed, placed the number of flows at each
+	// backend server.
+	answerTimes time.Duration
+	placed      map[pimcatalog.HostID]int
 	// requests counts all requests, inTime those answered within latencyTarget, shed those refused by a full queue, and
 	// toUnresponsive the opening packets that were sent to unresponsive backend servers.
 	requests, inTime, shed, toUnresponsive int
@@ -94,6 +112,7 @@
 		rng: rand.New(rand.NewPCG(seed, 4)), now: pimclock.Instant(time.Hour),
 		route:   &pimcatalog.Route{Address: netip.MustParseAddrPort("198.18.0.1:443"), Shares: []pimcatalog.Share{{Service: "desk"}}},
 		running: map[pimcatalog.HostID]int{}, queues: map[pimcatalog.HostID][]func(){}, unresponsive: map[pimcatalog.HostID]bool{},
+		speeds: map[pimcatalog.HostID]float64{}, placed: map[pimcatalog.HostID]int{},
 	}
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &pimcatalog.Host{ID: pimcatalog.HostID(i + 1), Service: "desk", DataCentre: "ikeja", Slots: slots})
@@ -111,7 +130,7 @@
 	heap.Push(&s.events, event{at: s.now.Add(d), run: run})
 }
 
-// run generates requests at a mean rate per second for the duration d and processes all events.
+// run generates requests at a mean rate per second for the duration d and processes all events; see inPhases.
 func (s *simulation) run(perSecond float64, d time.Duration) {
 	end := s.now.Add(d)
 	var arrive func()
@@ -122,7 +141,7 @@
 		}
 	}
 	s.after(0, arrive)
-	for len(s.events) > 0 {
+	for len(s.events) > 0 && (!s.inPhases || s.events[0].at.Before(end)) {
 		e := heap.Pop(&s.events).(event)
 		s.now = e.at
 		e.run()
@@ -143,6 +162,7 @@
 	p := pimpacket.Packet{Flow: flow, Flags: pimpacket.Open, Seq: 10, Attempt: attempt}
 	h := s.placers[vm].Place(s.now, s.catalog, s.route, &p).Host
 	table.RecordOpening(s.now, &p, h.ID)
+	s.placed[h.ID]++
 	if s.unresponsive[h.ID] {
 		s.toUnresponsive++
 		if attempt < lastAttempt {
@@ -158,7 +178,7 @@
 
 // arrive runs or queues a request at a backend server, or sheds it if the queue is full.
 func (s *simulation) arrive(vm int, flow pimpacket.Flow, id pimcatalog.HostID, sentAt pimclock.Instant) {
-	work := time.Duration(float64(meanWork) * (0.5 + s.rng.Float64()))
+	work := s.work(id)
 	serve := func() {
 		s.running[id]++
 		s.after(work, func() {
@@ -181,10 +201,29 @@
 	}
 }
 
+// slowFactor is the work of a slow request against that of others.
+const slowFactor = 7
+
+// work returns the time that a request takes at a backend server.
+func (s *simulation) work(id pimcatalog.HostID) time.Duration {
+	work := float64(meanWork) * (0.5 + s.rng.Float64())
+	if s.slowShare > 0 && s.rng.Float64() < s.slowShare {
+		work *= slowFactor
+	}
+	if speed := s.speeds[id]; speed > 0 {
+		work /= speed
+	}
+	return time.Duration(work)
+}
+
 // finish closes a flow after its answer and counts an answer in time; sentAt is zero if the request was shed.
 func (s *simulation) finish(vm int, flow pimpacket.Flow, id pimcatalog.HostID, sentAt pimclock.Instant) {
 	s.tables[vm].RecordForwarded(s.now, &pimpacket.Packet{Flow: flow, Flags: pimpacket.Ack | pimpacket.Close, Seq: 111, Acked: 500}, id)
-	if sentAt != 0 && s.now.Sub(sentAt) <= latencyTarget {
+	if sentAt == 0 {
+		return
+	}
+	s.answerTimes += s.now.Sub(sentAt)
+	if s.now.Sub(sentAt) <= latencyTarget {
 		s.inTime++
 	}
 }
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -217,8 +217,8 @@
 	e.reportedAt = now
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
-	e.observer.peerLoads = e.node.mesh.gossip.Loads(now)
-	e.table.Prune(e.node.registry.Catalog())
+	e.table.Prune(now, e.node.registry.Catalog())
+	e.observer.setPeerLoads(now, e.node.mesh.gossip.Loads(now))
 	e.updateUnresponsive(now)
 }
 
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -124,19 +125,47 @@
 	return pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config}
 }
 
-// maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram.
-const maxLoads = 40
+// maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram, and maxSpeeds those with their speeds, which
+// change slowly.
+const (
+	maxLoads  = 40
+	maxSpeeds = 8
+)
 
 func loads(reports []pimflow.Report) (reported []pimmesh.HostLoad) {
 	const hundredths = 100
+	speeds := 0
 	for _, r := range reports[:min(len(reports), maxLoads)] {
-		reported = append(reported, pimmesh.HostLoad{
+		l := pimmesh.HostLoad{
 			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, SilentFor: r.SilentFor.Round(time.Millisecond),
-		})
+			Misses: r.Misses, MissedFor: r.MissedFor.Round(time.Millisecond),
+		}
+		if weight := int(r.Weight); weight > 0 && speeds < maxSpeeds {
+			speeds++
+			l.Slowness, l.Weight = int(math.Round(r.Slowness*hundredths)), weight
+		}
+		reported = append(reported, l)
 	}
 	return reported
 }
 
+// encode encodes a message for the wire. A heartbeat that does not fit a datagram loses its last loads.
+func (m *mesh) encode(msg *pimmesh.Message) (datagram []byte, err error) {
+	for {
+		plain, err := pimmesh.Encode(msg)
+		if err != nil {
+			return nil, err
+		}
+		datagram, err = m.sealer.Seal(time.Now().UnixMilli(), plain)
+		if hb := msg.Heartbeat; errors.Is(err, pimseal.ErrTooLarge) && hb != nil && len(hb.Loads) > 0 {
+			const kept = 0.8
+			hb.Loads = hb.Loads[:int(kept*float64(len(hb.Loads)))]
+			continue
+		}
+		return datagram, err
+	}
+}
+
 func (m *mesh) sendAll(out []pimgossip.Outgoing) {
 	for i := range out {
 		m.send(out[i].To, &out[i].Message)
@@ -144,14 +173,11 @@
 }
 
 func (m *mesh) send(to netip.AddrPort, msg *pimmesh.Message) {
-	plain, err := pimmesh.Encode(msg)
+	datagram, err := m.encode(msg)
 	if err == nil {
-		var datagram []byte
-		if datagram, err = m.sealer.Seal(time.Now().UnixMilli(), plain); err == nil {
-			_, err = m.conn.WriteToUDPAddrPort(datagram, to)
-			m.counts.sent.Inc()
-			m.counts.sentBytes.Add(len(datagram))
-		}
+		_, err = m.conn.WriteToUDPAddrPort(datagram, to)
+		m.counts.sent.Inc()
+		m.counts.sentBytes.Add(len(datagram))
 	}
 	if err != nil {
 		m.node.log.Debug().Err(err).Stringer("to", to).Msg("peer message not sent")
--- a/internal/pimentry/observer.go
+++ b/internal/pimentry/observer.go
@@ -9,21 +9,26 @@
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
-// observer combines what this VM has observed of the backend servers with the reports of the other VMs; it implements
-// pimplace.Observer.
+// observer returns what this VM has observed of the backend servers together with the reports of the other VMs, which its
+// table holds as well; it implements pimplace.Observer.
 type observer struct {
 	table *pimflow.Table
-	// peerLoads holds the loads that the other VMs have reported; it is replaced every reportInterval.
-	peerLoads map[pimcatalog.HostID]pimgossip.Load
 }
 
 // Load returns the load of a backend server; zero if nothing is known.
 func (o *observer) Load(now pimclock.Instant, id pimcatalog.HostID) pimplace.Load {
-	reported := o.peerLoads[id]
-	return pimplace.Load{
-		Load: o.table.Load(now, id), BusyElsewhere: reported.Busy, OpenElsewhere: reported.Open,
-		AliveElsewhere: reported.AliveAt,
-	}
+	return pimplace.LoadOf(now, o.table, id)
+}
+
+// setPeerLoads takes over the loads that the other VMs have reported.
+func (o *observer) setPeerLoads(now pimclock.Instant, loads map[pimcatalog.HostID]pimgossip.Load) {
+	o.table.SetElsewhere(now, func(yield func(pimcatalog.HostID, pimflow.Elsewhere) bool) {
+		for id, l := range loads {
+			if !yield(id, pimflow.Elsewhere(l)) {
+				return
+			}
+		}
+	})
 }
 
 // Tried returns the last two backend servers that have not answered the opening packet of a flow; zero means none.
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -69,6 +69,13 @@
 	Open int `cbor:"3,keyasint,omitempty"`
 	// SilentFor is the time since the last sign of life of the backend server.
 	SilentFor time.Duration `cbor:"4,keyasint,omitempty"`
+	// Slowness is the logarithm of its answer times against the mean of its service, in hundredths, and Weight the number of
+	// answers from which it was learned; zero means unknown.
+	Slowness int `cbor:"5,keyasint,omitempty"`
+	Weight   int `cbor:"6,keyasint,omitempty"`
+	// Misses is the number of flows without an answer since the last sign of life, and MissedFor the time since the last one.
+	Misses    int           `cbor:"7,keyasint,omitempty"`
+	MissedFor time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Pull requests all changes after a revision, or further chunks of a delta.
