feat: data centres tell each other their load, and the cost of crossing depends on it

The reader and the running VM with the highest hash send one datagram every 2 s to a VM of each other data centre; heartbeats pass it on, 8 s later it is forgotten. VMs of other data centres are named in heartbeats, since only seeds hear from them. With a summary the surcharge is 4, which falls to 2 while the demand of the own data centre stays above 2.5 to 3.5 requests per slot for a second.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -29,6 +29,9 @@
 	// Age is the time since the platform was known to have nothing newer.
 	Age   time.Duration
 	Loads []pimmesh.HostLoad
+	// Services is the load of the services in this data centre, for the others, as measured at ServicesAt.
+	Services   []pimmesh.ServiceLoad
+	ServicesAt pimclock.Instant
 }
 
 // peer is what is known about another VM.
@@ -69,6 +72,10 @@
 	hash             uint64
 	reading, canRead bool
 	readingSince     pimclock.Instant
+	// remote holds the loads of other data centres; nextRemote is the first one in the next heartbeat.
+	remote      map[RemoteService]RemoteLoad
+	nextRemote  RemoteService
+	lastSummary pimclock.Instant
 	// stopping is set once this VM has announced that it is about to stop.
 	stopping bool
 	// incarnation is a random number that identifies this process run.
@@ -89,7 +96,7 @@
 func New(cfg Settings, rng *rand.Rand) *Mesh {
 	return &Mesh{
 		cfg: cfg, rng: rng, incarnation: rng.Uint64(), canRead: true, hash: readerHash(cfg.Name), peers: map[netip.AddrPort]*peer{},
-		remotePeers: map[pimid.DataCentre]map[netip.AddrPort]*peer{},
+		remotePeers: map[pimid.DataCentre]map[netip.AddrPort]*peer{}, remote: map[RemoteService]RemoteLoad{},
 	}
 }
 
@@ -109,9 +116,11 @@
 	}
 	m.lastHeartbeat = now
 	m.expirePeers(now)
+	m.expireRemote(now)
 	out = m.heartbeats(now, v)
 	isIsolated := len(out) == 0
 	out = append(out, m.retryTransfer(now, v)...)
+	out = append(out, m.summaries(now, v)...)
 	return append(out, m.hellos(now, v, isIsolated)...)
 }
 
@@ -154,8 +163,9 @@
 	}
 	m.lastHello = now
 	var targets []netip.AddrPort
-	if isolated || m.rng.IntN(m.countRunning(now)) < m.cfg.Fanout {
-		// Only some VMs of a data centre send hellos to the seeds, so that a large one loads them no more than a small one.
+	if isolated || m.rng.IntN(m.countRunning(now)) < m.cfg.Fanout || m.sendsSummaries(now) {
+		// Only some VMs of a data centre send hellos to the seeds, so that a large one loads them no more than a small one. Those
+		// that send summaries learn VMs of other data centres from the answers.
 		targets = slices.Clone(m.cfg.Seeds)
 	}
 	for _, p := range m.chosen(m.peers, func(p *peer) bool { return !m.isRunning(now, p) }) {
@@ -177,6 +187,7 @@
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
 		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base,
+		Remote: m.remoteToSend(now), RemotePeers: m.remotePeerToSend(now, m.cfg.DataCentre),
 	}}
 }
 
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -53,6 +53,11 @@
 	// answerTime is how long the answer to a pull takes; answers holds those in transit.
 	answerTime time.Duration
 	answers    []answer
+	// busy is the load that each data centre reports to the others, in hundredths; summaries counts the reports between two data
+	// centres, and summaryBytes is the size of the last one.
+	busy         map[pimid.DataCentre]int
+	summaries    map[[2]pimid.DataCentre]int
+	summaryBytes int
 }
 
 // answer is the answer of a VM to a pull.
@@ -99,7 +104,11 @@
 
 func (f *fleet) view(v *vm) View {
 	const config = 1 // each view has a configuration
-	return View{Revision: v.revision, Base: v.base, Config: config, Age: f.now.Sub(v.asOf)}
+	view := View{Revision: v.revision, Base: v.base, Config: config, Age: f.now.Sub(v.asOf), ServicesAt: f.now}
+	if busy, ok := f.busy[v.mesh.cfg.DataCentre]; ok {
+		view.Services = []pimmesh.ServiceLoad{{DataCentre: v.mesh.cfg.DataCentre, Service: "desk", Hosts: 3, Busy: busy}}
+	}
+	return view
 }
 
 // run advances the time by d in steps.
@@ -171,6 +180,10 @@
 		}
 		from.bytes += len(data)
 		to := f.at[o.To]
+		if o.Message.Summary != nil && f.summaries != nil {
+			f.summaries[[2]pimid.DataCentre{from.mesh.cfg.DataCentre, to.mesh.cfg.DataCentre}]++
+			f.summaryBytes = len(data)
+		}
 		if to == nil || to.down || f.rng.Float64() < f.loss || f.blocked != nil && f.blocked(from, to) {
 			continue
 		}
@@ -186,6 +199,8 @@
 			to.asOf = max(to.asOf, result.AsOf)
 		}
 		f.deliver(to, result.Out)
+	case msg.Summary != nil:
+		to.mesh.ReceiveSummary(f.now, msg.Summary)
 	case msg.Pull != nil:
 		answerLost := f.blocked != nil && f.blocked(to, from)
 		if to.revision > msg.Pull.Since && !answerLost {
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -72,6 +72,10 @@
 	if b.DataCentre == m.cfg.DataCentre && isDelayKnown {
 		m.mergeClaim(now.Add(-delay), b.Claim)
 	}
+	if b.DataCentre == m.cfg.DataCentre {
+		m.mergeRemote(now.Add(-delay-transitAllowance), b.Remote)
+	}
+	m.addRemoteNamed(now, b.RemotePeers)
 	// A heartbeat names VMs of the receiver's data centre.
 	m.addNamed(now, b.Peers)
 	if b.TakeOver {
@@ -101,7 +105,9 @@
 		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.peers, running)))}
 	}
 	others := func(p *peer) bool { return p.receivedAt != 0 && !p.leaving && p.address != b.Address }
-	return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))}
+	msg := m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))
+	msg.Heartbeat.RemotePeers = m.remotePeerToSend(now, b.DataCentre)
+	return Outgoing{To: b.Address, Message: msg}
 }
 
 // recordSender records the sender of a heartbeat and reports whether it was not running before.
--- a/internal/coordination/pimgossip/settings.go
+++ b/internal/coordination/pimgossip/settings.go
@@ -36,6 +36,9 @@
 	ClaimTTL time.Duration
 	// LoadTTL is how long reported backend loads count.
 	LoadTTL time.Duration
+	// SummaryInterval is the time between two summaries for another data centre, which two VMs send; SummaryTTL is how long one
+	// counts. Several may be lost before it ends, but a cut between data centres must show within seconds.
+	SummaryInterval, SummaryTTL time.Duration
 }
 
 // DefaultSettings returns settings for changes that have to be in force within the given time. They leave time for the
@@ -52,5 +55,6 @@
 		WatchTimeout:   inForceWithin * 2 / 5,
 		TakeoverAge:    inForceWithin * 2 / 3, TakeoverSpread: inForceWithin / 5,
 		RetryingVMs: 4, ClaimTTL: 1500 * time.Millisecond, LoadTTL: 1500 * time.Millisecond,
+		SummaryInterval: 2 * time.Second, SummaryTTL: 8 * time.Second,
 	}
 }
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -41,6 +41,9 @@
 	// Tried returns the last two backend servers that have not answered earlier transmissions of an opening packet; zero
 	// means none.
 	Tried(f pimpacket.Flow) (last, before pimcatalog.HostID)
+	// Remote returns the mean requests under way per slot of a service in another data centre, without those of the own data
+	// centre; ok is unset if it is not known or no longer true.
+	Remote(dc pimid.DataCentre, service pimcatalog.Service) (perSlot float64, ok bool)
 }
 
 // Placer chooses backend servers for new flows; it must be used by one goroutine only.
@@ -52,11 +55,16 @@
 	// candidates and costs are buffers that Place reuses.
 	candidates []*pimcatalog.Host
 	costs      []float64
+	// remote holds the loads of other data centres that the current call of Place has looked up.
+	remote []remoteLoad
+	// demands holds the demand for each service; demand is that of the current call of Place.
+	demands map[pimcatalog.Service]*demand
+	demand  *demand
 }
 
 // New returns a placer for a VM in the data centre home.
 func New(home pimid.DataCentre, observer Observer, policy pimpick.Policy, rng *rand.Rand) *Placer {
-	return &Placer{home: home, observer: observer, policy: policy, rng: rng}
+	return &Placer{home: home, observer: observer, policy: policy, rng: rng, demands: map[pimcatalog.Service]*demand{}}
 }
 
 // Place chooses a backend server for an opening packet.
@@ -64,8 +72,10 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
 	last, before := p.observer.Tried(pkt.Flow)
-	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
-	hosts := c.Service(p.service(route))
+	p.candidates, p.costs, p.remote = p.candidates[:0], p.costs[:0], p.remote[:0]
+	service := p.service(route)
+	hosts := c.Service(service)
+	defer p.measure(now, service)()
 	// The random order and tieBreak keep VMs without observations from all choosing the same backend server.
 	first := p.rng.IntN(max(1, len(hosts)))
 	for i := range hosts {
@@ -86,6 +96,19 @@
 	return pimsteer.Placement{Host: p.candidates[chosen]}
 }
 
+// measure measures the demand for a service until the returned function is called.
+func (p *Placer) measure(now pimclock.Instant, service pimcatalog.Service) (end func()) {
+	p.demand = p.demands[service]
+	if p.demand == nil {
+		p.demand = &demand{}
+		p.demands[service] = p.demand
+	}
+	return func() {
+		p.demand.update(now)
+		p.demand = nil
+	}
+}
+
 // maxWeight bounds a weight, so that the sum of all weights of a route does not overflow.
 const maxWeight = 1 << 31
 
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -15,6 +15,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // fakeObserver observes fixed loads or those of a flow table; with noLoads it reports no load at all.
@@ -24,6 +25,8 @@
 	loads   map[pimcatalog.HostID]Load
 	// noSpeeds hides the learned speeds.
 	noSpeeds bool
+	// remote holds the loads of other data centres.
+	remote map[pimid.DataCentre]float64
 }
 
 func (o *fakeObserver) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
@@ -40,6 +43,11 @@
 	return l
 }
 
+func (o *fakeObserver) Remote(dc pimid.DataCentre, _ pimcatalog.Service) (perSlot float64, ok bool) {
+	perSlot, ok = o.remote[dc]
+	return perSlot, ok
+}
+
 func (o *fakeObserver) Tried(f pimpacket.Flow) (last, before pimcatalog.HostID) {
 	return o.table.Tried(f)
 }
@@ -94,6 +102,10 @@
 	// times as long as others.
 	speeds    map[pimcatalog.HostID]float64
 	slowShare float64
+	// chooseVM chooses the VM that receives a new flow; nil means any.
+	chooseVM func() int
+	// crossed is the number of flows that were placed in another data centre than that of their VM.
+	crossed int
 	// exchangeUntil is how long the VMs exchange their loads.
 	exchangeUntil pimclock.Instant
 	// inPhases is set if run leaves the events after its end to the next run.
@@ -152,7 +164,13 @@
 	s.requests++
 	s.port++
 	flow := pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port), Destination: s.route.Address}
-	s.open(s.rng.IntN(simVMs), flow, s.now, 0)
+	vm := 0
+	if s.chooseVM != nil {
+		vm = s.chooseVM()
+	} else {
+		vm = s.rng.IntN(simVMs)
+	}
+	s.open(vm, flow, s.now, 0)
 }
 
 // open sends the opening packet of a flow, or a retransmission of it if attempt is above 0.
@@ -163,6 +181,9 @@
 	h := s.placers[vm].Place(s.now, s.catalog, s.route, &p).Host
 	table.RecordOpening(s.now, &p, h.ID)
 	s.placed[h.ID]++
+	if h.DataCentre != s.placers[vm].home {
+		s.crossed++
+	}
 	if s.unresponsive[h.ID] {
 		s.toUnresponsive++
 		if attempt < lastAttempt {
--- a/internal/coordination/pimplace/speed_test.go
+++ b/internal/coordination/pimplace/speed_test.go
@@ -41,7 +41,7 @@
 			for _, h := range s.hosts {
 				var sum pimflow.Elsewhere
 				for j, reported := range all {
-					if r := reported[h.ID]; i != j {
+					if r := reported[h.ID]; i != j && s.placers[i].home == s.placers[j].home {
 						sum.Busy += r.Busy
 						sum.Open += r.Open
 						sum.AliveAt = max(sum.AliveAt, r.AliveAt)
@@ -218,6 +218,21 @@
 	}
 }
 
+// tableObserver observes what a flow table holds, as a VM does.
+type tableObserver struct{ table *pimflow.Table }
+
+func (o *tableObserver) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
+	return LoadOf(now, o.table, id)
+}
+
+func (o *tableObserver) Tried(f pimpacket.Flow) (last, before pimcatalog.HostID) {
+	return o.table.Tried(f)
+}
+
+func (o *tableObserver) Remote(dc pimid.DataCentre, _ pimcatalog.Service) (perSlot float64, ok bool) {
+	return 1, dc == "apapa"
+}
+
 // BenchmarkPlace measures the choice among 150 backend servers in three data centres with load and learned speeds.
 func BenchmarkPlace(b *testing.B) {
 	const hosts = 150
@@ -240,7 +255,7 @@
 			}
 		}
 	})
-	p := New("ikeja", &fakeObserver{table: table}, pimpick.LeastLoaded{}, rand.New(rand.NewPCG(1, 1)))
+	p := New("ikeja", &tableObserver{table: table}, pimpick.LeastLoaded{}, rand.New(rand.NewPCG(1, 1)))
 	route := &pimcatalog.Route{Shares: []pimcatalog.Share{{Service: "desk"}}}
 	pkt := &pimpacket.Packet{Flags: pimpacket.Open}
 	b.ReportAllocs()
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -1,10 +1,12 @@
 package pimentry
 
 import (
+	"cmp"
 	"errors"
 	"net"
 	"net/netip"
 	"os"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -12,6 +14,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
+	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
@@ -44,6 +47,7 @@
 	buf          [hostPrefixBytes + maxPacketBytes]byte
 	resetBuf     []byte
 	reportedAt   pimclock.Instant
+	summarisedAt pimclock.Instant
 	// overloaded is set when a delayed heartbeat shows that this VM does not keep up with its packets.
 	overloaded atomic.Bool
 	// lines bounds the rate of log lines about flows.
@@ -219,9 +223,39 @@
 	e.node.mesh.reports.Store(&reports)
 	e.table.Prune(now, e.node.registry.Catalog())
 	e.observer.setPeerLoads(now, e.node.mesh.gossip.Loads(now))
+	e.observer.remote = e.node.mesh.gossip.RemoteLoads(now)
+	e.summarise(now)
 	e.updateUnresponsive(now)
 }
 
+// summaryInterval is the time between two summaries of the load of this data centre.
+const summaryInterval = time.Second
+
+// summarise passes the load of the services in this data centre to the mesh if this VM sends it to the other data centres. The
+// services with the fewest requests are left out if there are too many: those with many requests may need the others.
+func (e *edge) summarise(now pimclock.Instant) {
+	if now.Sub(e.summarisedAt) < summaryInterval {
+		return
+	}
+	e.summarisedAt = now
+	if !e.node.mesh.gossip.SendsSummaries(now) {
+		e.node.mesh.services.Store(nil)
+		return
+	}
+	const hundredths = 100
+	var services []pimmesh.ServiceLoad
+	home := e.node.cfg.Node.DataCentre
+	for service, d := range e.placer.Summarise(now, e.node.registry.Catalog()) {
+		services = append(services, pimmesh.ServiceLoad{
+			DataCentre: home, Service: service, Hosts: d.Hosts, Busy: int(hundredths * d.PerSlot),
+		})
+	}
+	slices.SortFunc(services, func(a, b pimmesh.ServiceLoad) int {
+		return cmp.Or(cmp.Compare(b.Busy*b.Hosts, a.Busy*a.Hosts), cmp.Compare(a.Service, b.Service))
+	})
+	e.node.mesh.services.Store(&serviceLoads{loads: services, at: now})
+}
+
 func (e *edge) forward(framed []byte, h *pimcatalog.Host) {
 	e.node.platform.Codec.AppendHostID(framed[:0], h.ID)
 	e.send(framed, h.Address)
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -17,6 +17,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimgossip"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -32,9 +33,17 @@
 	outbox            pimgossip.Outbox
 	// reports holds the loads of the backend servers that the edge has observed.
 	reports atomic.Pointer[[]pimflow.Report]
-	counts  meshCounters
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	// services holds the load of the services in this data centre, for the others.
+	services atomic.Pointer[serviceLoads]
+	counts   meshCounters
+	stop     chan struct{}
+	wg       sync.WaitGroup
+}
+
+// serviceLoads is the load of the services in this data centre at an instant.
+type serviceLoads struct {
+	loads []pimmesh.ServiceLoad
+	at    pimclock.Instant
 }
 
 // meshCounters count the messages between VMs and the bytes sent.
@@ -116,6 +125,9 @@
 	if reports := m.reports.Load(); reports != nil {
 		v.Loads = loads(*reports)
 	}
+	if services := m.services.Load(); services != nil {
+		v.Services, v.ServicesAt = services.loads, services.at
+	}
 	return v
 }
 
@@ -219,6 +231,8 @@
 		m.handlePull(msg.Pull, from)
 	case msg.Chunk != nil:
 		m.handleChunk(msg.Chunk, from)
+	case msg.Summary != nil:
+		m.gossip.ReceiveSummary(m.node.clock.Now(), msg.Summary)
 	}
 }
 
--- a/internal/pimentry/observer.go
+++ b/internal/pimentry/observer.go
@@ -7,12 +7,22 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // observer returns what this VM has observed of the backend servers together with the reports of the other VMs, which its
 // table holds as well; it implements pimplace.Observer.
 type observer struct {
 	table *pimflow.Table
+	// remote holds the loads of other data centres; it is replaced every reportInterval.
+	remote map[pimgossip.RemoteService]pimgossip.RemoteLoad
+}
+
+// Remote returns the mean requests under way per slot of a service in another data centre; ok is unset if no recent summary of
+// that data centre is known.
+func (o *observer) Remote(dc pimid.DataCentre, service pimcatalog.Service) (perSlot float64, ok bool) {
+	l, ok := o.remote[pimgossip.RemoteService{DataCentre: dc, Service: service}]
+	return l.Busy, ok
 }
 
 // Load returns the load of a backend server; zero if nothing is known.
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -17,6 +17,7 @@
 	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
 	Pull      *Pull      `cbor:"2,keyasint,omitempty"`
 	Chunk     *Chunk     `cbor:"3,keyasint,omitempty"`
+	Summary   *Summary   `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat announces a VM, the revision of its view and the loads of the backend servers that it sees.
@@ -46,6 +47,37 @@
 	Base pimid.Revision `cbor:"13,keyasint,omitempty"`
 	// TakeOver asks the receiver to read the platform in place of the sender, which is about to stop.
 	TakeOver bool `cbor:"14,keyasint,omitempty"`
+	// Remote holds loads of other data centres, as the sender knows them from summaries.
+	Remote []ServiceLoad `cbor:"18,keyasint,omitempty"`
+	// RemotePeers are some VMs of other data centres than the receiver's.
+	RemotePeers []RemotePeer `cbor:"19,keyasint,omitempty"`
+}
+
+// RemotePeer is a VM of another data centre.
+type RemotePeer struct {
+	DataCentre pimid.DataCentre `cbor:"1,keyasint"`
+	Name       string           `cbor:"2,keyasint"`
+	Address    netip.AddrPort   `cbor:"3,keyasint"`
+	// SilentS is the time since it was last heard from, in seconds.
+	SilentS int `cbor:"4,keyasint,omitempty"`
+}
+
+// Summary is the load of the sender's data centre, for another one.
+type Summary struct {
+	Loads []ServiceLoad `cbor:"1,keyasint"`
+	// Sender is the VM that sends the summary.
+	Sender RemotePeer `cbor:"2,keyasint"`
+}
+
+// ServiceLoad is the load of the backend servers of one service in one data centre.
+type ServiceLoad struct {
+	DataCentre pimid.DataCentre   `cbor:"1,keyasint"`
+	Service    pimcatalog.Service `cbor:"2,keyasint"`
+	// Hosts is the number of backend servers, Busy the mean number of requests under way per slot, in hundredths.
+	Hosts int `cbor:"3,keyasint"`
+	Busy  int `cbor:"4,keyasint,omitempty"`
+	// AgeMs is the time since the measurement, in milliseconds.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Claim is the claim of a VM to be the reader of the platform.
