--- a/internal/coordination/pimflow/speed.go
+++ b/internal/coordination/pimflow/speed.go
@@ -36,8 +36,8 @@
 	// resetIgnoresPeersFor is how long reports of other VMs about the speed of a restarted backend server are ignored, since
 	// they may be about the process before.
 	resetIgnoresPeersFor = 3 * time.Second
-	// minSpeed and maxSpeed bound a speed. The upper bound is lower, since a backend server that refuses at once looks fast.
-	minSpeed, maxSpeed = 0.25, 2
+	// minSpeed and MaxSpeed bound a speed. The upper bound is lower, since a backend server that refuses at once looks fast.
+	minSpeed, MaxSpeed = 0.25, 2
 )
 
 // class groups the backend servers whose answer times are compared. The data centre belongs to it, since answers from another
@@ -113,7 +113,7 @@
 		s := h.combined(now)
 		h.speed = 0
 		if s.weight >= 1 && means[h.class].hosts > 1 {
-			h.speed = min(max(math.Exp(means[h.class].mean()-s.mean()), minSpeed), maxSpeed)
+			h.speed = min(max(math.Exp(means[h.class].mean()-s.mean()), minSpeed), MaxSpeed)
 		}
 	}
 }
--- a/internal/coordination/pimflow/speed_test.go
+++ b/internal/coordination/pimflow/speed_test.go
@@ -217,7 +217,7 @@
 	is := is.New(t)
 	s := newSpeedTest()
 	s.learn(60, time.Millisecond, 100*time.Millisecond, 0)
-	is.Equal(s.speed(hostA), maxSpeed*1.0)
+	is.Equal(s.speed(hostA), MaxSpeed*1.0)
 	is.Equal(s.speed(hostB), minSpeed)
 	s.now = s.now.Add(6 * slownessHalfLife)
 	is.Equal(s.speed(hostA), 0.0)
--- a/internal/coordination/pimplace/cost.go
+++ b/internal/coordination/pimplace/cost.go
@@ -87,36 +87,56 @@
 const demandTime = time.Second
 
 // demand is the mean number of requests of the own data centre per slot there, wherever they run, so that it does not fall when
-// flows cross. sum and slots add up those of the current call of Place.
+// flows cross.
 type demand struct {
-	perSlot    float64
-	at         pimclock.Instant
-	sum, slots float64
+	perSlot float64
+	at      pimclock.Instant
+	// home and remote are the requests in the own data centre and in the others, slots is the number of slots at the mean speed
+	// in the own one. Those of the others were counted last at remoteAt.
+	home, remote, slots float64
+	remoteAt            pimclock.Instant
 }
 
+// remoteInterval is the time after which the requests in other data centres are counted again.
+const remoteInterval = 100 * time.Millisecond
+
+func (d *demand) isRemoteDue(now pimclock.Instant) bool { return now.Sub(d.remoteAt) >= remoteInterval }
+
+// beginRemote begins to count the requests in other data centres.
+func (d *demand) beginRemote(now pimclock.Instant) { d.remote, d.remoteAt = 0, now }
+
 // count adds the requests at a backend server.
 func (d *demand) count(busy, slots float64, isHome bool) {
-	d.sum += busy
-	if isHome {
-		d.slots += slots
+	if !isHome {
+		d.remote += busy
+		return
 	}
+	d.home += busy
+	d.slots += slots
 }
 
-// update ends a call of Place.
+// update updates the mean and begins to count the requests in the own data centre.
 func (d *demand) update(now pimclock.Instant) {
 	current := 0.0
 	if d.slots > 0 {
-		current = d.sum / d.slots
+		current = (d.home + d.remote) / d.slots
 	}
 	d.perSlot += (current - d.perSlot) * (1 - math.Exp(-float64(now.Sub(d.at))/float64(demandTime)))
-	d.at, d.sum, d.slots = now, 0, 0
+	d.at, d.home, d.slots = now, 0, 0
 }
 
-func (p *Placer) crossingCost(service pimcatalog.Service) float64 {
+// demandFor returns the demand for a service and creates it on first use.
+func (p *Placer) demandFor(service pimcatalog.Service) *demand {
 	d := p.demands[service]
 	if d == nil {
-		return crossingCost
+		d = &demand{}
+		p.demands[service] = d
 	}
+	return d
+}
+
+func (p *Placer) crossingCost(service pimcatalog.Service) float64 {
+	d := p.demandFor(service)
 	overload := min(max(0, (d.perSlot-demandMin)/(demandMax-demandMin)), 1)
 	return crossingCost + overload*(overloadedCrossingCost-crossingCost)
 }
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -1,6 +1,7 @@
 package pimplace
 
 import (
+	"math"
 	"math/rand/v2"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
@@ -71,16 +72,36 @@
 func (p *Placer) Place(
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
-	last, before := p.observer.Tried(pkt.Flow)
 	p.candidates, p.costs, p.remote = p.candidates[:0], p.costs[:0], p.remote[:0]
 	service := p.service(route)
 	hosts := c.Service(service)
-	defer p.measure(now, service)()
+	p.demand = p.demandFor(service)
+	best := p.addCandidates(now, hosts, pkt.Flow, true)
+	// In other data centres the cost is at least that of crossing and of the service time, so that most flows need no look at
+	// their backend servers. The requests of the own data centre there are counted from time to time.
+	if best > p.crossingCost(service)+1/pimflow.MaxSpeed || p.demand.isRemoteDue(now) {
+		p.demand.beginRemote(now)
+		p.addCandidates(now, hosts, pkt.Flow, false)
+	}
+	p.demand.update(now)
+	p.demand = nil
+	if len(p.candidates) == 0 {
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
+	}
+	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
+	return pimsteer.Placement{Host: p.candidates[chosen]}
+}
+
+// addCandidates adds the backend servers of the own data centre, or those of the others, that may take a flow, and returns the least
+// of their costs.
+func (p *Placer) addCandidates(now pimclock.Instant, hosts []*pimcatalog.Host, f pimpacket.Flow, isHome bool) (best float64) {
+	last, before := p.observer.Tried(f)
+	best = math.Inf(1)
 	// The random order and tieBreak keep VMs without observations from all choosing the same backend server.
 	first := p.rng.IntN(max(1, len(hosts)))
 	for i := range hosts {
 		h := hosts[(first+i)%len(hosts)]
-		if !h.AcceptsNewFlows(now) {
+		if (h.DataCentre == p.home) != isHome || !h.AcceptsNewFlows(now) {
 			continue
 		}
 		cost := p.cost(now, h) + tieBreak*p.rng.Float64()
@@ -88,25 +109,9 @@
 			cost += alreadyTriedCost
 		}
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
+		best = min(best, cost)
 	}
-	if len(p.candidates) == 0 {
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost}
-	}
-	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
-	return pimsteer.Placement{Host: p.candidates[chosen]}
-}
-
-// measure measures the demand for a service until the returned function is called.
-func (p *Placer) measure(now pimclock.Instant, service pimcatalog.Service) (end func()) {
-	p.demand = p.demands[service]
-	if p.demand == nil {
-		p.demand = &demand{}
-		p.demands[service] = p.demand
-	}
-	return func() {
-		p.demand.update(now)
-		p.demand = nil
-	}
+	return best
 }
 
 // maxWeight bounds a weight, so that the sum of all weights of a route does not overflow.
--- a/internal/coordination/pimplace/speed_test.go
+++ b/internal/coordination/pimplace/speed_test.go
@@ -233,13 +233,19 @@
 	return 1, dc == "apapa"
 }
 
-// BenchmarkPlace measures the choice among 150 backend servers in three data centres with load and learned speeds.
+// BenchmarkPlace measures the choice among 150 backend servers with load and learned speeds, in one data centre or in three.
 func BenchmarkPlace(b *testing.B) {
+	for _, dataCentres := range [][]pimid.DataCentre{{"ikeja"}, regionDataCentres} {
+		b.Run(fmt.Sprint(len(dataCentres)), func(b *testing.B) { benchmarkPlace(b, dataCentres) })
+	}
+}
+
+func benchmarkPlace(b *testing.B, dataCentres []pimid.DataCentre) {
+	b.Helper()
 	const hosts = 150
 	now := pimclock.Instant(time.Hour)
 	table := pimflow.New(pimflow.DefaultSettings())
 	var list []*pimcatalog.Host
-	dataCentres := []pimid.DataCentre{"ikeja", "apapa", "lekki"}
 	for i := range hosts {
 		id := pimcatalog.HostID(0x9e3779b97f4a7c15 * uint64(i+1))
 		list = append(list, &pimcatalog.Host{ID: id, Service: "desk", DataCentre: dataCentres[i%len(dataCentres)], Slots: 2})
