--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -1,6 +1,7 @@
 package pimflow
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
@@ -58,12 +59,17 @@
 	lastSeen pimclock.Instant
 	// sent is the sequence number after the last byte from the caller, acked the last number that the caller acknowledged.
 	sent, acked pimpacket.Sequence
-	// running is set from the request to the first sign of its answer, for at most RunningFor. isExpected is set if the request
-	// has not arrived yet: a flow that opens counts as running, since its request follows within a round trip.
-	running, isExpected bool
-	runningSince        pimclock.Instant
+	// running is set from the request to the first sign of its answer, for at most RunningFor.
+	running      bool
+	runningSince pimclock.Instant
+	// isExpected is set from the opening packet to the first request, for at most RunningFor.
+	isExpected bool
 	// requestedAt is when the last request was forwarded; it is zero once a sign of its answer was seen.
 	requestedAt pimclock.Instant
+	// requests is the number of requests, and foundIdle is set if the running one found its backend server idle and was not
+	// sent again.
+	requests  uint32
+	foundIdle bool
 	// countedAsMiss is set once the flow has been counted as a miss, so that data that is retransmitted several times
 	// counts once. A sign of an answer or a retransmission of the opening packet clears it.
 	countedAsMiss bool
@@ -76,6 +82,10 @@
 	hosts map[pimcatalog.HostID]*host
 	// sightings holds flows without a record, whose backend servers are unknown or have ended.
 	sightings map[pimpacket.Flow]sighting
+	// works holds the answer times of routes by their published addresses.
+	works map[netip.AddrPort][]*work
+	// nextReport is the backend server with which the next report begins.
+	nextReport pimcatalog.HostID
 	// unanswered holds the opening flows and unfinished the flows with running requests, both oldest first.
 	unanswered, unfinished flowQueue
 	lastSweep              pimclock.Instant
@@ -107,7 +117,7 @@
 func New(cfg Settings) *Table {
 	return &Table{
 		cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{},
-		sightings: map[pimpacket.Flow]sighting{},
+		sightings: map[pimpacket.Flow]sighting{}, works: map[netip.AddrPort][]*work{},
 	}
 }
 
@@ -140,8 +150,7 @@
 	}
 	t.host(now, id).open++
 	t.unanswered.push(p.Flow, now)
-	t.startRequest(now, p.Flow, r)
-	r.isExpected = true
+	t.expectRequest(now, p.Flow, r)
 }
 
 // RecordForwarded records that a packet of an open flow was forwarded to a backend server. The first packet after the
@@ -160,6 +169,7 @@
 		h.recordAnswer(now)
 	}
 	if p.Acked.After(r.acked) > 0 {
+		t.learn(now, p, r, h)
 		r.acked, r.countedAsMiss, r.requestedAt = p.Acked, false, 0
 		h.recordAnswer(now)
 		t.finishRequest(now, r, h)
@@ -194,6 +204,7 @@
 	end := p.Seq + pimpacket.Sequence(p.Data)
 	if end.After(r.sent) <= 0 {
 		// The backend server has not acknowledged the data within the caller's retransmission time.
+		r.foundIdle = false
 		t.recordMiss(now, now.Add(-t.cfg.RetransmitAfter), r, CauseRetransmitted)
 		return
 	}
@@ -202,16 +213,31 @@
 	t.startRequest(now, p.Flow, r)
 }
 
-// startRequest counts a request as running at the backend server of a flow, or takes over the count of an expected one.
+// expectRequest counts the first request of a flow that opens, which follows within a round trip.
+func (t *Table) expectRequest(now pimclock.Instant, f pimpacket.Flow, r *record) {
+	r.isExpected = true
+	t.host(now, r.host).expected++
+	t.unfinished.push(f, now)
+}
+
+// endExpected ends the count of a request that has arrived or will not.
+func (t *Table) endExpected(now pimclock.Instant, r *record) {
+	if r.isExpected {
+		r.isExpected = false
+		t.host(now, r.host).expected--
+	}
+}
+
+// startRequest counts a request as running at the backend server of a flow.
 func (t *Table) startRequest(now pimclock.Instant, f pimpacket.Flow, r *record) {
-	if r.running && !r.isExpected {
+	t.endExpected(now, r)
+	if r.running {
 		return
 	}
-	if !r.running {
-		h := t.host(now, r.host)
-		h.setBusy(now, h.busy+1)
-	}
-	r.running, r.isExpected, r.runningSince = true, false, now
+	h := t.host(now, r.host)
+	r.running, r.runningSince, r.foundIdle = true, now, h.isIdle()
+	r.requests++
+	h.setBusy(now, h.busy+1)
 	t.unfinished.push(f, now)
 }
 
@@ -231,6 +257,7 @@
 func (t *Table) uncount(now pimclock.Instant, r *record) {
 	h := t.host(now, r.host)
 	h.open--
+	t.endExpected(now, r)
 	if r.running {
 		r.running = false
 		h.setBusy(now, h.busy-1)
@@ -265,10 +292,15 @@
 		}
 	}
 	for f, at, ok := t.unfinished.popBefore(now.Add(-t.cfg.RunningFor)); ok; f, at, ok = t.unfinished.popBefore(now.Add(-t.cfg.RunningFor)) {
-		if r := t.flows[f]; r != nil && r.running && r.runningSince == at {
+		r := t.flows[f]
+		switch {
+		case r == nil:
+		case r.running && r.runningSince == at:
 			r.running = false
 			h := t.host(now, r.host)
 			h.setBusy(now, h.busy-1)
+		case r.isExpected && r.openedAt == at:
+			t.endExpected(now, r)
 		}
 	}
 	t.sweep(now)
@@ -309,6 +341,7 @@
 	}
 	t.lastSweep = now
 	t.sweepSightings(now)
+	t.sweepWorks(now)
 	for f, r := range t.flows {
 		if now.Sub(r.lastSeen) > t.cfg.IdleFor || r.opening && now.Sub(r.lastSeen) > openingFor {
 			t.uncount(now, r)
--- a/internal/coordination/pimflow/table_test.go
+++ b/internal/coordination/pimflow/table_test.go
@@ -314,3 +314,38 @@
 	table.RecordOverload(now)
 	is.Equal(table.Load(now, hostA).Misses, 0)
 }
+
+// Guards against flows that are placed on a backend server as long as the requests of those placed just before have not arrived, and
+// against counts that stay when a request never arrives.
+func TestExpectedRequests(t *testing.T) {
+	is := is.New(t)
+	table := New(DefaultSettings())
+	now := pimclock.Instant(time.Hour)
+	open := func(port uint16) pimpacket.Packet {
+		return pimpacket.Packet{
+			Flow: pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port)}, Flags: pimpacket.Open, Seq: 10,
+		}
+	}
+	counts := func() [3]int {
+		l := table.Load(now, 1)
+		return [3]int{l.Busy, l.Expected, l.UnderWay()}
+	}
+	first, second := open(1), open(2)
+	table.RecordOpening(now, &first, 1)
+	table.RecordOpening(now, &second, 1)
+	is.Equal(counts(), [3]int{0, 2, 2})
+	now = now.Add(2 * time.Millisecond)
+	data := pimpacket.Packet{Flow: first.Flow, Flags: pimpacket.Ack, Seq: 11, Acked: 1, Data: 100}
+	table.RecordForwarded(now, &data, 1)
+	is.Equal(counts(), [3]int{1, 1, 2})
+	table.RecordOpening(now, &second, 1) // a copy
+	is.Equal(counts(), [3]int{1, 1, 2})
+	answered := pimpacket.Packet{Flow: first.Flow, Flags: pimpacket.Ack | pimpacket.Close, Seq: 111, Acked: 500}
+	table.RecordForwarded(now, &answered, 1)
+	is.Equal(counts(), [3]int{0, 1, 1})
+	now = now.Add(DefaultSettings().RunningFor)
+	table.Expire(now)
+	is.Equal(counts(), [3]int{0, 0, 0})
+	table.RecordForwarded(now, &pimpacket.Packet{Flow: second.Flow, Flags: pimpacket.Reset}, 1)
+	is.Equal(counts(), [3]int{0, 0, 0})
+}
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -5,7 +5,6 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
-	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 )
 
@@ -77,6 +76,10 @@
 		m.mergeClaim(now.Add(-delay), b.Claim)
 		m.recordKnown(p, now.Add(-delay), b.Known)
 	}
+	if b.DataCentre == m.cfg.DataCentre {
+		m.mergeRemote(now.Add(-delay-transitAllowance), b.Remote)
+	}
+	m.addRemoteNamed(now, b.RemotePeers)
 	// A heartbeat names VMs of the receiver's data centre.
 	m.addNamed(now, b.Peers)
 	if b.TakeOver {
@@ -106,7 +109,9 @@
 		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.peers, running)))}
 	}
 	others := func(p *peer) bool { return p.receivedAt != 0 && !p.leaving && p.address != b.Address }
-	return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))}
+	msg := m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))
+	msg.Heartbeat.RemotePeers = m.remotePeerToSend(now, b.DataCentre)
+	return Outgoing{To: b.Address, Message: msg}
 }
 
 // recordSender records the sender of a heartbeat and reports whether it was not running before.
@@ -128,10 +133,7 @@
 		p.heardSince = now
 	}
 	p.name, p.address, p.receivedAt, p.leaving = b.Name, b.Address, now, b.Leaving
-	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(b.Loads))
-	for _, load := range b.Loads {
-		p.loads[load.ID] = load
-	}
+	p.recordLoads(now, b.Loads)
 	return p, isNew
 }
 
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -1,6 +1,7 @@
 package pimplace
 
 import (
+	"math/rand/v2"
 	"slices"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
@@ -8,6 +9,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // admission places the flows of services whose routes have different priorities. The VM fills its own share of the backend servers, whose
@@ -22,10 +24,10 @@
 	catalog    *pimcatalog.Catalog
 	allotments map[pimcatalog.Service]*allotment
 	activity   map[pimcatalog.Service]*pimadmit.Activity
+	// remote is a buffer that addOthers reuses.
+	remote []remoteShare
 	// deferred holds the flows that were left to the next copy of their opening packet.
 	deferred deferredFlows
-	// excluded is why backend servers were excluded from the present choice; see Placer.exclude.
-	excluded pimsteer.Reason
 }
 
 // allotment is the share of this VM in the backend servers of one service.
@@ -49,12 +51,23 @@
 	}
 }
 
-// maxRemoteFlows is the number of requests that a VM may have under way in other data centres while its own one has no room.
-// Their load is unknown, so that all VMs of a data centre together must not fill the others.
-const maxRemoteFlows = 6
+// The bounds of the requests in other data centres while the own one has no room.
+const (
+	// maxRemoteLoad is the number of requests per slot up to which a data centre of known load gets requests of others.
+	maxRemoteLoad = 1.0
+	// maxUnknownRemote is the number of requests that a VM may have under way in a data centre of unknown load.
+	maxUnknownRemote = 3
+)
 
-// maxRemoteLoad is the number of own requests per slot up to which a remote backend server gets another one.
-const maxRemoteLoad = 0.5
+// remoteShare is what a VM may send to one other data centre.
+type remoteShare struct {
+	dataCentre pimid.DataCentre
+	// slots are those of its backend servers, busy the requests of this VM there.
+	slots, busy int
+	best        *pimcatalog.Host
+	bestLoad    float64
+	ties        int
+}
 
 // admit chooses a backend server for an opening packet, or refuses it.
 func (p *Placer) admit(
@@ -66,7 +79,7 @@
 		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
 	a.choice.Reset()
-	a.excluded = pimsteer.ReasonNoHost
+	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
 	for _, s := range own.shares {
@@ -79,10 +92,10 @@
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
 	switch {
 	case h != nil:
-	case rule == pimadmit.NoCandidate && a.excluded == pimsteer.ReasonSlowStart:
+	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: a.excluded, Rule: rule.String()}
+		return pimsteer.Placement{Reason: p.excluded, Rule: rule.String()}
 	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
@@ -111,26 +124,17 @@
 	return activity.Record(now, route.Priority)
 }
 
-// isExcluded reports whether a backend server may receive no new flow now, and records why.
-func (p *Placer) isExcluded(now pimclock.Instant, c *pimcatalog.Catalog, h *pimcatalog.Host) bool {
-	reason, isExcluded := p.exclude(now, c, h)
-	if isExcluded {
-		p.admission.excluded = max(p.admission.excluded, reason)
-	}
-	return isExcluded
-}
-
 // addOwn adds a backend server of the VM's own share.
 func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) {
 	if p.isExcluded(now, c, s.Host) {
 		return
 	}
 	load := p.observer.Load(now, s.Host.ID)
-	if load.Suspect || wasTried {
+	if load.isSuspect(now) || wasTried {
 		p.addAvoided(now, s.Host, wasTried)
 		return
 	}
-	fill := float64(load.Busy) / float64(s.Places)
+	fill := float64(load.UnderWay()) / (float64(s.Places) * load.speed())
 	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
 }
 
@@ -140,30 +144,73 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, own *allotment, wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
-	remoteFlows, isRemoteIdle := 0, false
+	a.remote = a.remote[:0]
 	for _, h := range c.Service(service) {
 		if own.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
 		load := p.observer.Load(now, h.ID)
-		slots := float64(max(1, h.Slots))
-		isHome := h.DataCentre == p.home
-		if !isHome {
-			remoteFlows += load.Busy
-		}
 		switch {
-		case load.Suspect || wasTried(h.ID):
+		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
-		case isHome:
-			busy := float64(load.Busy) + load.BusyElsewhere
-			a.choice.Add(pimadmit.Shared, h, busy/slots*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
+		case h.DataCentre == p.home:
+			perSlot := (float64(load.UnderWay()) + load.BusyElsewhere) / (float64(max(1, h.Slots)) * load.speed())
+			a.choice.Add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
 		default:
-			busy := float64(load.Busy) / slots
-			isRemoteIdle = isRemoteIdle || busy < maxRemoteLoad
-			a.choice.Add(pimadmit.Remote, h, busy*slowdown(now, h), float64(load.Open))
+			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
+		}
+	}
+	return p.addRemote(service)
+}
+
+func (a *admission) remoteShare(dc pimid.DataCentre) *remoteShare {
+	for i := range a.remote {
+		if a.remote[i].dataCentre == dc {
+			return &a.remote[i]
+		}
+	}
+	a.remote = append(a.remote, remoteShare{dataCentre: dc})
+	return &a.remote[len(a.remote)-1]
+}
+
+// add adds a backend server with the requests of this VM there; of equal ones a random one is kept.
+func (r *remoteShare) add(rng *rand.Rand, h *pimcatalog.Host, busy int, slowdown float64) {
+	slots := max(1, h.Slots)
+	r.slots += slots
+	r.busy += busy
+	load := float64(busy) / float64(slots) * slowdown
+	switch {
+	case r.best == nil || load < r.bestLoad:
+		r.best, r.bestLoad, r.ties = h, load, 1
+	case load == r.bestLoad:
+		if r.ties++; rng.IntN(r.ties) == 0 {
+			r.best = h
+		}
+	}
+}
+
+// addRemote adds the best backend server of each other data centre, those in data centres with room for further requests of this VM
+// first. It reports whether there is one.
+func (p *Placer) addRemote(service pimcatalog.Service) (isOpen bool) {
+	// closedLoad is above the load of any data centre with room.
+	const closedLoad = 1e6
+	p.remote = p.remote[:0]
+	for i := range p.admission.remote {
+		r := &p.admission.remote[i]
+		others := p.remoteLoad(r.dataCentre, service)
+		room := float64(maxUnknownRemote)
+		if others.isKnown {
+			room = (maxRemoteLoad - others.perSlot) * float64(r.slots) / float64(len(p.admission.vms)+1)
+		}
+		load := others.perSlot + r.bestLoad
+		if float64(r.busy) < room {
+			isOpen = true
+		} else {
+			load += closedLoad
 		}
+		p.admission.choice.Add(pimadmit.Remote, r.best, load, 0)
 	}
-	return isRemoteIdle && remoteFlows < maxRemoteFlows
+	return isOpen
 }
 
 // addAvoided adds a backend server that has not answered recently.
--- a/internal/coordination/pimplace/admission_test.go
+++ b/internal/coordination/pimplace/admission_test.go
@@ -185,7 +185,7 @@
 	a := newAdmitting(nil, append(home, away...)...)
 	a.set(1, 10, 10, 0)
 	is.Equal(a.place(0, 0).Rule, pimadmit.OtherDataCentre.String())
-	a.set(2, maxRemoteFlows, maxRemoteFlows, 0)
+	a.set(2, maxUnknownRemote, maxUnknownRemote, 0)
 	is.Equal(a.place(0, 0).Rule, pimadmit.NoRoom.String())
 	a.loads[1] = Load{Load: pimflow.Load{Suspect: true}}
 	is.Equal(a.place(1, 0).Rule, pimadmit.OtherDataCentre.String()) // none left at home
--- a/internal/coordination/pimplace/exclude.go
+++ b/internal/coordination/pimplace/exclude.go
@@ -34,6 +34,15 @@
 	}
 }
 
+// isExcluded reports whether a backend server may receive no new flow now, and records why.
+func (p *Placer) isExcluded(now pimclock.Instant, c *pimcatalog.Catalog, h *pimcatalog.Host) bool {
+	reason, isExcluded := p.exclude(now, c, h)
+	if isExcluded {
+		p.excluded = max(p.excluded, reason)
+	}
+	return isExcluded
+}
+
 // mayWarmUp reports whether the slow start of a backend server lets it receive an opening packet after the given time.
 func (p *Placer) mayWarmUp(now pimclock.Instant, c *pimcatalog.Catalog, h *pimcatalog.Host, d time.Duration) bool {
 	if p.slowStart == nil || h.ColdFor(now) <= d {
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -1,6 +1,7 @@
 package pimplace
 
 import (
+	"math"
 	"math/rand/v2"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
@@ -20,6 +21,18 @@
 	BusyElsewhere, OpenElsewhere float64
 	// AliveElsewhere is the last sign of life that they reported.
 	AliveElsewhere pimclock.Instant
+	// MissesElsewhere is the number of flows without an answer that they reported, and MissedElsewhere the time of the last one.
+	MissesElsewhere int
+	MissedElsewhere pimclock.Instant
+}
+
+// LoadOf returns what a flow table has observed of a backend server and what the other VMs have reported.
+func LoadOf(now pimclock.Instant, t *pimflow.Table, id pimcatalog.HostID) Load {
+	load, e := t.Loads(now, id)
+	return Load{
+		Load: load, BusyElsewhere: e.Busy, OpenElsewhere: e.Open, AliveElsewhere: e.AliveAt,
+		MissesElsewhere: e.Misses, MissedElsewhere: e.MissedAt,
+	}
 }
 
 // Observer provides observations of flows and backend servers.
@@ -29,6 +42,9 @@
 	// Tried returns the last two backend servers that have not answered earlier transmissions of an opening packet; zero
 	// means none.
 	Tried(f pimpacket.Flow) (last, before pimcatalog.HostID)
+	// Remote returns the mean requests under way per slot of a service in another data centre, without those of the own data
+	// centre; ok is unset if it is not known or no longer true.
+	Remote(dc pimid.DataCentre, service pimcatalog.Service) (perSlot float64, ok bool)
 }
 
 // Placer chooses backend servers for new flows; it must be used by one goroutine only.
@@ -44,11 +60,18 @@
 	admission *admission
 	// slowStart is nil if backend servers in slow start have no limit.
 	slowStart SlowStart
+	// remote holds the loads of other data centres that the current call of Place has looked up.
+	remote []remoteLoad
+	// demands holds the demand for each service; demand is that of the current call of Place.
+	demands map[pimcatalog.Service]*demand
+	demand  *demand
+	// excluded is why backend servers were excluded from the current choice; see exclude.
+	excluded pimsteer.Reason
 }
 
 // New returns a placer for a VM in the data centre home.
 func New(home pimid.DataCentre, observer Observer, policy pimpick.Policy, rng *rand.Rand) *Placer {
-	return &Placer{home: home, observer: observer, policy: policy, rng: rng}
+	return &Placer{home: home, observer: observer, policy: policy, rng: rng, demands: map[pimcatalog.Service]*demand{}}
 }
 
 // Place chooses a backend server for an opening packet.
@@ -59,36 +82,55 @@
 	if p.admission != nil && c.Routes.HasPriorities(service) {
 		return p.admit(now, c, service, route, pkt)
 	}
-	last, before := p.observer.Tried(pkt.Flow)
-	p.candidates, p.costs = p.candidates[:0], p.costs[:0]
-	reason := pimsteer.ReasonNoHost
-	for _, h := range c.Service(service) {
-		if excludedFor, ok := p.exclude(now, c, h); ok {
-			reason = max(reason, excludedFor)
-			continue
-		}
-		cost := p.cost(now, h)
-		if h.ID == last || h.ID == before {
-			cost += alreadyTriedCost
-		}
-		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
+	p.candidates, p.costs, p.remote = p.candidates[:0], p.costs[:0], p.remote[:0]
+	p.excluded = pimsteer.ReasonNoHost
+	p.demand = p.demandFor(service)
+	best := p.addCandidates(now, c, service, pkt.Flow, true)
+	// In other data centres the cost is at least that of crossing and of the service time, so that most flows need no look at
+	// their backend servers. The requests of the own data centre there are counted from time to time.
+	if best > p.crossingCost(service)+1/pimflow.MaxSpeed || p.demand.isRemoteDue(now) {
+		p.demand.beginRemote(now)
+		p.addCandidates(now, c, service, pkt.Flow, false)
 	}
+	p.demand.update(now)
+	p.demand = nil
 	switch {
 	case len(p.candidates) > 0:
-	case reason == pimsteer.ReasonSlowStart:
+	case p.excluded == pimsteer.ReasonSlowStart:
+		last, _ := p.observer.Tried(pkt.Flow)
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	default:
-		return pimsteer.Placement{Reason: reason}
+		return pimsteer.Placement{Reason: p.excluded}
 	}
-	// The random order breaks ties, so that VMs without observations do not all choose the same backend server.
-	p.rng.Shuffle(len(p.candidates), func(i, j int) {
-		p.candidates[i], p.candidates[j] = p.candidates[j], p.candidates[i]
-		p.costs[i], p.costs[j] = p.costs[j], p.costs[i]
-	})
 	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
 	return pimsteer.Placement{Host: p.candidates[chosen]}
 }
 
+// addCandidates adds the backend servers of the own data centre, or those of the others, that may take a flow, and returns the least
+// of their costs.
+func (p *Placer) addCandidates(
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, f pimpacket.Flow, isHome bool,
+) (best float64) {
+	last, before := p.observer.Tried(f)
+	hosts := c.Service(service)
+	best = math.Inf(1)
+	// The random order and tieBreak keep VMs without observations from all choosing the same backend server.
+	first := p.rng.IntN(max(1, len(hosts)))
+	for i := range hosts {
+		h := hosts[(first+i)%len(hosts)]
+		if (h.DataCentre == p.home) != isHome || p.isExcluded(now, c, h) {
+			continue
+		}
+		cost := p.cost(now, h) + tieBreak*p.rng.Float64()
+		if h.ID == last || h.ID == before {
+			cost += alreadyTriedCost
+		}
+		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
+		best = min(best, cost)
+	}
+	return best
+}
+
 // maxWeight bounds a weight, so that the sum of all weights of a route does not overflow.
 const maxWeight = 1 << 31
 
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net"
 	"net/netip"
@@ -16,6 +17,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimgossip"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimregistry"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
@@ -31,9 +33,17 @@
 	outbox            pimgossip.Outbox
 	// reports holds the loads of the backend servers that the edge has observed.
 	reports atomic.Pointer[[]pimflow.Report]
-	counts  meshCounters
-	stop    chan struct{}
-	wg      sync.WaitGroup
+	// services holds the load of the services in this data centre, for the others.
+	services atomic.Pointer[serviceLoads]
+	counts   meshCounters
+	stop     chan struct{}
+	wg       sync.WaitGroup
+}
+
+// serviceLoads is the load of the services in this data centre at an instant.
+type serviceLoads struct {
+	loads []pimmesh.ServiceLoad
+	at    pimclock.Instant
 }
 
 // meshCounters count the messages between VMs and the bytes sent.
@@ -115,6 +125,9 @@
 	if reports := m.reports.Load(); reports != nil {
 		v.Loads = loads(*reports)
 	}
+	if services := m.services.Load(); services != nil {
+		v.Services, v.ServicesAt = services.loads, services.at
+	}
 	return v
 }
 
@@ -124,19 +137,47 @@
 	return pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config}
 }
 
-// maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram.
-const maxLoads = 40
+// maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram, and maxSpeeds those with their speeds, which
+// change slowly.
+const (
+	maxLoads  = 40
+	maxSpeeds = 8
+)
 
 func loads(reports []pimflow.Report) (reported []pimmesh.HostLoad) {
 	const hundredths = 100
+	speeds := 0
 	for _, r := range reports[:min(len(reports), maxLoads)] {
-		reported = append(reported, pimmesh.HostLoad{
+		l := pimmesh.HostLoad{
 			ID: r.ID, Busy: int(r.Busy * hundredths), Open: r.Open, SilentFor: r.SilentFor.Round(time.Millisecond),
-		})
+			Misses: r.Misses, MissedFor: r.MissedFor.Round(time.Millisecond),
+		}
+		if weight := int(r.Weight); weight > 0 && speeds < maxSpeeds {
+			speeds++
+			l.Slowness, l.Weight = int(math.Round(r.Slowness*hundredths)), weight
+		}
+		reported = append(reported, l)
 	}
 	return reported
 }
 
+// encode encodes a message for the wire. A heartbeat that does not fit a datagram loses its last loads.
+func (m *mesh) encode(msg *pimmesh.Message) (datagram []byte, err error) {
+	for {
+		plain, err := pimmesh.Encode(msg)
+		if err != nil {
+			return nil, err
+		}
+		datagram, err = m.sealer.Seal(time.Now().UnixMilli(), plain)
+		if hb := msg.Heartbeat; errors.Is(err, pimseal.ErrTooLarge) && hb != nil && len(hb.Loads) > 0 {
+			const kept = 0.8
+			hb.Loads = hb.Loads[:int(kept*float64(len(hb.Loads)))]
+			continue
+		}
+		return datagram, err
+	}
+}
+
 func (m *mesh) sendAll(out []pimgossip.Outgoing) {
 	for i := range out {
 		m.send(out[i].To, &out[i].Message)
@@ -144,14 +185,11 @@
 }
 
 func (m *mesh) send(to netip.AddrPort, msg *pimmesh.Message) {
-	plain, err := pimmesh.Encode(msg)
+	datagram, err := m.encode(msg)
 	if err == nil {
-		var datagram []byte
-		if datagram, err = m.sealer.Seal(time.Now().UnixMilli(), plain); err == nil {
-			_, err = m.conn.WriteToUDPAddrPort(datagram, to)
-			m.counts.sent.Inc()
-			m.counts.sentBytes.Add(len(datagram))
-		}
+		_, err = m.conn.WriteToUDPAddrPort(datagram, to)
+		m.counts.sent.Inc()
+		m.counts.sentBytes.Add(len(datagram))
 	}
 	if err != nil {
 		m.node.log.Debug().Err(err).Stringer("to", to).Msg("peer message not sent")
@@ -193,6 +231,8 @@
 		m.handlePull(msg.Pull, from)
 	case msg.Chunk != nil:
 		m.handleChunk(msg.Chunk, from)
+	case msg.Summary != nil:
+		m.gossip.ReceiveSummary(m.node.clock.Now(), msg.Summary)
 	}
 }
 
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -17,6 +17,7 @@
 	Heartbeat *Heartbeat `cbor:"1,keyasint,omitempty"`
 	Pull      *Pull      `cbor:"2,keyasint,omitempty"`
 	Chunk     *Chunk     `cbor:"3,keyasint,omitempty"`
+	Summary   *Summary   `cbor:"8,keyasint,omitempty"`
 }
 
 // Heartbeat announces a VM, the revision of its view and the loads of the backend servers that it sees.
@@ -48,7 +49,38 @@
 	TakeOver bool `cbor:"14,keyasint,omitempty"`
 	// Known is the number of VMs of its data centre that the sender knows, silent ones and itself included. It is zero if there may
 	// be others that it does not know, and in heartbeats of earlier versions.
-	Known int `cbor:"18,keyasint,omitempty"`
+	Known int `cbor:"20,keyasint,omitempty"`
+	// Remote holds loads of other data centres, as the sender knows them from summaries.
+	Remote []ServiceLoad `cbor:"18,keyasint,omitempty"`
+	// RemotePeers are some VMs of other data centres than the receiver's.
+	RemotePeers []RemotePeer `cbor:"19,keyasint,omitempty"`
+}
+
+// RemotePeer is a VM of another data centre.
+type RemotePeer struct {
+	DataCentre pimid.DataCentre `cbor:"1,keyasint"`
+	Name       string           `cbor:"2,keyasint"`
+	Address    netip.AddrPort   `cbor:"3,keyasint"`
+	// SilentS is the time since it was last heard from, in seconds.
+	SilentS int `cbor:"4,keyasint,omitempty"`
+}
+
+// Summary is the load of the sender's data centre, for another one.
+type Summary struct {
+	Loads []ServiceLoad `cbor:"1,keyasint"`
+	// Sender is the VM that sends the summary.
+	Sender RemotePeer `cbor:"2,keyasint"`
+}
+
+// ServiceLoad is the load of the backend servers of one service in one data centre.
+type ServiceLoad struct {
+	DataCentre pimid.DataCentre   `cbor:"1,keyasint"`
+	Service    pimcatalog.Service `cbor:"2,keyasint"`
+	// Hosts is the number of backend servers, Busy the mean number of requests under way per slot, in hundredths.
+	Hosts int `cbor:"3,keyasint"`
+	Busy  int `cbor:"4,keyasint,omitempty"`
+	// AgeMs is the time since the measurement, in milliseconds.
+	AgeMs int64 `cbor:"5,keyasint,omitempty"`
 }
 
 // Claim is the claim of a VM to be the reader of the platform.
@@ -72,6 +104,13 @@
 	Open int `cbor:"3,keyasint,omitempty"`
 	// SilentFor is the time since the last sign of life of the backend server.
 	SilentFor time.Duration `cbor:"4,keyasint,omitempty"`
+	// Slowness is the logarithm of its answer times against the mean of its service, in hundredths, and Weight the number of
+	// answers from which it was learned; zero means unknown.
+	Slowness int `cbor:"5,keyasint,omitempty"`
+	Weight   int `cbor:"6,keyasint,omitempty"`
+	// Misses is the number of flows without an answer since the last sign of life, and MissedFor the time since the last one.
+	Misses    int           `cbor:"7,keyasint,omitempty"`
+	MissedFor time.Duration `cbor:"8,keyasint,omitempty"`
 }
 
 // Pull requests all changes after a revision, or further chunks of a delta.
