fix: changes of backend servers go before a large configuration

A backend server that says that it leaves waited behind a configuration of thousands of routes, since both come with the same call to the platform and the same delta between VMs.

Once a watch has been answered and its response has been arriving for a tenth of in_force_within, the reader watches the entries of backend servers alone until the response is complete. The registry keeps a second revision, up to which all changes of backend servers are known; heartbeats name it, and VMs pull these changes alone when the sender is ahead or while a large answer is arriving. All new message fields are optional.

An entry that is newer than a complete list does not count as missing from it, and a delta without further parts includes entries that changed after its end, as their earlier changes are before it.

Ruled out: starting the second watch with each call (a call more for each read), and a delta with the backend servers before the configuration (a VM gets it only after the reader has the whole response).

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -26,11 +26,16 @@
 	Base pimid.Revision
 	// Config is the version of its configuration.
 	Config pimcatalog.Version
+	// Urgent is the revision up to which it knows the changes of backend servers; it is Revision if that is higher.
+	Urgent pimid.Revision
 	// Age is the time since the platform was known to have nothing newer.
 	Age   time.Duration
 	Loads []pimmesh.HostLoad
 }
 
+// urgent returns the revision up to which the changes of backend servers are known.
+func (v *View) urgent() pimid.Revision { return max(v.Urgent, v.Revision) }
+
 // peer is what is known about another VM.
 type peer struct {
 	name    string
@@ -74,12 +79,8 @@
 	incarnation uint64
 	// claim is the claim received from another reader.
 	claim claim
-	// pulledAt is when changes after the revision pulledSince were last pulled, pullTimeout how long to wait for them.
-	pulledAt    pimclock.Instant
-	pulledSince pimid.Revision
-	pullTimeout time.Duration
-	// transfer is the answer to the last pull, as far as it has arrived.
-	transfer transfer
+	// pulls are those of all changes, urgentPulls those of backend servers alone, which do not wait for a large answer to the former.
+	pulls, urgentPulls pulls
 	// discarded is the number of transfers that were replaced before they were complete.
 	discarded int
 }
@@ -110,7 +111,7 @@
 	m.expirePeers(now)
 	out = m.heartbeats(now, v)
 	isIsolated := len(out) == 0
-	out = append(out, m.retryTransfer(now, v)...)
+	out = append(out, m.retryTransfers(now, v)...)
 	return append(out, m.hellos(now, v, isIsolated)...)
 }
 
@@ -175,7 +176,7 @@
 	return pimmesh.Message{Heartbeat: &pimmesh.Heartbeat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
-		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base,
+		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Urgent: v.urgent(),
 	}}
 }
 
--- a/internal/coordination/pimgossip/outbox.go
+++ b/internal/coordination/pimgossip/outbox.go
@@ -27,6 +27,8 @@
 	From, To pimid.Revision
 	Data     []byte
 	Deflated bool
+	// Urgent is set if they are only those of backend servers.
+	Urgent bool
 }
 
 // Outbox holds the deltas that other VMs are pulling, so that all chunks of a delta come from the same encoding and the
@@ -40,6 +42,7 @@
 	EncodedDelta
 	sum               uint64
 	since, base       pimid.Revision
+	urgent            pimid.Revision
 	config            pimcatalog.Version
 	inflates          bool
 	encodedAt, usedAt pimclock.Instant
@@ -56,12 +59,14 @@
 		return d.chosen(p.Chunks), nil
 	}
 	isSame := func(d *outgoingDelta) bool {
-		return d.since == p.Since && d.base == p.Base && d.config == p.Config &&
+		return d.since == p.Since && d.base == p.Base && d.config == p.Config && d.urgent == p.Urgent &&
 			d.inflates == p.Inflates && now.Sub(d.encodedAt) < outboxReuse
 	}
 	d := o.find(isSame)
 	if d == nil {
-		d = &outgoingDelta{since: p.Since, base: p.Base, config: p.Config, inflates: p.Inflates, encodedAt: now}
+		d = &outgoingDelta{
+			since: p.Since, base: p.Base, config: p.Config, urgent: p.Urgent, inflates: p.Inflates, encodedAt: now,
+		}
 		if d.EncodedDelta, err = encode(); err != nil {
 			return nil, err
 		}
@@ -121,5 +126,7 @@
 
 func (d *outgoingDelta) chunk(i int) pimmesh.Chunk {
 	part := d.Data[i*pimmesh.MaxChunk : min(len(d.Data), (i+1)*pimmesh.MaxChunk)]
-	return pimmesh.Chunk{From: d.From, To: d.To, Index: i, Count: d.count(), Data: part, Sum: d.sum, Deflated: d.Deflated}
+	return pimmesh.Chunk{
+		From: d.From, To: d.To, Index: i, Count: d.count(), Data: part, Sum: d.sum, Deflated: d.Deflated, Urgent: d.Urgent,
+	}
 }
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -86,8 +86,10 @@
 	}
 	if m.shouldPull(now, b, v) {
 		h.Out = append(h.Out, pull(b.Address, v))
+	} else if m.shouldPullUrgent(now, b, v) {
+		h.Out = append(h.Out, pullUrgent(b.Address, v))
 	}
-	h.Out = append(h.Out, m.retryTransfer(now, v)...)
+	h.Out = append(h.Out, m.retryTransfers(now, v)...)
 	if b.Revision == v.Revision && b.Age >= 0 && isDelayKnown {
 		h.Confirms, h.AsOf = true, now.Add(-b.Age-delay-transitAllowance)
 	}
--- a/internal/coordination/pimgossip/transfer.go
+++ b/internal/coordination/pimgossip/transfer.go
@@ -25,7 +25,9 @@
 // transfer is a delta of which this VM pulls the chunks from another VM, a window at a time. The zero value is none.
 type transfer struct {
 	from netip.AddrPort
-	to   pimid.Revision
+	// urgent is set if the delta holds only the changes of backend servers.
+	urgent bool
+	to     pimid.Revision
 	// sum identifies the delta; it is 0 until the first chunk has arrived.
 	sum      uint64
 	deflated bool
@@ -41,7 +43,7 @@
 
 // newTransfer returns the transfer of the delta that a chunk belongs to; the first window has been requested already.
 func newTransfer(now pimclock.Instant, c *pimmesh.Chunk, from netip.AddrPort) transfer {
-	t := transfer{from: from, to: c.To, sum: c.Sum, deflated: c.Deflated, parts: make([][]byte, c.Count), requestedAt: now}
+	t := transfer{from: from, urgent: c.Urgent, to: c.To, sum: c.Sum, deflated: c.Deflated, parts: make([][]byte, c.Count), requestedAt: now}
 	t.choose(chunkWindow)
 	return t
 }
@@ -51,16 +53,20 @@
 func (m *Mesh) ReceiveChunk(now pimclock.Instant, c *pimmesh.Chunk, from netip.AddrPort, v View) (data []byte, out []Outgoing) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	t := &m.transfer
-	if c.Count <= 0 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count || c.To <= v.Revision {
+	p, known := &m.pulls, v.Revision
+	if c.Urgent {
+		p, known = &m.urgentPulls, v.urgent()
+	}
+	t := &p.transfer
+	if c.Count <= 0 || c.Count > maxChunks || c.Index < 0 || c.Index >= c.Count || c.To <= known {
 		return nil, nil
 	}
 	if isOther := from != t.from || c.Sum != t.sum || c.Count != len(t.parts); isOther {
-		if t.isActive(now, m.cfg.PullTimeout) && t.to > v.Revision {
+		if t.isActive(now, m.cfg.PullTimeout) && t.to > known {
 			// The late answer to a pull that was given up.
 			return nil, nil
 		}
-		m.beginTransfer(newTransfer(now, c, from))
+		m.beginTransfer(p, newTransfer(now, c, from))
 	}
 	t.add(now, c)
 	if t.arrived == len(t.parts) {
@@ -74,12 +80,12 @@
 	return nil, out
 }
 
-// beginTransfer replaces the present transfer, and counts it as discarded if some of its chunks have arrived.
-func (m *Mesh) beginTransfer(t transfer) {
-	if m.transfer.arrived > 0 {
+// beginTransfer replaces the present transfer of a kind, and counts it as discarded if some of its chunks have arrived.
+func (m *Mesh) beginTransfer(p *pulls, t transfer) {
+	if p.transfer.arrived > 0 {
 		m.discarded++
 	}
-	m.transfer = t
+	p.transfer = t
 }
 
 // DiscardedTransfers returns the number of deltas that were discarded before all their chunks had arrived.
@@ -149,6 +155,9 @@
 	}
 	t.requestedAt = now
 	out := pull(t.from, v)
+	if t.urgent {
+		out = pullUrgent(t.from, v)
+	}
 	out.Message.Pull.Sum, out.Message.Pull.Chunks = t.sum, indexes
 	return []Outgoing{out}
 }
@@ -158,11 +167,21 @@
 	return t.sum != 0 && now.Sub(t.progressAt) < abandonAfter*pullTimeout
 }
 
-// retryTransfer requests the pending chunks again if none has arrived for a while.
-func (m *Mesh) retryTransfer(now pimclock.Instant, v View) (out []Outgoing) {
-	t := &m.transfer
-	isStalled := now.Sub(max(t.progressAt, t.requestedAt)) >= m.cfg.PullTimeout
-	if !isStalled || !t.isActive(now, m.cfg.PullTimeout) {
+// isLarge reports whether a transfer is under way that takes more than one window.
+func (t *transfer) isLarge(now pimclock.Instant, pullTimeout time.Duration) bool {
+	return len(t.parts) > chunkWindow && t.isActive(now, pullTimeout)
+}
+
+// retryTransfers requests the pending chunks of each transfer again if none has arrived for a while.
+func (m *Mesh) retryTransfers(now pimclock.Instant, v View) []Outgoing {
+	out := m.urgentPulls.transfer.retry(now, v, m.cfg.PullTimeout)
+	return append(out, m.pulls.transfer.retry(now, v, m.cfg.PullTimeout)...)
+}
+
+// retry requests the pending chunks again if none has arrived for a while.
+func (t *transfer) retry(now pimclock.Instant, v View, pullTimeout time.Duration) []Outgoing {
+	isStalled := now.Sub(max(t.progressAt, t.requestedAt)) >= pullTimeout
+	if !isStalled || !t.isActive(now, pullTimeout) {
 		return nil
 	}
 	t.lost, t.pending = append(t.pending, t.lost...), nil
--- a/internal/coordination/pimgossip/transfer_test.go
+++ b/internal/coordination/pimgossip/transfer_test.go
@@ -141,10 +141,10 @@
 func TestTransferIsTakenOverWhenTheSenderDies(t *testing.T) {
 	is := is.New(t)
 	l := newLink(t, 800*pimmesh.MaxChunk, 1)
-	for l.receiver.transfer.arrived < 100 {
+	for l.receiver.pulls.transfer.arrived < 100 {
 		l.run(step)
 	}
-	dead := l.receiver.transfer.from
+	dead := l.receiver.pulls.transfer.from
 	l.data[dead] = nil
 	l.run(inForceWithin)
 	is.True(l.received != nil)
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -19,8 +19,8 @@
 type Delta struct {
 	// From is the revision after which changes are included; zero means that the delta holds all entries.
 	From pimid.Revision `cbor:"1,keyasint"`
-	// To is the revision up to which changes are included; entries whose last change is after it are left out, unless the delta
-	// holds all entries in one part.
+	// To is the revision up to which changes are included. Entries whose last change is after it are left out if later parts
+	// follow; otherwise they are included, since they may also have changed before it.
 	To pimid.Revision `cbor:"2,keyasint"`
 	// More is set if later parts follow with the entries that changed after To.
 	More bool `cbor:"6,keyasint,omitempty"`
@@ -32,6 +32,10 @@
 	Hosts   []HostState        `cbor:"4,keyasint,omitempty"`
 	// Removed are the entries that disappeared and whose backend servers are no longer in the catalog.
 	Removed []RemovedHost `cbor:"5,keyasint,omitempty"`
+	// Urgent is the revision up to which changes of backend servers are included, if it is after To and no later parts follow.
+	Urgent pimid.Revision `cbor:"9,keyasint,omitempty"`
+	// UrgentOnly is set if the delta holds nothing but the changes of backend servers, for a VM that requested only these.
+	UrgentOnly bool `cbor:"10,keyasint,omitempty"`
 }
 
 // ConfigDelta is the difference between two configurations.
@@ -71,6 +75,8 @@
 	Base pimid.Revision
 	// Config is the version of its configuration in force; zero means that it has none.
 	Config pimcatalog.Version
+	// Urgent is the revision after which changes of backend servers are missing. It is at least From.
+	Urgent pimid.Revision
 }
 
 // DeltaRequest returns the request for the changes that this VM is missing.
@@ -81,7 +87,7 @@
 	if r.wantsWholeConfig {
 		config = 0
 	}
-	return DeltaRequest{From: r.revision, Base: r.base, Config: config}
+	return DeltaRequest{From: r.revision, Base: r.base, Config: config, Urgent: r.urgent}
 }
 
 // Since returns the changes that a request asks for. If the last complete list of this VM is newer than the request,
@@ -106,9 +112,12 @@
 		}
 	}
 	d := Delta{From: q.From, To: r.revision, More: r.isPartial, Newest: max(r.revision, r.base), Version: r.version()}
-	if last, ok := r.lastRevisionOfPart(q.From, limit); ok {
+	if last, ok := r.lastRevisionOfPart(q.From, r.revision, limit); ok {
 		d.To, d.More = last, true
 	}
+	if !d.More {
+		d.Urgent = r.urgent
+	}
 	r.addEntries(&d)
 	if r.version() > q.Config {
 		d.Config = r.configSince(q.Config)
@@ -116,12 +125,12 @@
 	return d
 }
 
-// addEntries adds the entries whose last change is after From and not after To. A delta with all entries also has those that
-// changed while this VM listed the platform, as the receiver takes missing ones for gone.
+// addEntries adds the entries whose last change is after From and, if later parts follow, not after To. Otherwise the delta has
+// those that changed while this VM listed the platform, or that arrived ahead of other changes: their earlier changes are up to
+// To, and the receiver of all entries takes missing ones for gone.
 func (r *Registry) addEntries(d *Delta) {
 	now := r.clock.Now()
-	hasAll := d.From == 0 && !d.More
-	isInDelta := func(revision pimid.Revision) bool { return revision > d.From && (revision <= d.To || hasAll) }
+	isInDelta := func(revision pimid.Revision) bool { return revision > d.From && (revision <= d.To || !d.More) }
 	for _, h := range r.hosts {
 		if isInDelta(h.Revision) {
 			d.Hosts = append(d.Hosts, stateOf(h, now))
@@ -135,11 +144,11 @@
 }
 
 // lastRevisionOfPart returns the revision of the last entry that fits into a part of limit entries; ok is false if all
-// entries after from fit. Entries that changed after the revision of this VM, while it listed the platform, do not count.
-func (r *Registry) lastRevisionOfPart(from pimid.Revision, limit int) (last pimid.Revision, ok bool) {
+// entries after from fit. Entries that changed after to, up to which this VM knows all changes, do not count.
+func (r *Registry) lastRevisionOfPart(from, to pimid.Revision, limit int) (last pimid.Revision, ok bool) {
 	var after []pimid.Revision
 	add := func(revision pimid.Revision) {
-		if revision > from && revision <= r.revision {
+		if revision > from && revision <= to {
 			after = append(after, revision)
 		}
 	}
@@ -196,6 +205,9 @@
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %v to %v", d.From, d.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	if d.UrgentOnly {
+		return r.mergeUrgent(&d)
+	}
 	if d.To <= r.revision {
 		return nil
 	}
@@ -213,17 +225,7 @@
 	if isNewEra {
 		r.beginEra(now)
 	}
-	listed := make(map[pimcatalog.HostID]bool, len(d.Hosts))
-	for i := range d.Hosts {
-		h := &d.Hosts[i].Host
-		listed[h.ID] = !h.Unlisted && !r.isMissingAtSender(h)
-		r.mergeHost(now, d.Hosts[i])
-	}
-	for _, gone := range d.Removed {
-		if gone.Revision > r.lastChange(gone.ID) {
-			r.remove(now, Change{ID: gone.ID, Revision: gone.Revision, Removed: true})
-		}
-	}
+	listed := r.mergeEntries(now, &d)
 	switch {
 	case d.From == 0 && !d.More:
 		r.removeMissing(now, listed, d.To, isNewEra)
@@ -232,11 +234,28 @@
 		// A VM without a view has no entries that were removed before.
 		r.base = d.Newest
 	}
-	r.revision, r.isPartial = d.To, d.More
+	r.setRevision(d.To, d.More)
+	r.urgent = max(r.urgent, d.Urgent)
 	r.publish()
 	return nil
 }
 
+// mergeEntries merges the entries of a delta, and returns the ids of those that are published.
+func (r *Registry) mergeEntries(now pimclock.Instant, d *Delta) (listed map[pimcatalog.HostID]bool) {
+	listed = make(map[pimcatalog.HostID]bool, len(d.Hosts))
+	for i := range d.Hosts {
+		h := &d.Hosts[i].Host
+		listed[h.ID] = !h.Unlisted && !r.isMissingAtSender(h)
+		r.mergeHost(now, d.Hosts[i])
+	}
+	for _, gone := range d.Removed {
+		if gone.Revision > r.lastChange(gone.ID) {
+			r.remove(now, Change{ID: gone.ID, Revision: gone.Revision, Removed: true})
+		}
+	}
+	return listed
+}
+
 // mergeConfig puts the configuration of a delta in force if it is newer. The error is ErrGap if the delta was meant for a run
 // of this VM that had a newer configuration, or if the changes do not lead to the routes of the sender.
 func (r *Registry) mergeConfig(d *Delta) error {
@@ -322,11 +341,12 @@
 	r.notify(c, Relayed)
 }
 
-// removeMissing removes the entries that are not in a complete list. After the first list of an era, all entries have
-// revisions of that era.
+// removeMissing removes the entries that are not in a complete list of a revision. One whose last change is later is not missing:
+// it arrived ahead of other changes, or was listed while it changed. After the first list of an era, all entries have revisions of
+// that era.
 func (r *Registry) removeMissing(now pimclock.Instant, listed map[pimcatalog.HostID]bool, revision pimid.Revision, isNewEra bool) {
 	for id, h := range r.hosts {
-		if !listed[id] && (isNewEra || !h.Unlisted) {
+		if !listed[id] && h.Revision <= revision && (isNewEra || !h.Unlisted) {
 			r.removeHost(now, Change{ID: id, Revision: revision, Removed: true}, isNewEra)
 		}
 	}
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -77,8 +77,10 @@
 	// isPartial is set while later parts of a delta are missing. An entry that has changed after the revision may then be
 	// out of date or missing, even if it also changed before.
 	isPartial bool
-	routes    *pimcatalog.RouteTable
-	config    *pimcatalog.Config
+	// urgent is the revision up to which all changes of backend servers are known; it is at least revision.
+	urgent pimid.Revision
+	routes *pimcatalog.RouteTable
+	config *pimcatalog.Config
 	// wantsWholeConfig is set once the changes from another VM did not lead to its routes.
 	wantsWholeConfig bool
 	// routeVersions holds the version of the last change of each route, droppedRoutes that of the removal of each removed
@@ -152,7 +154,7 @@
 	for _, c := range b.Changes {
 		r.applyChange(now, c)
 	}
-	r.revision, r.isPartial = b.To, false
+	r.setRevision(b.To, false)
 	r.publish()
 	r.confirmRead()
 	return nil
@@ -182,12 +184,19 @@
 	}
 	r.isFirstList = false
 	r.removeMissing(now, listed, s.Revision, isNewEra)
-	r.base, r.revision, r.isPartial = s.Revision, s.Revision, false
+	r.base = s.Revision
+	r.setRevision(s.Revision, false)
 	r.publish()
 	r.confirmRead()
 	return nil
 }
 
+// setRevision records that all changes up to a revision are known.
+func (r *Registry) setRevision(revision pimid.Revision, isPartial bool) {
+	r.revision, r.isPartial = revision, isPartial
+	r.urgent = max(r.urgent, revision)
+}
+
 // applyChange applies one change of the platform unless it is outdated or unreadable.
 func (r *Registry) applyChange(now pimclock.Instant, c Change) {
 	switch {
--- /dev/null
+++ b/internal/coordination/pimregistry/urgent.go
@@ -0,0 +1,62 @@
+package pimregistry
+
+import (
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
+)
+
+// ApplyUrgent applies a batch that holds only the changes of backend servers, while a large response with all changes is still
+// arriving. The revision of the view stays, so that the changes between are still read; each entry counts by its own revision,
+// whichever way it comes first. It reports whether the batch holds anything new.
+func (r *Registry) ApplyUrgent(b Batch) (isNew bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.continuesUrgent(b.From, b.To) {
+		return false
+	}
+	now := r.clock.Now()
+	for _, c := range b.Changes {
+		if c.Config == nil {
+			r.applyChange(now, c)
+		}
+	}
+	r.urgent = b.To
+	r.publish()
+	return true
+}
+
+// continuesUrgent reports whether changes of backend servers between two revisions lead on from those that are known. Those of
+// another era mean nothing before its first list.
+func (r *Registry) continuesUrgent(from, to pimid.Revision) bool {
+	return r.revision > 0 && to.Era() == r.revision.Era() && from <= r.urgent && to > r.urgent
+}
+
+// SinceUrgent returns only the changes of backend servers that a request asks for, in parts as Since, or nothing if this VM may
+// not know all of them.
+func (r *Registry) SinceUrgent(q DeltaRequest) Delta {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if max(q.Urgent, q.Base) < r.base || q.Urgent >= r.urgent || q.Urgent.Era() != r.urgent.Era() {
+		return Delta{}
+	}
+	d := Delta{From: q.Urgent, To: r.urgent, UrgentOnly: true}
+	if last, ok := r.lastRevisionOfPart(q.Urgent, r.urgent, r.cfg.PartSize); ok {
+		d.To, d.More = last, true
+	}
+	r.addEntries(&d)
+	return d
+}
+
+// mergeUrgent merges a delta that holds only changes of backend servers; the revision of the view stays. The error is ErrGap if
+// changes before it are missing.
+func (r *Registry) mergeUrgent(d *Delta) error {
+	switch {
+	case d.To <= r.urgent:
+		return nil
+	case !r.continuesUrgent(d.From, d.To):
+		return ErrGap
+	}
+	r.mergeEntries(r.clock.Now(), d)
+	r.urgent = d.To
+	r.publish()
+	return nil
+}
--- a/internal/pimentry/calls.go
+++ b/internal/pimentry/calls.go
@@ -1,6 +1,9 @@
 package pimentry
 
 import (
+	"context"
+	"errors"
+
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/rs/zerolog"
 
@@ -18,15 +21,17 @@
 	received := set.NewCounter("pimentoyard_platform_received_bytes_total")
 	transfer := set.NewHistogram("pimentoyard_platform_transfer_seconds")
 	return func(c pimfetch.Call) {
+		// A call that this VM has ended has not failed.
+		isEnded := errors.Is(c.Err, context.Canceled)
 		calls.Inc()
 		received.Add(int(c.Bytes))
 		if c.Header > 0 {
 			transfer.Update((c.Total - c.Header).Seconds())
 		}
-		if c.Err != nil {
+		if c.Err != nil && !isEnded {
 			failed.Inc()
 		}
-		if c.Err == nil && c.Bytes < largeResponseBytes {
+		if (c.Err == nil || isEnded) && c.Bytes < largeResponseBytes {
 			return
 		}
 		log.Info().Err(c.Err).Str("path", c.Path).Int64("bytes", c.Bytes).Int64("header_ms", c.Header.Milliseconds()).
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -121,7 +121,7 @@
 // position returns the revisions of the view, without its age and the loads.
 func (m *mesh) position() pimgossip.View {
 	req := m.node.registry.DeltaRequest()
-	return pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config}
+	return pimgossip.View{Revision: req.From, Base: req.Base, Config: req.Config, Urgent: req.Urgent}
 }
 
 // maxLoads bounds the backend servers in a heartbeat, so that it fits a datagram.
@@ -215,7 +215,11 @@
 func (m *mesh) handlePull(p *pimmesh.Pull, from netip.AddrPort) {
 	m.counts.pulls.Inc()
 	chunks, err := m.outbox.Answer(m.node.clock.Now(), p, func() (pimgossip.EncodedDelta, error) {
-		return encodeDelta(m.node.registry.Since(pimregistry.DeltaRequest{From: p.Since, Base: p.Base, Config: p.Config}), p.Inflates)
+		req := pimregistry.DeltaRequest{From: p.Since, Base: p.Base, Config: p.Config, Urgent: p.Urgent}
+		if p.Urgent > 0 {
+			return encodeDelta(m.node.registry.SinceUrgent(req), p.Inflates)
+		}
+		return encodeDelta(m.node.registry.Since(req), p.Inflates)
 	})
 	if err != nil {
 		m.node.log.Warn().Err(err).Msg("changes for another VM not encoded")
@@ -229,7 +233,7 @@
 // encodeDelta encodes a delta, and compresses it if the receiver inflates and it does not fit a chunk: the entries of a
 // configuration have most of their bytes in common.
 func encodeDelta(delta pimregistry.Delta, inflates bool) (e pimgossip.EncodedDelta, err error) {
-	e.From, e.To = delta.From, delta.To
+	e.From, e.To, e.Urgent = delta.From, delta.To, delta.UrgentOnly
 	if e.Data, err = pimmesh.Encode(&delta); err != nil {
 		return e, err
 	}
@@ -249,7 +253,7 @@
 	m.counts.deltas.Inc()
 	var delta pimregistry.Delta
 	err := pimmesh.Decode(data, &delta)
-	before := m.node.registry.Revision()
+	before := m.position()
 	if err == nil {
 		err = m.node.registry.Merge(delta)
 	}
@@ -257,7 +261,23 @@
 		m.node.log.Warn().Err(err).Msg("changes from another VM refused")
 		return
 	}
-	m.handleMerged(&delta, from, m.node.registry.Revision() > before)
+	after := m.position()
+	if delta.UrgentOnly {
+		m.handleUrgentMerged(&delta, from, after.Urgent > before.Urgent)
+	} else {
+		m.handleMerged(&delta, from, after.Revision > before.Revision)
+	}
+}
+
+// handleUrgentMerged acts on a merged delta that held only changes of backend servers, as handleMerged does.
+func (m *mesh) handleUrgentMerged(delta *pimregistry.Delta, from netip.AddrPort, isNew bool) {
+	switch {
+	case isNew && !delta.More:
+		m.announce(false)
+	case isNew:
+		next := m.gossip.PullNextUrgent(m.node.clock.Now(), from, m.view())
+		m.send(next.To, &next.Message)
+	}
 }
 
 // handleMerged acts on a merged delta with new changes: it pulls the next part, if there is one, and announces the new
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -28,7 +28,7 @@
 // Platform holds what depends on the platform that a VM runs on.
 type Platform struct {
 	Codec pimpacket.Codec
-	// Source reads the published configuration.
+	// Source reads the published configuration. If it is a pimfollow.UrgentSource, backend servers do not wait for large responses.
 	Source pimfollow.Source[pimregistry.Batch, pimregistry.Snapshot]
 	// Readiness returns the handler of the fabric's readiness check.
 	Readiness func(ready func() bool) http.Handler
@@ -102,7 +102,8 @@
 		Source: n.platform.Source, Sink: n.registry, Changed: n.viewChanged, Unchanged: n.registry.ConfirmRead, Observe: n.recordRead,
 		Enabled: n.shouldRead, Hold: n.watchTimeout, IdleCheck: readerCheckInterval,
 		BatchDelay: time.Duration(n.cfg.Platform.InForceWithin) / batchesInForceTime,
-		Backoff:    pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale, Log: n.log,
+		Backoff:    pimfollow.NewBackoff(readBackoffMin, readBackoffMax, newRand()), RetryScale: n.retryScale,
+		Urgent: n.urgent(), Log: n.log,
 	})
 	n.addCleanup(stop)
 	if err := n.serveReadiness(ctx); err != nil {
@@ -222,6 +223,33 @@
 	return n.mesh.gossip.WatchTimeout(n.registry.Age(n.clock.Now()))
 }
 
+// urgent returns how the changes of backend servers are read while a large response with all changes is arriving, or nil if the
+// platform offers no way.
+func (n *Node) urgent() *pimfollow.Urgent[pimregistry.Batch] {
+	source, ok := n.platform.Source.(pimfollow.UrgentSource[pimregistry.Batch])
+	if !ok {
+		return nil
+	}
+	delay := time.Duration(n.cfg.Platform.InForceWithin) / batchesInForceTime
+	return &pimfollow.Urgent[pimregistry.Batch]{
+		Source: source, After: delay, BatchDelay: delay, Apply: n.applyUrgent, Failed: n.urgentFailed,
+	}
+}
+
+// applyUrgent applies changes of backend servers and announces them to other VMs.
+func (n *Node) applyUrgent(b pimregistry.Batch) {
+	if n.registry.ApplyUrgent(b) {
+		n.mesh.announce(false)
+	}
+}
+
+// urgentFailed records that changes of backend servers could not be read. Entries that disappear may then have lapsed in an outage,
+// even if the response that is arriving was sent before it.
+func (n *Node) urgentFailed(err error) {
+	n.log.Warn().Err(err).Msg("backend servers not read")
+	n.registry.ReadFailed()
+}
+
 // retryScale returns how much longer than alone this VM waits after a failed read.
 func (n *Node) retryScale() float64 { return n.mesh.gossip.RetryScale(n.clock.Now()) }
 
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -46,6 +46,9 @@
 	Base pimid.Revision `cbor:"13,keyasint,omitempty"`
 	// TakeOver asks the receiver to read the platform in place of the sender, which is about to stop.
 	TakeOver bool `cbor:"14,keyasint,omitempty"`
+	// Urgent is the revision up to which the sender knows the changes of backend servers, which may be after Revision. It is zero if
+	// the sender cannot send these alone.
+	Urgent pimid.Revision `cbor:"15,keyasint,omitempty"`
 }
 
 // Claim is the claim of a VM to be the reader of the platform.
@@ -85,6 +88,8 @@
 	Count int `cbor:"6,keyasint,omitempty"`
 	// Inflates is set if the requesting VM can inflate a delta.
 	Inflates bool `cbor:"7,keyasint,omitempty"`
+	// Urgent requests only the changes of backend servers, which are those after this revision; zero requests all changes.
+	Urgent pimid.Revision `cbor:"9,keyasint,omitempty"`
 }
 
 // Chunk is a part of an encoded delta, which may not fit into one datagram. From and To are the revisions of the delta.
@@ -98,6 +103,8 @@
 	Sum uint64 `cbor:"6,keyasint"`
 	// Deflated is set if the encoded delta was compressed with Deflate.
 	Deflated bool `cbor:"7,keyasint,omitempty"`
+	// Urgent is set if the delta holds only the changes of backend servers.
+	Urgent bool `cbor:"8,keyasint,omitempty"`
 }
 
 // ErrMessage means that a datagram contains no valid message.
--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -35,6 +35,8 @@
 	Hold time.Duration
 	// MaxBytes is the largest size of the body.
 	MaxBytes int64
+	// Answered is called once the header of the response has arrived; nil means no callback.
+	Answered func()
 }
 
 // Call describes a finished call.
@@ -100,6 +102,9 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	call.Header = time.Since(start)
+	if r.Answered != nil {
+		r.Answered()
+	}
 	if resp.ContentLength > r.MaxBytes {
 		return ErrTooLarge
 	}
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -71,7 +71,9 @@
 	// Backoff gives the delay after a failed read, RetryScale its present scale; nil means 1.
 	Backoff    *Backoff
 	RetryScale func() float64
-	Log        zerolog.Logger
+	// Urgent follows some of the changes ahead of the others; nil means that all of them wait for each other.
+	Urgent *Urgent[B]
+	Log    zerolog.Logger
 }
 
 // Follower keeps a sink up to date while it is enabled.
@@ -155,7 +157,9 @@
 	if from == 0 {
 		return true, f.readAll(ctx)
 	}
-	b, err := f.cfg.Source.Watch(ctx, from, f.cfg.Hold())
+	urgent, end := f.cfg.Urgent.begin(ctx, from)
+	defer end()
+	b, err := f.watch(ctx, from, urgent)
 	if errors.Is(err, ErrCompacted) || errors.Is(err, ErrTooLarge) {
 		return true, f.readAll(ctx)
 	}
@@ -171,6 +175,14 @@
 	return true, f.notifyApplied(f.cfg.Sink.Apply(b))
 }
 
+// watch watches from a revision. The urgent changes are followed separately from the header of the response on.
+func (f *Follower[B, S]) watch(ctx context.Context, from pimid.Revision, urgent func()) (B, error) {
+	if f.cfg.Urgent == nil {
+		return f.cfg.Source.Watch(ctx, from, f.cfg.Hold())
+	}
+	return f.cfg.Urgent.Source.WatchAnswered(ctx, from, f.cfg.Hold(), urgent)
+}
+
 func (f *Follower[B, S]) readAll(ctx context.Context) error {
 	snap, err := f.cfg.Source.Snapshot(ctx)
 	if err != nil {
