fix: a view stays partial until the entries left out of a part have arrived

A part of a delta leaves out an entry that has changed again after the end of the part. If the next part came from a VM that did not have that change yet, the view counted as complete without the entry, so that packets of its flows could be reset. The sender now names the last change that it left out, and the view stays partial up to it.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -34,6 +34,8 @@
 	Removed []RemovedHost `cbor:"5,keyasint,omitempty"`
 	// Urgent is the revision up to which changes of backend servers are included, if it is after To and no later parts follow.
 	Urgent pimid.Revision `cbor:"9,keyasint,omitempty"`
+	// Last is the revision of the last change of the entries that were left out, since they changed after To.
+	Last pimid.Revision `cbor:"11,keyasint,omitempty"`
 	// UrgentOnly is set if the delta holds nothing but the changes of backend servers, for a VM that requested only these.
 	UrgentOnly bool `cbor:"10,keyasint,omitempty"`
 }
@@ -118,6 +120,9 @@
 	if !d.More {
 		d.Urgent = r.urgent
 	}
+	if r.isPartial {
+		d.Last = r.partialUntil
+	}
 	r.addEntries(&d)
 	if r.version() > q.Config {
 		d.Config = r.configSince(q.Config)
@@ -130,7 +135,13 @@
 // To, and the receiver of all entries takes missing ones for gone.
 func (r *Registry) addEntries(d *Delta) {
 	now := r.clock.Now()
-	isInDelta := func(revision pimid.Revision) bool { return revision > d.From && (revision <= d.To || !d.More) }
+	isInDelta := func(revision pimid.Revision) bool {
+		if d.More && revision > d.To {
+			d.Last = max(d.Last, revision)
+			return false
+		}
+		return revision > d.From
+	}
 	for _, h := range r.hosts {
 		if isInDelta(h.Revision) {
 			d.Hosts = append(d.Hosts, stateOf(h, now))
@@ -229,12 +240,13 @@
 	switch {
 	case d.From == 0 && !d.More:
 		r.removeMissing(now, listed, d.To, isNewEra)
-		r.base = d.Newest
+		r.base, r.partialUntil = d.Newest, 0
 	case d.From == 0 && r.revision == 0:
 		// A VM without a view has no entries that were removed before.
 		r.base = d.Newest
 	}
-	r.setRevision(d.To, d.More)
+	r.partialUntil = max(r.partialUntil, d.Last)
+	r.setRevision(d.To, d.More || d.To < r.partialUntil)
 	r.urgent = max(r.urgent, d.Urgent)
 	r.publish()
 	return nil
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -77,6 +77,9 @@
 	// isPartial is set while later parts of a delta are missing. An entry that has changed after the revision may then be
 	// out of date or missing, even if it also changed before.
 	isPartial bool
+	// partialUntil is the revision that the view must reach to be no longer partial: that of the last change of an entry that was
+	// left out of a part. Another VM at a lower revision has the earlier change of the entry, but takes it for known.
+	partialUntil pimid.Revision
 	// urgent is the revision up to which all changes of backend servers are known; it is at least revision.
 	urgent pimid.Revision
 	routes *pimcatalog.RouteTable
@@ -154,7 +157,7 @@
 	for _, c := range b.Changes {
 		r.applyChange(now, c)
 	}
-	r.setRevision(b.To, false)
+	r.setRevision(b.To, b.To < r.partialUntil)
 	r.publish()
 	r.confirmRead()
 	return nil
@@ -184,7 +187,7 @@
 	}
 	r.isFirstList = false
 	r.removeMissing(now, listed, s.Revision, isNewEra)
-	r.base = s.Revision
+	r.base, r.partialUntil = s.Revision, 0
 	r.setRevision(s.Revision, false)
 	r.publish()
 	r.confirmRead()
