fix: a VM with a first part takes no changes from an earlier view

A VM that has started counts as knowing which entries are gone at the VM that sent its first part. It then took the next changes from a VM, or an answer of the platform, that was earlier and still had an entry that was gone; nothing removed the entry any more.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -230,6 +230,9 @@
 	if isNewEra && (d.From > 0 || d.More) {
 		return ErrGap
 	}
+	if isList := d.From == 0 && !d.More; !isList && r.mayRestoreRemoved(d.Newest) {
+		return ErrGap
+	}
 	if err = r.mergeConfig(&d); err != nil {
 		return err
 	}
@@ -245,13 +248,21 @@
 		// A VM without a view has no entries that were removed before.
 		r.base = d.Newest
 	}
-	r.partialUntil = max(r.partialUntil, d.Last)
+	if d.More {
+		r.partialUntil = max(r.partialUntil, d.Last, d.Newest)
+	}
 	r.setRevision(d.To, d.More || d.To < r.partialUntil)
 	r.urgent = max(r.urgent, d.Urgent)
 	r.publish()
 	return nil
 }
 
+// mayRestoreRemoved reports whether changes from a source that is at a revision may restore an entry that is gone: after a first part,
+// this VM is behind the sender, but counts as knowing which entries are gone there. An earlier source may still have them.
+func (r *Registry) mayRestoreRemoved(source pimid.Revision) bool {
+	return r.revision < r.base && source < r.base
+}
+
 // mergeEntries merges the entries of a delta, and returns the ids of those that are published.
 func (r *Registry) mergeEntries(now pimclock.Instant, d *Delta) (listed map[pimcatalog.HostID]bool) {
 	listed = make(map[pimcatalog.HostID]bool, len(d.Hosts))
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -77,8 +77,9 @@
 	// isPartial is set while later parts of a delta are missing. An entry that has changed after the revision may then be
 	// out of date or missing, even if it also changed before.
 	isPartial bool
-	// partialUntil is the revision that the view must reach to be no longer partial: that of the last change of an entry that was
-	// left out of a part. Another VM at a lower revision has the earlier change of the entry, but takes it for known.
+	// partialUntil is the revision that the view must reach to be no longer partial: that of the sender of a part, or of the last
+	// change of an entry that was left out of it. Another VM at a lower revision has an earlier change of such an entry, but takes it
+	// for known.
 	partialUntil pimid.Revision
 	// urgent is the revision up to which all changes of backend servers are known; it is at least revision.
 	urgent pimid.Revision
@@ -140,7 +141,8 @@
 	return r.revision
 }
 
-// Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back.
+// Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back, or
+// is older than that of the VM whose first part this VM has.
 func (r *Registry) Apply(b Batch) (err error) {
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %v", b.To) }()
 	r.mu.Lock()
@@ -148,6 +150,9 @@
 	if b.To < b.From {
 		return ErrStale
 	}
+	if b.To > r.revision && r.mayRestoreRemoved(b.To) {
+		return ErrStale
+	}
 	if b.To <= r.revision {
 		// Another VM has sent the same changes in the meantime.
 		r.confirmRead()
--- a/internal/coordination/pimregistry/urgent.go
+++ b/internal/coordination/pimregistry/urgent.go
@@ -10,7 +10,7 @@
 func (r *Registry) ApplyUrgent(b Batch) (isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.continuesUrgent(b.From, b.To) {
+	if !r.continuesUrgent(b.From, b.To) || r.mayRestoreRemoved(b.To) {
 		return false
 	}
 	now := r.clock.Now()
@@ -38,7 +38,7 @@
 	if max(q.Urgent, q.Base) < r.base || q.Urgent >= r.urgent || q.Urgent.Era() != r.urgent.Era() {
 		return Delta{}
 	}
-	d := Delta{From: q.Urgent, To: r.urgent, UrgentOnly: true}
+	d := Delta{From: q.Urgent, To: r.urgent, Newest: r.urgent, UrgentOnly: true}
 	if last, ok := r.lastRevisionOfPart(q.Urgent, r.urgent, r.cfg.PartSize); ok {
 		d.To, d.More = last, true
 	}
@@ -52,7 +52,7 @@
 	switch {
 	case d.To <= r.urgent:
 		return nil
-	case !r.continuesUrgent(d.From, d.To):
+	case !r.continuesUrgent(d.From, d.To) || r.mayRestoreRemoved(d.Newest):
 		return ErrGap
 	}
 	r.mergeEntries(r.clock.Now(), d)
--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -57,6 +57,7 @@
 	list := []Change{configChange(from+1, 9, route(1, time.Second)), hostChange(6, 7)}
 	lister.ReadSucceeded(0)
 	is.NoErr(lister.Restore(Snapshot{Revision: from + 1, Changes: list}))
+	clock.Advance(time.Minute) // entries that lapse now have ended
 	is.True(r.ApplyUrgent(Batch{From: from, To: from + 2, Changes: []Change{hostChange(from+2, 9)}}))
 	behind := r.SinceUrgent(DeltaRequest{From: from, Urgent: from})
 	r.ReadSucceeded(0)
@@ -64,6 +65,7 @@
 	is.True(host(r, 9).AcceptsNewFlows(clock.Now()))
 
 	other := startedRegistry(t, clock)
+	clock.Advance(time.Minute)
 	is.NoErr(other.Merge(behind))
 	is.NoErr(other.Merge(lister.Since(DeltaRequest{}))) // all entries of a VM that does not have the new one
 	is.Equal(other.Revision(), from+1)
@@ -216,31 +218,61 @@
 	}
 }
 
-// Guards against a view that counts as complete without a backend server that has changed before and after the end of a part, since
-// the next part came from a VM that does not have the second change yet. Found by TestVMsAgreeWithUrgentChangesInAnyOrder (seed 46).
+// Guards against a view that counts as complete without a change of a backend server that has changed before and after the end of a
+// part, since the next part came from a VM that does not have the second change yet. Found by
+// TestVMsAgreeWithUrgentChangesInAnyOrder (seed 46).
 func TestViewIsPartialUntilEntriesLeftOutOfAPartArrive(t *testing.T) {
 	is := is.New(t)
 	clock := &pimclock.Manual{}
 	cfg := DefaultSettings(3 * time.Second)
 	cfg.PartSize = 2
 	sender, slower, r := New(cfg, clock, nil), newRegistry(clock), newRegistry(clock)
-	list := Snapshot{Revision: 10, Changes: []Change{
-		configChange(1, 3, route(1, time.Second)), hostChange(5, 7), hostChange(6, 8), hostChange(7, 9), hostChange(8, 10),
-	}}
-	for _, v := range []*Registry{sender, slower} {
+	for _, v := range []*Registry{sender, slower, r} {
 		v.ReadSucceeded(0)
-		is.NoErr(v.Restore(list))
+		is.NoErr(v.Restore(Snapshot{Revision: 4, Changes: []Change{configChange(1, 3, route(1, time.Second)), hostChange(2, 7)}}))
+	}
+	for _, v := range []*Registry{sender, slower} {
+		apply(t, v, leavingChange(5, 7), hostChange(6, 8), hostChange(7, 9), hostChange(8, 10))
 	}
-	apply(t, sender, hostChange(20, 7))
+	apply(t, sender, leavingChange(20, 7))
 	is.NoErr(r.Merge(sender.Since(r.DeltaRequest())))
+	is.Equal(r.Revision(), pimid.Revision(7))
 	is.NoErr(r.Merge(slower.Since(r.DeltaRequest())))
-	is.Equal(r.Revision(), pimid.Revision(10))
-	is.Equal(host(r, 7), nil)
-	r.Confirm(10, clock.Now())
+	is.Equal(r.Revision(), pimid.Revision(8))
+	is.True(!host(r, 7).Leaving)
+	clock.Advance(time.Minute)
+	r.Confirm(8, clock.Now())
 	is.True(!r.Fresh(clock.Now()))
 	is.True(r.Since(DeltaRequest{}).More)
 	is.NoErr(r.Merge(sender.Since(r.DeltaRequest())))
-	is.True(host(r, 7) != nil)
+	is.True(host(r, 7).Leaving)
 	r.Confirm(20, clock.Now())
 	is.True(r.Fresh(clock.Now()))
 }
+
+// Guards against a backend server that ended and is restored for good: a VM that has started has a part from one VM, which no longer
+// knows the backend server, and takes the next changes from another VM or an earlier answer that still has it. Found by
+// TestVMsAgreeWithUrgentChangesInAnyOrder (seed 27384 of 60,000).
+func TestPartIsNotContinuedFromAnEarlierView(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	cfg := DefaultSettings(3 * time.Second)
+	cfg.PartSize = 1
+	lister, earlier, r := New(cfg, clock, nil), newRegistry(clock), newRegistry(clock)
+	config, ended := configChange(1, 3, route(1, time.Second)), hostChange(7, 9)
+	earlier.ReadSucceeded(0)
+	is.NoErr(earlier.Restore(Snapshot{Revision: 6, Changes: []Change{config, hostChange(5, 7), hostChange(6, 8)}}))
+	apply(t, earlier, ended)
+	lister.ReadSucceeded(0)
+	is.NoErr(lister.Restore(Snapshot{Revision: 10, Changes: []Change{config, hostChange(5, 7), hostChange(6, 8)}}))
+	is.NoErr(r.Merge(lister.Since(r.DeltaRequest())))
+	is.Equal(r.Revision(), pimid.Revision(5))
+
+	is.True(errors.Is(r.Merge(earlier.Since(r.DeltaRequest())), ErrGap))
+	is.True(errors.Is(r.Merge(earlier.SinceUrgent(r.DeltaRequest())), ErrGap))
+	is.True(errors.Is(r.Apply(Batch{From: 5, To: 7, Changes: []Change{hostChange(6, 8), ended}}), ErrStale))
+	is.True(!r.ApplyUrgent(Batch{From: 5, To: 7, Changes: []Change{hostChange(6, 8), ended}}))
+	is.NoErr(r.Merge(lister.Since(r.DeltaRequest())))
+	is.Equal(r.Revision(), pimid.Revision(10))
+	is.Equal(host(r, 9), nil)
+}
