test: urgent changes in the mesh, the follower and the simulation of views

pimbench views and pimviews have slow links: answers of the store with a configuration take up to 2.5 s, and the bound of a leaving backend server stays 3 s. Backend servers are read alone after a twentieth of in_force_within, since the VM that takes over last starts after four fifths.

--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -50,6 +50,10 @@
 // change has to be in force: changes in quick succession, such as the start of many backend servers, share a call.
 const batchesInForceTime = 10
 
+// urgentInForceTime is the inverse of the part of that time for which a response may arrive before backend servers are read alone. A VM
+// that takes over last begins when four fifths of the time have passed, and the others have to hear of what it reads.
+const urgentInForceTime = 20
+
 // httpTimeout bounds the wait for the header of a readiness check, and the time in which the operator server stops.
 const httpTimeout = 2 * time.Second
 
@@ -230,9 +234,10 @@
 	if !ok {
 		return nil
 	}
-	delay := time.Duration(n.cfg.Platform.InForceWithin) / batchesInForceTime
+	within := time.Duration(n.cfg.Platform.InForceWithin)
 	return &pimfollow.Urgent[pimregistry.Batch]{
-		Source: source, After: delay, BatchDelay: delay, Apply: n.applyUrgent, Failed: n.urgentFailed,
+		Source: source, After: within / urgentInForceTime, BatchDelay: within / batchesInForceTime,
+		Apply: n.applyUrgent, Failed: n.urgentFailed,
 	}
 }
 
--- a/internal/scenario/pimviews/config.go
+++ b/internal/scenario/pimviews/config.go
@@ -10,6 +10,9 @@
 	Length           time.Duration
 	// Planned leaves out all events that are no planned work, and entries of another writer.
 	Planned bool
+	// SlowLinks lets each answer of the store with a configuration arrive slowly, as one with thousands of routes does. The bound of the
+	// configuration is longer then, but not those of backend servers.
+	SlowLinks bool
 	// Omit holds the numbers of drawn events that do not happen; see Shrink.
 	Omit []int
 	// Order names the events that happen, one in each orderInterval; if it is empty, events are drawn at random.
@@ -41,8 +44,21 @@
 	flowLength     = 8 * time.Second
 	readerCheck    = 100 * time.Millisecond
 	batchDelay     = inForceWithin / 10
+	// urgentAfter is how long a response may arrive before backend servers are read alone, slowest the longest time in which one with
+	// a configuration arrives over a slow link.
+	urgentAfter = inForceWithin / 20
+	slowest     = 2500 * time.Millisecond
 )
 
+// configWithin is the bound of a change of the configuration. Over slow links, a response that is arriving may be older than the change,
+// and a reader that fails has to be replaced.
+func (c *Config) configWithin() time.Duration {
+	if c.SlowLinks {
+		return inForceWithin + 3*slowest
+	}
+	return inForceWithin
+}
+
 // Report is the result of one schedule.
 type Report struct {
 	// Opened and Packets count flows and the packets sent on them, Dropped the packets that a VM left unanswered.
