--- a/internal/scenario/pimviews/config.go
+++ b/internal/scenario/pimviews/config.go
@@ -10,6 +10,8 @@
 	Length           time.Duration
 	// Planned leaves out all events that are no planned work, and entries of another writer.
 	Planned bool
+	// Earlier is the number of VMs of an earlier release, which neither send nor understand the fields of urgent changes.
+	Earlier int
 	// SlowLinks lets each answer of the store with a configuration arrive slowly, as one with thousands of routes does. The bound of the
 	// configuration is longer then, but not those of backend servers.
 	SlowLinks bool
--- a/internal/scenario/pimviews/sim.go
+++ b/internal/scenario/pimviews/sim.go
@@ -60,7 +60,8 @@
 	for i := range cfg.VMs {
 		v := &vm{
 			sim: s, name: fmt.Sprintf("vm-%d", i+1), dataCentre: pimid.DataCentre(fmt.Sprintf("dc-%d", i%cfg.DataCentres+1)),
-			address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7720),
+			address:   netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, 0, byte(i + 1)}), 7720),
+			isEarlier: i < cfg.Earlier,
 		}
 		s.vms = append(s.vms, v)
 	}
--- a/internal/scenario/pimviews/sim_test.go
+++ b/internal/scenario/pimviews/sim_test.go
@@ -30,6 +30,7 @@
 		"all events":                   {VMs: 3, DataCentres: 1},
 		"all events, 2 data centres":   {VMs: 5, DataCentres: 2},
 		"planned work, slow links":     {VMs: 4, DataCentres: 1, Planned: true, SlowLinks: true},
+		"all events, mixed releases":   {VMs: 4, DataCentres: 1, Earlier: 2},
 		"all events, slow links":       {VMs: 4, DataCentres: 1, SlowLinks: true},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -24,6 +24,8 @@
 	name       string
 	dataCentre pimid.DataCentre
 	address    netip.AddrPort
+	// isEarlier is set if the VM runs an earlier release.
+	isEarlier bool
 	// run counts the starts; what was scheduled by an earlier run does not happen.
 	run     int
 	running bool
@@ -137,6 +139,9 @@
 	if v.dataCentre != to.dataCentre {
 		delay += 4 * time.Millisecond
 	}
+	if v.isEarlier || to.isEarlier {
+		msg = withoutUrgent(msg)
+	}
 	deliver := func() {
 		if to.running && !to.cutOff {
 			to.after(0, func() { to.receive(&msg, v.address) })
@@ -148,6 +153,19 @@
 	}
 }
 
+// withoutUrgent returns a message as a VM of an earlier release sends or reads it.
+func withoutUrgent(msg pimmesh.Message) pimmesh.Message {
+	if msg.Heartbeat != nil {
+		b := *msg.Heartbeat
+		b.Urgent, msg.Heartbeat = 0, &b
+	}
+	if msg.Pull != nil {
+		p := *msg.Pull
+		p.Urgent, msg.Pull = 0, &p
+	}
+	return msg
+}
+
 // lossRate is the share of messages that are lost, and of those that arrive twice.
 const lossRate = 0.01
 
@@ -189,6 +207,9 @@
 	}
 	var d pimregistry.Delta
 	v.sim.check(pimmesh.Decode(data, &d))
+	if v.isEarlier || v.sim.vmAt(from).isEarlier {
+		d.Urgent, d.Last = 0, 0
+	}
 	before := v.registry.DeltaRequest()
 	if err := v.registry.Merge(d); err != nil || v.registry.DeltaRequest() == before {
 		return
@@ -317,7 +338,9 @@
 		return
 	}
 	isRead := false
-	v.after(urgentAfter, func() { v.watchUrgent(from, &isRead) })
+	if !v.isEarlier {
+		v.after(urgentAfter, func() { v.watchUrgent(from, &isRead) })
+	}
 	v.after(callTime+v.slowness(b), func() {
 		isRead = true
 		lag := v.sim.Now().Sub(answered)
