--- a/internal/scenario/pimviews/config.go
+++ b/internal/scenario/pimviews/config.go
@@ -12,8 +12,8 @@
 	Planned bool
 	// Earlier is the number of VMs of an earlier release, which neither send nor understand the fields of urgent changes.
 	Earlier int
-	// SlowLinks lets each answer of the store with a configuration arrive slowly, as one with thousands of routes does. The bound of the
-	// configuration is longer then, but not those of backend servers.
+	// SlowLinks lets each answer of the store with a configuration arrive slowly, as one with thousands of routes does. The bounds of
+	// what needs a complete read are longer then, but not that of a backend server that leaves.
 	SlowLinks bool
 	// Omit holds the numbers of drawn events that do not happen; see Shrink.
 	Omit []int
@@ -27,7 +27,8 @@
 	drainWithin   = 3 * time.Second
 	// goneWithin is how long a backend server may get new flows after its entry was removed: a VM that has started since does not know
 	// whether the store was away before, and entries that expire then may return within two seconds and the delay of a watch.
-	goneWithin = inForceWithin + 2500*time.Millisecond
+	goneWithin   = inForceWithin + returnWithin
+	returnWithin = 2500 * time.Millisecond
 	// stableWindow is how long a VM or the store must have been undisturbed before the bounds hold.
 	stableWindow = 4 * time.Second
 	// lapseAfter is how long the store keeps the entry of a backend server that is silent.
@@ -61,6 +62,10 @@
 	return inForceWithin
 }
 
+// goneWithin is the bound for a backend server whose entry was removed: that entries cannot return any more follows from a complete read
+// after an outage, which may have been arriving.
+func (c *Config) goneWithin() time.Duration { return max(goneWithin, c.configWithin()+returnWithin) }
+
 // Report is the result of one schedule.
 type Report struct {
 	// Opened and Packets count flows and the packets sent on them, Dropped the packets that a VM left unanswered.
