--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -79,8 +79,14 @@
 	// isPartial is set while later parts of a delta are missing. An entry that has changed after the revision may then be
 	// out of date or missing, even if it also changed before.
 	isPartial bool
-	routes    *pimcatalog.RouteTable
-	config    *pimcatalog.Config
+	// partialUntil is the revision that the view must reach to be no longer partial: that of the sender of a part, or of the last
+	// change of an entry that was left out of it. Another VM at a lower revision has an earlier change of such an entry, but takes it
+	// for known.
+	partialUntil pimid.Revision
+	// urgent is the revision up to which all changes of backend servers are known; it is at least revision.
+	urgent pimid.Revision
+	routes *pimcatalog.RouteTable
+	config *pimcatalog.Config
 	// wantsWholeConfig is set once the changes from another VM did not lead to its routes.
 	wantsWholeConfig bool
 	// routeVersions holds the version of the last change of each route, droppedRoutes that of the removal of each removed
@@ -139,7 +145,8 @@
 	return r.revision
 }
 
-// Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back.
+// Apply applies a batch from a watch of the platform. The error is ErrStale if the revision of the platform went back, or
+// is older than that of the VM whose first part this VM has.
 func (r *Registry) Apply(b Batch) (err error) {
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "apply changes up to revision %v", b.To) }()
 	r.mu.Lock()
@@ -148,6 +155,9 @@
 		return ErrStale
 	}
 	r.applyEvacuations(&b)
+	if b.To > r.revision && r.mayRestoreRemoved(b.To) {
+		return ErrStale
+	}
 	if b.To <= r.revision {
 		// Another VM has sent the same changes in the meantime.
 		r.confirmRead()
@@ -157,7 +167,7 @@
 	for _, c := range b.Changes {
 		r.applyChange(now, c)
 	}
-	r.revision, r.isPartial = b.To, false
+	r.setRevision(b.To, b.To < r.partialUntil)
 	r.publish()
 	r.confirmRead()
 	return nil
@@ -188,12 +198,19 @@
 	}
 	r.isFirstList = false
 	r.removeMissing(now, listed, s.Revision, isNewEra)
-	r.base, r.revision, r.isPartial = s.Revision, s.Revision, false
+	r.base, r.partialUntil = s.Revision, 0
+	r.setRevision(s.Revision, false)
 	r.publish()
 	r.confirmRead()
 	return nil
 }
 
+// setRevision records that all changes up to a revision are known.
+func (r *Registry) setRevision(revision pimid.Revision, isPartial bool) {
+	r.revision, r.isPartial = revision, isPartial
+	r.urgent = max(r.urgent, revision)
+}
+
 // applyChange applies one change of the platform unless it is outdated or unreadable.
 func (r *Registry) applyChange(now pimclock.Instant, c Change) {
 	switch {
--- a/internal/scenario/pimviews/traffic.go
+++ b/internal/scenario/pimviews/traffic.go
@@ -48,7 +48,7 @@
 	switch verdict.Action {
 	case pimsteer.Reset:
 		// A VM that is out of touch must not refuse by its view, so that this holds for all.
-		if verdict.Reason == pimsteer.ReasonNoRoute && service != "" && s.isBefore(s.addedAt[port], inForceWithin) {
+		if verdict.Reason == pimsteer.ReasonNoRoute && service != "" && s.isBefore(s.addedAt[port], s.cfg.configWithin()) {
 			s.violate("CONFIG: %s refuses port %d, which has a route since %v", v.name, port, s.Now().Sub(s.addedAt[port]))
 		}
 		if verdict.Reason == pimsteer.ReasonEvacuated {
@@ -59,7 +59,7 @@
 		s.report.Dropped++
 		return
 	}
-	if service == "" && s.isBefore(s.droppedAt[port], inForceWithin) && isInTouch {
+	if service == "" && s.isBefore(s.droppedAt[port], s.cfg.configWithin()) && isInTouch {
 		s.violate("CONFIG: %s places a flow to port %d, whose route was dropped before %v", v.name, port, s.Now().Sub(s.droppedAt[port]))
 	}
 	s.checkEvacuated(v, verdict.Host, isInTouch)
@@ -84,7 +84,7 @@
 func (s *sim) checkEnded(v *vm, sent *pimcatalog.Host, isInTouch bool) {
 	for _, h := range s.hosts {
 		isSent := h.entry.ID == sent.ID && h.entry.StartedAt == sent.StartedAt
-		if isSent && h.removedAt != 0 && s.isBefore(h.removedAt, goneWithin) && isInTouch {
+		if isSent && h.removedAt != 0 && s.isBefore(h.removedAt, s.cfg.goneWithin()) && isInTouch {
 			s.violate("ROUTE: %s sends a flow to %s at %v, whose entry was removed before %v", v.name, sent.Name, sent.Address, s.Now().Sub(h.removedAt))
 		}
 	}
