--- a/internal/scenario/pimviews/events.go
+++ b/internal/scenario/pimviews/events.go
@@ -40,7 +40,7 @@
 
 // isDrawn reports whether an event may be drawn.
 func (c *Config) isDrawn(e *event) bool {
-	return !(c.Planned && e.unplanned) && !(c.NoEvacuations && e.name == evacuation)
+	return (!c.Planned || !e.unplanned) && (!c.NoEvacuations || e.name != evacuation)
 }
 
 // scheduleEvent draws event i and its instant. Each event has random numbers of its own, so that the others stay as they are if
