--- a/internal/coordination/pimgossip/membership.go
+++ b/internal/coordination/pimgossip/membership.go
@@ -62,7 +62,7 @@
 	isUnknown := func(a netip.AddrPort) bool { return isOther(a) && !m.hasHeard(a) }
 	age := now.Sub(m.runningSince)
 	switch {
-	case m.lacksPeers():
+	case m.hasPaused(now) || m.lacksPeers():
 		return true
 	case !slices.ContainsFunc(m.cfg.Seeds, isOther) || age > m.removalTimeout():
 		return false
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -39,13 +39,13 @@
 	// unresponsive holds the backend servers that do not answer any VM and whose waiting flows were reset.
 	unresponsive map[pimcatalog.HostID]bool
 	// slowStart is nil if backend servers in slow start have no limit.
-	slowStart *slowStart
-	counters  edgeCounters
-	once         sync.Once
-	wg           sync.WaitGroup
-	buf          [hostPrefixBytes + maxPacketBytes]byte
-	resetBuf     []byte
-	reportedAt   pimclock.Instant
+	slowStart  *slowStart
+	counters   edgeCounters
+	once       sync.Once
+	wg         sync.WaitGroup
+	buf        [hostPrefixBytes + maxPacketBytes]byte
+	resetBuf   []byte
+	reportedAt pimclock.Instant
 	// overloaded is set when a delayed heartbeat shows that this VM does not keep up with its packets.
 	overloaded atomic.Bool
 	// lines bounds the rate of log lines about flows.
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -23,8 +23,8 @@
 	// Peers are the names of the other running VMs of the data centre.
 	Peers []string `json:"peers"`
 	// SlowStart are the names of the backend servers in slow start to which only this VM sends new flows; nil if there is no limit.
-	SlowStart []string `json:"slow_start,omitempty"`
-	Hosts []HostStatus `json:"hosts"`
+	SlowStart []string     `json:"slow_start,omitempty"`
+	Hosts     []HostStatus `json:"hosts"`
 }
 
 // HostStatus is the state of one backend server as a VM knows it.
