test: answers in the tests of speeds no longer fall into a pause of the VM

The tests advanced the time by more than 300 ms at once, so that the table ignored the answers that followed, and three of the tests passed without the rule that they guard. With steps of 50 ms each fails without its rule: the pause before the next request, the close of a kept flow or a reset, and the bound of one answer.

--- a/internal/coordination/pimflow/speed.go
+++ b/internal/coordination/pimflow/speed.go
@@ -36,10 +36,14 @@
 	// resetIgnoresPeersFor is how long reports of other VMs about the speed of a restarted backend server are ignored, since
 	// they may be about the process before.
 	resetIgnoresPeersFor = 3 * time.Second
-	// minSpeed and MaxSpeed bound a speed. The upper bound is lower, since a backend server that refuses at once looks fast.
-	minSpeed, MaxSpeed = 0.25, 2
 )
 
+// MaxSpeed is the highest speed; minSpeed is the lowest one, which is farther from the mean: a backend server that refuses at once
+// looks fast.
+const MaxSpeed = 2
+
+const minSpeed = 0.25
+
 // class groups the backend servers whose answer times are compared. The data centre belongs to it, since answers from another
 // one take longer whatever the speed of the backend server.
 type class struct {
--- a/internal/coordination/pimflow/speed_test.go
+++ b/internal/coordination/pimflow/speed_test.go
@@ -47,6 +47,15 @@
 	s.table.Expire(s.now)
 }
 
+// pass advances the time in steps, so that the VM does not count as paused.
+func (s *speedTest) pass(d time.Duration) {
+	const step = 50 * time.Millisecond
+	for ; d > 0; d -= step {
+		s.now = s.now.Add(min(d, step))
+		s.table.Expire(s.now)
+	}
+}
+
 // request opens a flow whose request is answered after d; the last packet has the given flags.
 func (s *speedTest) request(id pimcatalog.HostID, d time.Duration, flags pimpacket.Flags) {
 	s.port++
@@ -54,7 +63,7 @@
 	c.open(s.now, id, 0)
 	c.send(s.now, id, 100, 0)
 	c.seq += 100
-	s.now = s.now.Add(d)
+	s.pass(d)
 	c.acked += 500
 	c.send(s.now, id, 0, flags)
 	c.send(s.now, id, 0, pimpacket.Close)
@@ -97,7 +106,8 @@
 	s.learn(60, 20*time.Millisecond, 20*time.Millisecond, 0)
 	for range 2 {
 		s.request(hostB, 140*time.Millisecond, 0)
-		is.True(s.speed(hostB) > 0.9)
+		s.request(hostB, 140*time.Millisecond, 0)
+		is.True(s.speed(hostB) > 0.95)
 		s.learn(20, 20*time.Millisecond, 20*time.Millisecond, 0)
 	}
 }
@@ -123,10 +133,10 @@
 				}
 				for i, c := range callers {
 					if i%2 == 0 {
-						s.now = s.now.Add(20 * time.Millisecond)
+						s.pass(20 * time.Millisecond)
 					}
 					if elsewhere > 0 {
-						s.now = s.now.Add(20 * time.Millisecond)
+						s.pass(20 * time.Millisecond)
 					}
 					c.acked += 500
 					c.send(s.now, hostB, 0, 0)
@@ -164,7 +174,7 @@
 				for range end.requests {
 					c.send(s.now, hostB, 100, 0)
 					c.seq += 100
-					s.now = s.now.Add(20 * time.Millisecond)
+					s.pass(20 * time.Millisecond)
 					c.acked += 500
 					c.send(s.now, hostB, 0, 0)
 				}
@@ -173,10 +183,10 @@
 					c.send(s.now.Add(200*time.Millisecond), hostB, 100, 0)
 				}
 				c.seq += 100
-				s.now = s.now.Add(400 * time.Millisecond)
+				s.pass(400 * time.Millisecond)
 				c.acked += end.answered
 				c.send(s.now, hostB, end.data, end.flags)
-				s.now = s.now.Add(time.Second)
+				s.pass(time.Second)
 				s.refresh()
 				c.send(s.now, hostB, 0, pimpacket.Reset)
 			}
@@ -196,7 +206,7 @@
 	restarted.StartedAt++
 	s.hosts[hostB] = &restarted
 	is.Equal(s.speed(hostB), 0.0)
-	s.now = s.now.Add(resetIgnoresPeersFor + 1)
+	s.pass(resetIgnoresPeersFor + 1)
 	is.True(s.speed(hostB) < 0.8) // what the others have learned since
 }
 
@@ -219,7 +229,7 @@
 	s.learn(60, time.Millisecond, 100*time.Millisecond, 0)
 	is.Equal(s.speed(hostA), MaxSpeed*1.0)
 	is.Equal(s.speed(hostB), minSpeed)
-	s.now = s.now.Add(6 * slownessHalfLife)
+	s.pass(6 * slownessHalfLife)
 	is.Equal(s.speed(hostA), 0.0)
 	is.Equal(s.speed(hostB), 0.0)
 }
@@ -250,7 +260,7 @@
 	d, ok := s.table.Work(route)
 	is.True(ok)
 	is.True(d > 25*time.Millisecond && d < 35*time.Millisecond) // the geometric mean is 30 ms
-	s.now = s.now.Add(routeIdleFor + time.Second)
+	s.pass(routeIdleFor + time.Second)
 	s.refresh()
 	_, ok = s.table.Work(route)
 	is.True(!ok)
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -102,7 +102,7 @@
 	// times as long as others.
 	speeds    map[pimcatalog.HostID]float64
 	slowShare float64
-	// chooseVM chooses the VM that receives a new flow; nil means any.
+	// chooseVM chooses the VM that receives a new flow.
 	chooseVM func() int
 	// crossed is the number of flows that were placed in another data centre than that of their VM.
 	crossed int
@@ -126,6 +126,7 @@
 		running: map[pimcatalog.HostID]int{}, queues: map[pimcatalog.HostID][]func(){}, unresponsive: map[pimcatalog.HostID]bool{},
 		speeds: map[pimcatalog.HostID]float64{}, placed: map[pimcatalog.HostID]int{},
 	}
+	s.chooseVM = func() int { return s.rng.IntN(simVMs) }
 	for i := range simHosts {
 		s.hosts = append(s.hosts, &pimcatalog.Host{ID: pimcatalog.HostID(i + 1), Service: "desk", DataCentre: "ikeja", Slots: slots})
 	}
@@ -164,13 +165,7 @@
 	s.requests++
 	s.port++
 	flow := pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), s.port), Destination: s.route.Address}
-	vm := 0
-	if s.chooseVM != nil {
-		vm = s.chooseVM()
-	} else {
-		vm = s.rng.IntN(simVMs)
-	}
-	s.open(vm, flow, s.now, 0)
+	s.open(s.chooseVM(), flow, s.now, 0)
 }
 
 // open sends the opening packet of a flow, or a retransmission of it if attempt is above 0.
--- a/internal/coordination/pimplace/speed_test.go
+++ b/internal/coordination/pimplace/speed_test.go
@@ -39,20 +39,7 @@
 	for i, table := range s.tables {
 		table.SetElsewhere(s.now, func(yield func(pimcatalog.HostID, pimflow.Elsewhere) bool) {
 			for _, h := range s.hosts {
-				var sum pimflow.Elsewhere
-				for j, reported := range all {
-					if r := reported[h.ID]; i != j && s.placers[i].home == s.placers[j].home {
-						sum.Busy += r.Busy
-						sum.Open += r.Open
-						sum.AliveAt = max(sum.AliveAt, r.AliveAt)
-						sum.Slowness += r.Slowness * r.Weight
-						sum.Weight += r.Weight
-					}
-				}
-				if sum.Weight > 0 {
-					sum.Slowness /= sum.Weight
-				}
-				if !yield(h.ID, sum) {
+				if !yield(h.ID, s.sumElsewhere(i, h.ID, all)) {
 					return
 				}
 			}
@@ -61,6 +48,25 @@
 	s.after(exchangeInterval, s.exchange)
 }
 
+// sumElsewhere sums what the other VMs of the data centre of a VM have reported of a backend server.
+func (s *simulation) sumElsewhere(vm int, id pimcatalog.HostID, all []map[pimcatalog.HostID]pimflow.Elsewhere) (sum pimflow.Elsewhere) {
+	for j, reported := range all {
+		if j == vm || s.placers[j].home != s.placers[vm].home {
+			continue
+		}
+		r := reported[id]
+		sum.Busy += r.Busy
+		sum.Open += r.Open
+		sum.AliveAt = max(sum.AliveAt, r.AliveAt)
+		sum.Slowness += r.Slowness * r.Weight
+		sum.Weight += r.Weight
+	}
+	if sum.Weight > 0 {
+		sum.Slowness /= sum.Weight
+	}
+	return sum
+}
+
 // unevenSpeeds are those of a service with backend servers of several generations.
 var unevenSpeeds = []float64{0.6, 0.6, 1, 1, 1.6}
 
