--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -148,6 +148,11 @@
 	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
 		out = append(out, Outgoing{To: p.address, Message: m.heartbeat(now, v, m.sample(running))})
 	}
+	if len(out) > 0 {
+		// One receiver in Fanout is enough for what changes slowly.
+		first := out[0].Message.Heartbeat
+		first.Remote, first.RemotePeers = m.remoteToSend(now), m.remotePeerToSend(now, m.cfg.DataCentre)
+	}
 	return out
 }
 
@@ -187,7 +192,6 @@
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
 		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base,
-		Remote: m.remoteToSend(now), RemotePeers: m.remotePeerToSend(now, m.cfg.DataCentre),
 	}}
 }
 
