fix: a burst of refused flows does not take the places that are kept for a more urgent route

Cause: a priority counts from 1% of the new flows of its service. In a burst of a less urgent route, with two further tries for each refused flow, the urgent route fell below that, and the less urgent one filled all places.

Ruled out: a smaller part, which only needs a larger burst.

Change: only placed flows count, whose number is bounded by the capacity.

--- a/internal/coordination/pimadmit/level.go
+++ b/internal/coordination/pimadmit/level.go
@@ -12,16 +12,16 @@
 
 // The bounds of the activity of a priority.
 const (
-	// activityHalfLife is how fast a priority without new flows loses its weight.
+	// activityHalfLife is how fast a priority without flows loses its weight.
 	activityHalfLife = 5 * time.Second
-	// minActivity is the part of the new flows of a service from which a priority counts. Routes that are published but
+	// minActivity is the part of the placed flows of a service from which a priority counts. Routes that are published but
 	// hardly used must not take places from the others.
 	minActivity = 0.01
 	// minWeight is the weight from which a priority without further flows is removed: one flow after 50 s.
 	minWeight = 0.001
 )
 
-// priority is the recent number of new flows of one priority.
+// priority is the recent number of placed flows of one priority.
 type priority struct {
 	value pimcatalog.Priority
 	flows float64
@@ -32,17 +32,17 @@
 	return p.flows * math.Exp2(-float64(now.Sub(p.at))/float64(activityHalfLife))
 }
 
-// Activity counts the new flows of one service by priority; the zero value is empty.
+// Activity counts the placed flows of one service by priority; the zero value is empty. Refused flows do not count: in a burst of refused
+// flows and their further tries, an urgent priority with few flows would fall below minActivity and lose its places.
 type Activity struct {
 	// priorities are in the order of their values, the most urgent one first.
 	priorities []priority
 }
 
-// Record counts a new flow and returns its level.
-func (a *Activity) Record(now pimclock.Instant, value pimcatalog.Priority) Level {
+// Record counts a placed flow.
+func (a *Activity) Record(now pimclock.Instant, value pimcatalog.Priority) {
 	p := a.find(now, value)
 	p.flows, p.at = p.weight(now)+1, now
-	return a.Level(now, value)
 }
 
 // find returns the entry of a priority. If there is none, it adds one and removes those whose last flows were long ago.
@@ -62,7 +62,7 @@
 // Level is the rank of a priority among those of a service that have recent flows: Rank 0 is the most urgent of Count.
 type Level struct{ Rank, Count int }
 
-// Level returns the level of a priority without counting a flow.
+// Level returns the level of a flow of a priority.
 func (a *Activity) Level(now pimclock.Instant, value pimcatalog.Priority) (l Level) {
 	total := 0.0
 	for i := range a.priorities {
--- a/internal/coordination/pimadmit/level_test.go
+++ b/internal/coordination/pimadmit/level_test.go
@@ -48,7 +48,7 @@
 	for range 2 {
 		a.Record(later, 1)
 	}
-	is.Equal(a.Record(later, 1), Level{Rank: 0, Count: 2})
+	is.Equal(a.Level(later, 1), Level{Rank: 0, Count: 2})
 	is.Equal(a.Level(later, 2), Level{Rank: 1, Count: 2})
 }
 
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -57,9 +57,9 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
 	a := p.admission
-	own := p.allot(now, c, service)
+	own, activity := p.allot(now, c, service), a.activityOf(service)
 	demand := pimadmit.Demand{
-		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
 	a.choice.Reset()
 	last, before := p.observer.Tried(pkt.Flow)
@@ -74,6 +74,7 @@
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
 	switch {
 	case h != nil:
+		activity.Record(now, route.Priority)
 		return pimsteer.Placement{Host: h, Rule: rule.String()}
 	case rule == pimadmit.NoCandidate:
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoHost, Rule: rule.String()}
@@ -82,19 +83,13 @@
 	}
 }
 
-// recordFlow counts a new flow, but not the later copies of its opening packet, and returns its level.
-func (a *admission) recordFlow(
-	now pimclock.Instant, service pimcatalog.Service, route *pimcatalog.Route, attempt int,
-) pimadmit.Level {
+func (a *admission) activityOf(service pimcatalog.Service) *pimadmit.Activity {
 	activity := a.activity[service]
 	if activity == nil {
 		activity = &pimadmit.Activity{}
 		a.activity[service] = activity
 	}
-	if attempt > 0 {
-		return activity.Level(now, route.Priority)
-	}
-	return activity.Record(now, route.Priority)
+	return activity
 }
 
 // addOwn adds a backend server of the VM's own share.
