--- a/cmd/pimbench/command_test.go
+++ b/cmd/pimbench/command_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/pimentoyard/pimentoyard/internal/scenario/pimadmission"
 	"github.com/pimentoyard/pimentoyard/internal/scenario/pimbalance"
 	"github.com/pimentoyard/pimentoyard/internal/scenario/pimflood"
 )
@@ -26,6 +27,7 @@
 	}{
 		{newFloodCommand(zerolog.Nop()), []string{"flood", "--seeds=1", "--flood=1s", "--calm=1s"}, []string{".json", ".txt", ".png"}},
 		{newBalanceCommand(zerolog.Nop()), []string{"balance", "--seeds=1", "--length=45s"}, []string{".json", ".txt", ".png"}},
+		{newAdmissionCommand(zerolog.Nop()), []string{"admission", "--seeds=1", "--burst=200ms"}, []string{".json", ".txt", "-both_rise.svg"}},
 		{newViewsCommand(zerolog.Nop()), []string{"views", "--seeds=1", "--length=5s"}, []string{".json", ".txt"}},
 	}
 	for _, c := range cases {
@@ -55,10 +57,20 @@
 	balance := pimbalance.Report{
 		Seed: 7, Choice: pimbalance.TwoChoices, Faults: true, MaxToMean: 1.05, WorstMaxToMean: 1.1, WaitP99Millis: 9, Failed: 3,
 	}
-	var floodTable, balanceTable strings.Builder
+	admission := pimadmission.Report{
+		Seed: 7, Mix: pimadmission.BothRise, Load: 2, Admission: true, Goodput: 0.99, QueueFull: 92, OverCap: 3, RecoveryMs: 67,
+		Routes: []pimadmission.RouteReport{
+			{Priority: 1, Requests: 100, InTime: 99, Late: 1, Tries: 101, Refused: 4, Delayed: 5, OnsetInTime: 9, Onset: 10},
+			{Priority: 2, Requests: 200, InTime: 50, Lost: 150, Tries: 500, Refused: 450},
+		},
+	}
+	var floodTable, balanceTable, admissionTable strings.Builder
 	writeFloodTable(&floodTable, []pimflood.Report{flood})
 	writeBalanceTable(&balanceTable, []pimbalance.Report{balance})
-	for name, got := range map[string]string{"flood.txt": floodTable.String(), "balance.txt": balanceTable.String()} {
+	writeAdmissionTable(&admissionTable, []pimadmission.Report{admission})
+	for name, got := range map[string]string{
+		"flood.txt": floodTable.String(), "balance.txt": balanceTable.String(), "admission.txt": admissionTable.String(),
+	} {
 		is := is.New(t)
 		golden := filepath.Join("testdata", name)
 		if *update {
--- a/cmd/pimbench/main.go
+++ b/cmd/pimbench/main.go
@@ -13,7 +13,9 @@
 func main() {
 	log := zerolog.New(os.Stderr).With().Timestamp().Logger()
 	parser := flags.NewParser(nil, flags.HelpFlag|flags.PassDoubleDash)
-	for _, c := range []command{newFloodCommand(log), newSoakCommand(log), newBalanceCommand(log), newViewsCommand(log)} {
+	for _, c := range []command{
+		newFloodCommand(log), newSoakCommand(log), newBalanceCommand(log), newViewsCommand(log), newAdmissionCommand(log),
+	} {
 		if _, err := parser.AddCommand(c.name(), c.summary(), "", c); err != nil {
 			log.Fatal().Err(err).Msg("cannot add subcommand")
 		}
--- a/internal/scenario/pimadmission/admission_test.go
+++ b/internal/scenario/pimadmission/admission_test.go
@@ -10,9 +10,6 @@
 
 const seeds = 3
 
-// minServed is the part of the urgent requests that must be answered within their target while their own work fits.
-const minServed = 0.95
-
 // maxRecoveryMs is the time after which nothing of a burst may be left: by then the last tries of its requests have ended.
 const maxRecoveryMs = 1500
 
@@ -61,9 +58,9 @@
 		if p.after.UrgentLoad > 1 {
 			return
 		}
-		is.True(p.after.Routes[0].Served() >= minServed)
-		is.True(p.after.Routes[0].OnsetServed() >= minServed)         // in the first second
-		is.True(load <= 1 || p.before.Routes[0].Served() < minServed) // the check does not detect the fault
+		is.True(p.after.Routes[0].Served() >= MinServed)
+		is.True(p.after.Routes[0].OnsetServed() >= MinServed)         // in the first second
+		is.True(load <= 1 || p.before.Routes[0].Served() < MinServed) // the check does not detect the fault
 	})
 }
 
--- a/internal/scenario/pimadmission/config.go
+++ b/internal/scenario/pimadmission/config.go
@@ -23,6 +23,9 @@
 // Loads are the offered loads of a sweep, in parts of the capacity.
 var Loads = []float64{0.5, 0.8, 1, 1.5, 2, 4, 8}
 
+// MinServed is the part of the urgent requests that must be answered within their target while their own work fits.
+const MinServed = 0.95
+
 // Config describes one run: Calm at normalLoad, Burst at Load, and Calm at normalLoad again.
 type Config struct {
 	Seed uint64
