feat: settings of admission: the queue of a backend server and the reserve of urgent routes

admission.queue_per_slot (4; 0: no flow is refused for lack of room) and admission.reserve (0.4), checked for their range, also nan and inf.

--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -123,7 +123,9 @@
 	table := pimflow.New(cfg)
 	obs := &observer{table: table}
 	placer := pimplace.New(n.cfg.Node.DataCentre, obs, pimpick.LeastLoaded{}, newRand())
-	placer.EnableAdmission(pimadmit.DefaultSettings(), n.cfg.Node.Name)
+	if a := n.cfg.Admission; a.QueuePerSlot > 0 {
+		placer.EnableAdmission(pimadmit.Settings{QueuePerSlot: a.QueuePerSlot, Reserve: a.Reserve}, n.cfg.Node.Name)
+	}
 	n.edge = newEdge(n, conn, obs, placer)
 	n.addCleanup(n.edge.close)
 	return nil
--- a/internal/pimsettings/entry.go
+++ b/internal/pimsettings/entry.go
@@ -22,6 +22,8 @@
 	Operator Operator      `toml:"operator"`
 	Log      Log           `toml:"log"`
 	Drain    EntryDrain    `toml:"drain"`
+	// Admission applies to the services whose routes have different priorities.
+	Admission EntryAdmission `toml:"admission"`
 }
 
 // EntryNode is the name and the data centre of this VM.
@@ -70,6 +72,15 @@
 	Linger pimcontract.Duration `toml:"linger"`
 }
 
+// EntryAdmission configures which new flows are refused when backend servers are nearly full.
+type EntryAdmission struct {
+	// QueuePerSlot is the number of requests that a backend server queues for each slot, which it does not publish; zero means that no
+	// flow is refused for lack of room.
+	QueuePerSlot float64 `toml:"queue_per_slot"`
+	// Reserve is the part of the slots and queues that only the most urgent routes of a service may fill.
+	Reserve float64 `toml:"reserve"`
+}
+
 // DefaultEntry returns the values of the settings that a file does not set.
 func DefaultEntry() Entry {
 	return Entry{
@@ -81,6 +92,8 @@
 		Log: Log{Level: "info"},
 		// The fabric checks readiness twice a second and stops sending to a VM after two failed checks.
 		Drain: EntryDrain{Linger: pimcontract.Duration(1600 * time.Millisecond)},
+		// The backend servers of the deployments in operation have 2 slots and queue 8 requests.
+		Admission: EntryAdmission{QueuePerSlot: 4, Reserve: 0.4},
 	}
 }
 
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -50,8 +50,14 @@
 	v.address(s.Operator.Address, "operator.address")
 	v.oneOf(s.Log.Level, "log.level", "trace", "debug", "info", "warn", "error")
 	v.positive(s.Drain.Linger, "drain.linger")
+	v.check(s.Admission.QueuePerSlot >= 0 && s.Admission.QueuePerSlot <= maxQueuePerSlot, "admission.queue_per_slot",
+		"must be between 0 and %d", maxQueuePerSlot)
+	v.check(s.Admission.Reserve >= 0 && s.Admission.Reserve <= 1, "admission.reserve", "must be between 0 and 1")
 }
 
+// maxQueuePerSlot bounds the queue of a backend server: a request of 10 ms would wait for 10 s behind a longer one.
+const maxQueuePerSlot = 1000
+
 func (v *validator) node(n Node) {
 	v.check(n.ID != 0, "node.id", "is required and must be above 0")
 	v.check(n.DataCentre != "", "node.data_centre", "is required")
