--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -1,6 +1,7 @@
 package pimplace
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
@@ -45,6 +46,31 @@
 	}
 }
 
+// ServiceShare is the share of a VM in the backend servers of one service.
+type ServiceShare struct {
+	Service pimcatalog.Service
+	// Places is the number of requests that the VM may have under way at the backend servers of its share, Filled that which it has.
+	Places pimadmit.Places
+	Filled int
+}
+
+// Shares returns the shares of the services that have had new flows since the last change of the catalog or of the VMs, by name.
+func (p *Placer) Shares(now pimclock.Instant) (all []ServiceShare) {
+	if p.admission == nil {
+		return nil
+	}
+	for service, own := range p.admission.allotments {
+		share := ServiceShare{Service: service}
+		for _, s := range own.shares {
+			share.Places += s.Places
+			share.Filled += p.observer.Load(now, s.Host.ID).Busy
+		}
+		all = append(all, share)
+	}
+	slices.SortFunc(all, func(a, b ServiceShare) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
 // maxRemoteFlows is the number of requests that a VM may have under way in other data centres while its own one has no room.
 // Their load is unknown, so that all VMs of a data centre together must not fill the others.
 const maxRemoteFlows = 6
--- a/internal/coordination/pimplace/admission_test.go
+++ b/internal/coordination/pimplace/admission_test.go
@@ -198,3 +198,16 @@
 	is.Equal(none.Rule, pimadmit.NoCandidate.String())
 	is.True(none.Reason == pimsteer.ReasonNoHost && !none.Later)
 }
+
+// Guards against a status that shows other places than those that decide.
+func TestSharesForStatus(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting([]string{"b"}, deskHosts(4, 1, "ikeja")...)
+	is.Equal(len(a.Shares(0)), 0)
+	a.place(0, 0)
+	a.set(1, 3, 3, 0)
+	a.set(2, 2, 9, 0)
+	a.set(3, 5, 5, 0)
+	is.Equal(a.Shares(0), []ServiceShare{{Service: "desk", Places: 20, Filled: 5}})
+	is.Equal(len(placerWith(nil).Shares(0)), 0)
+}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -39,11 +39,14 @@
 	// unresponsive holds the backend servers that do not answer any VM and whose waiting flows were reset.
 	unresponsive map[pimcatalog.HostID]bool
 	counters     edgeCounters
-	once         sync.Once
-	wg           sync.WaitGroup
-	buf          [hostPrefixBytes + maxPacketBytes]byte
-	resetBuf     []byte
-	reportedAt   pimclock.Instant
+	flows        *flowCounters
+	// shares is the last result of pimplace.Placer.Shares, for the status.
+	shares     atomic.Pointer[[]pimplace.ServiceShare]
+	once       sync.Once
+	wg         sync.WaitGroup
+	buf        [hostPrefixBytes + maxPacketBytes]byte
+	resetBuf   []byte
+	reportedAt pimclock.Instant
 	// overloaded is set when a delayed heartbeat shows that this VM does not keep up with its packets.
 	overloaded atomic.Bool
 	// lines bounds the rate of log lines about flows.
@@ -53,6 +56,7 @@
 func newEdge(n *Node, conn *net.UDPConn, obs *observer, placer *pimplace.Placer) *edge {
 	e := &edge{
 		node: n, conn: conn, table: obs.table, observer: obs, placer: placer, counters: newEdgeCounters(n.set),
+		flows:        newFlowCounters(n.set, n.cfg.Node.DataCentre),
 		unresponsive: map[pimcatalog.HostID]bool{}, lines: pimlog.NewBucket(lineBurst, linesPerSecond),
 	}
 	if err := conn.SetReadBuffer(receiveBufferBytes); err != nil {
@@ -133,6 +137,7 @@
 	view := e.view(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
+	e.flows.count(&verdict)
 	e.logVerdict(now, view, &p, verdict)
 	switch verdict.Action {
 	case pimsteer.Forward:
@@ -218,6 +223,8 @@
 	reports := e.table.Report(now)
 	e.node.mesh.reports.Store(&reports)
 	e.observer.peerLoads = e.node.mesh.gossip.Loads(now)
+	shares := e.placer.Shares(now)
+	e.shares.Store(&shares)
 	e.placer.SetVMs(e.node.mesh.gossip.Names(now))
 	e.table.Prune(e.node.registry.Catalog())
 	e.updateUnresponsive(now)
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -23,6 +23,16 @@
 	// Peers are the names of the other running VMs of the data centre.
 	Peers []string     `json:"peers"`
 	Hosts []HostStatus `json:"hosts"`
+	// Admission lists the services with routes of different priorities that have had new flows since the last change of the view.
+	Admission []AdmissionStatus `json:"admission,omitempty"`
+}
+
+// AdmissionStatus is the share of a VM in the backend servers of one service.
+type AdmissionStatus struct {
+	Service pimcatalog.Service `json:"service"`
+	// Places is the number of requests that the VM may have under way at the backend servers of its share, Filled that which it has.
+	Places float64 `json:"places"`
+	Filled int     `json:"filled"`
 }
 
 // HostStatus is the state of one backend server as a VM knows it.
@@ -56,5 +66,10 @@
 			Leaving: h.Leaving, Gone: h.Gone(now), ColdMs: h.ColdFor(now).Milliseconds(),
 		})
 	}
+	if shares := n.edge.shares.Load(); shares != nil {
+		for _, share := range *shares {
+			s.Admission = append(s.Admission, AdmissionStatus{Service: share.Service, Places: float64(share.Places), Filled: share.Filled})
+		}
+	}
 	return s
 }
