--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -1,6 +1,7 @@
 package pimplace
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 
@@ -24,6 +25,7 @@
 	catalog    *pimcatalog.Catalog
 	allotments map[pimcatalog.Service]*allotment
 	activity   map[pimcatalog.Service]*pimadmit.Activity
+	pressure   map[pimcatalog.Service]*pimadmit.Pressure
 	// remote is a buffer that addOthers reuses.
 	remote []remoteShare
 	// deferred holds the flows that were left to the next copy of their opening packet.
@@ -40,7 +42,7 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{}, deferred: deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, deferred: deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}},
 	}
 }
 
@@ -51,6 +53,32 @@
 	}
 }
 
+// ServiceShare is the share of a VM in the backend servers of one service.
+type ServiceShare struct {
+	Service pimcatalog.Service
+	// Places is the number of requests that the VM may have under way at the backend servers of its share, Filled that which it has.
+	Places pimadmit.Places
+	Filled int
+}
+
+// Shares returns the shares of the services that have had new flows since the last change of the catalog or of the VMs, by name.
+func (p *Placer) Shares(now pimclock.Instant) (all []ServiceShare) {
+	if p.admission == nil {
+		return nil
+	}
+	for service, own := range p.admission.allotments {
+		share := ServiceShare{Service: service}
+		for _, s := range own.shares {
+			share.Places += s.Places
+			load := p.observer.Load(now, s.Host.ID)
+			share.Filled += load.UnderWay()
+		}
+		all = append(all, share)
+	}
+	slices.SortFunc(all, func(a, b ServiceShare) int { return cmp.Compare(a.Service, b.Service) })
+	return all
+}
+
 // The bounds of the requests in other data centres while the own one has no room.
 const (
 	// maxRemoteLoad is the number of requests per slot up to which a data centre of known load gets requests of others.
@@ -74,9 +102,9 @@
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
 	a := p.admission
-	own := p.allot(now, c, service)
+	own, activity := p.allot(now, c, service), a.activityOf(service)
 	demand := pimadmit.Demand{
-		Level: a.recordFlow(now, service, route, pkt.Attempt), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
 	a.choice.Reset()
 	p.excluded = pimsteer.ReasonNoHost
@@ -99,29 +127,40 @@
 	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
-	case demand.MayWait():
+	case demand.MayWait() && !a.pressureOf(service).IsHigh():
+		a.pressureOf(service).Record(now, false)
 		a.deferred.add(now, pkt.Flow)
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
 	default:
+		if demand.Level.Rank == 0 {
+			a.pressureOf(service).Record(now, false)
+		}
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
+	activity.Record(now, route.Priority)
+	if demand.Level.Rank == 0 {
+		a.pressureOf(service).Record(now, true)
+	}
 	return pimsteer.Placement{Host: h, Rule: rule.String()}
 }
 
-// recordFlow counts a new flow, but not the later copies of its opening packet, and returns its level.
-func (a *admission) recordFlow(
-	now pimclock.Instant, service pimcatalog.Service, route *pimcatalog.Route, attempt int,
-) pimadmit.Level {
+func (a *admission) pressureOf(service pimcatalog.Service) *pimadmit.Pressure {
+	pressure := a.pressure[service]
+	if pressure == nil {
+		pressure = &pimadmit.Pressure{}
+		a.pressure[service] = pressure
+	}
+	return pressure
+}
+
+func (a *admission) activityOf(service pimcatalog.Service) *pimadmit.Activity {
 	activity := a.activity[service]
 	if activity == nil {
 		activity = &pimadmit.Activity{}
 		a.activity[service] = activity
 	}
-	if attempt > 0 {
-		return activity.Level(now, route.Priority)
-	}
-	return activity.Record(now, route.Priority)
+	return activity
 }
 
 // addOwn adds a backend server of the VM's own share.
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -42,8 +42,11 @@
 	// unresponsive holds the backend servers that do not answer any VM and whose waiting flows were reset.
 	unresponsive map[pimcatalog.HostID]bool
 	// slowStart is nil if backend servers in slow start have no limit.
-	slowStart    *slowStart
-	counters     edgeCounters
+	slowStart *slowStart
+	counters  edgeCounters
+	flows     *flowCounters
+	// shares is the last result of pimplace.Placer.Shares, for the status.
+	shares       atomic.Pointer[[]pimplace.ServiceShare]
 	once         sync.Once
 	wg           sync.WaitGroup
 	buf          [hostPrefixBytes + maxPacketBytes]byte
@@ -59,6 +62,7 @@
 func newEdge(n *Node, conn *net.UDPConn, obs *observer, placer *pimplace.Placer) *edge {
 	e := &edge{
 		node: n, conn: conn, table: obs.table, observer: obs, placer: placer, counters: newEdgeCounters(n.set),
+		flows:        newFlowCounters(n.set, n.cfg.Node.DataCentre),
 		unresponsive: map[pimcatalog.HostID]bool{}, lines: pimlog.NewBucket(lineBurst, linesPerSecond),
 	}
 	if err := conn.SetReadBuffer(receiveBufferBytes); err != nil {
@@ -139,6 +143,7 @@
 	view := e.view(now)
 	verdict := pimsteer.Steer(now, view, e.placer, &p)
 	e.counters.verdicts[verdict.Reason].Inc()
+	e.flows.count(&verdict)
 	e.logVerdict(now, view, &p, verdict)
 	switch verdict.Action {
 	case pimsteer.Forward:
@@ -228,6 +233,8 @@
 	e.table.Prune(now, e.node.registry.Catalog())
 	e.observer.setPeerLoads(now, e.node.mesh.gossip.Loads(now))
 	e.observer.remote = e.node.mesh.gossip.RemoteLoads(now)
+	shares := e.placer.Shares(now)
+	e.shares.Store(&shares)
 	e.placer.SetVMs(e.node.mesh.gossip.Names(now))
 	e.summarise(now)
 	e.updateUnresponsive(now)
--- a/internal/pimsettings/validator.go
+++ b/internal/pimsettings/validator.go
@@ -57,6 +57,9 @@
 		v.check(s.SlowStart.Overage > 0 && s.SlowStart.Overage <= maxOverage, "slow_start.overage", "must be above 0 and at most %d", maxOverage)
 		v.check(s.SlowStart.Slack >= 0 && s.SlowStart.Slack <= maxSlack, "slow_start.slack", "must be between 0 and %d", maxSlack)
 	}
+	v.check(s.Admission.QueuePerSlot >= 0 && s.Admission.QueuePerSlot <= maxQueuePerSlot, "admission.queue_per_slot",
+		"must be between 0 and %d", maxQueuePerSlot)
+	v.check(s.Admission.Reserve >= 0 && s.Admission.Reserve <= 1, "admission.reserve", "must be between 0 and 1")
 }
 
 // The bounds of the limits during the slow start; a higher one limits nothing and is a mistake.
@@ -65,6 +68,9 @@
 	maxSlack   = 1_000_000
 )
 
+// maxQueuePerSlot bounds the queue of a backend server: a request of 10 ms would wait for 10 s behind a longer one.
+const maxQueuePerSlot = 1000
+
 func (v *validator) node(n Node) {
 	v.check(n.ID != 0, "node.id", "is required and must be above 0")
 	v.check(n.DataCentre != "", "node.data_centre", "is required")
