--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -80,7 +80,7 @@
 	reader, other := startedRegistry(t, clock), startedRegistry(t, clock)
 	from := reader.Revision()
 	apply(t, reader, leavingChange(from+1))
-	is.True(reader.ApplyUrgent(Batch{From: from + 1, To: from + 3, Changes: []Change{leavingChange(from+3)}}))
+	is.True(reader.ApplyUrgent(Batch{From: from + 1, To: from + 3, Changes: []Change{leavingChange(from + 3)}}))
 	is.NoErr(other.Merge(reader.Since(other.DeltaRequest())))
 	is.Equal(other.Revision(), from+1)
 	is.True(host(other, 7).Leaving)
