feat: admission compares its counts with the times of answers, and prefers fast backend servers without overfilling them

Cause: TestFlowsThatStayOpenTakeNoPlaces failed: with callers that keep flows open for 300 ms after an answer of one packet, which a VM does not see, each request counted as running for up to 500 ms, and 45% of the less urgent requests were refused at half of the capacity.

Ruled out: a shorter time for requests without a sign of an answer, which cannot tell a slow answer from an open flow; speeds as they are (TestFlowsThatStayOpen the same without them).

Change: pimflow.occupancy learns how much longer answers take with more requests under way, and counts only that part. The filled part of a share weighs by speed, but a fast backend server queues no more than others.

--- a/internal/coordination/pimadmit/allotment.go
+++ b/internal/coordination/pimadmit/allotment.go
@@ -28,13 +28,13 @@
 	hosts = slices.SortedFunc(slices.Values(hosts), func(a, b *pimcatalog.Host) int { return cmp.Compare(a.ID, b.ID) })
 	total := Places(0)
 	for _, h := range hosts {
-		total += cfg.places(h)
+		total += cfg.Places(h)
 	}
 	rank, each := slices.Index(vms, self), total/Places(len(vms))
 	from, to := each*Places(rank), each*Places(rank+1)
 	start := Places(0)
 	for _, h := range hosts {
-		end := start + cfg.places(h)
+		end := start + cfg.Places(h)
 		if own := min(end, to) - max(start, from); own >= minShare {
 			shares = append(shares, Share{Host: h, Places: own})
 		}
@@ -43,7 +43,7 @@
 	return shares
 }
 
-// places returns the places of a whole backend server.
-func (s Settings) places(h *pimcatalog.Host) Places {
+// Places returns the places of a whole backend server.
+func (s Settings) Places(h *pimcatalog.Host) Places {
 	return Places(float64(max(1, h.Slots)) * (1 + s.QueuePerSlot))
 }
--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -61,6 +61,10 @@
 // sharedSlotLoad is the reported load in requests per slot up to which another VM's backend server seems to have a free slot.
 const sharedSlotLoad = 0.75
 
+// sharedQueueLoad is the reported load in requests per slot up to which the most urgent flows wait at another VM's backend server. The
+// reports are up to a second old and all VMs go by them, so a higher load overfills the queues in a burst.
+const sharedQueueLoad = 1.5
+
 // Choice collects the candidates for one flow and keeps the least loaded of each kind; of equal ones that with the fewest open flows, of
 // several of those a random one. Open flows do not count as load, since most of them may be idle for minutes.
 type Choice struct {
@@ -122,7 +126,7 @@
 		return shared.host, SharedSlot
 	case own.host != nil && own.load < limit:
 		return own.host, OwnQueue
-	case shared.host != nil && shared.load < limit/c.cfg.idleFill()/2:
+	case shared.host != nil && shared.load < limit*sharedQueueLoad:
 		return shared.host, SharedQueue
 	case remote.host != nil && (!hasHome || isRemoteOpen):
 		return remote.host, OtherDataCentre
--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -40,14 +40,16 @@
 	resetAt   pimclock.Instant
 }
 
-// UnderWay returns the number of requests that run or that follow the opening packets of flows.
-func (l *Load) UnderWay() int { return l.Busy + l.Expected }
+// UnderWay returns the number of requests that occupy the backend server or will, since they follow the opening packets of flows.
+func (l *Load) UnderWay() float64 { return float64(l.Busy)*(1-l.Vacant) + float64(l.Expected) }
 
 // Load is what a VM has observed of a backend server.
 type Load struct {
 	// Busy is the number of running requests, Expected that of flows whose first request has not arrived yet, Open the number of
 	// flows.
 	Busy, Expected, Open int
+	// Vacant is the part of the running requests that does not occupy the backend server; see occupancy.
+	Vacant float64
 	// Suspect is set for some time after a miss; new flows then avoid the backend server.
 	Suspect bool
 	// Misses is the number of flows without an answer since the last sign of life, and MissedFrom is when the first
@@ -88,7 +90,7 @@
 		return Load{}, &Elsewhere{}
 	}
 	return Load{
-		Busy: h.busy, Expected: h.expected, Open: h.open, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
+		Busy: h.busy, Expected: h.expected, Open: h.open, Vacant: t.vacant(h), Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
 		MissedAt:       h.missedAt,
 		OpenFlowMisses: h.openFlowMisses, AliveAt: h.aliveAt, Speed: h.speed,
 	}, &h.elsewhere
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -70,6 +70,8 @@
 	// sent again.
 	requests  uint32
 	foundIdle bool
+	// ahead is the number of requests under way at the backend server when the running one began, itself included.
+	ahead float64
 	// countedAsMiss is set once the flow has been counted as a miss, so that data that is retransmitted several times
 	// counts once. A sign of an answer or a retransmission of the opening packet clears it.
 	countedAsMiss bool
@@ -84,6 +86,8 @@
 	sightings map[pimpacket.Flow]sighting
 	// works holds the answer times of routes by their published addresses.
 	works map[netip.AddrPort][]*work
+	// occupancies holds the occupancy of each class.
+	occupancies map[class]*occupancy
 	// nextReport is the backend server with which the next report begins.
 	nextReport pimcatalog.HostID
 	// unanswered holds the opening flows and unfinished the flows with running requests, both oldest first.
@@ -117,7 +121,7 @@
 func New(cfg Settings) *Table {
 	return &Table{
 		cfg: cfg, flows: map[pimpacket.Flow]*record{}, hosts: map[pimcatalog.HostID]*host{},
-		sightings: map[pimpacket.Flow]sighting{}, works: map[netip.AddrPort][]*work{},
+		sightings: map[pimpacket.Flow]sighting{}, works: map[netip.AddrPort][]*work{}, occupancies: map[class]*occupancy{},
 	}
 }
 
@@ -170,6 +174,7 @@
 	}
 	if p.Acked.After(r.acked) > 0 {
 		t.learn(now, p, r, h)
+		t.learnOccupancy(now, p, r, h)
 		r.acked, r.countedAsMiss, r.requestedAt = p.Acked, false, 0
 		h.recordAnswer(now)
 		t.finishRequest(now, r, h)
@@ -238,6 +243,7 @@
 	r.running, r.runningSince, r.foundIdle = true, now, h.isIdle()
 	r.requests++
 	h.setBusy(now, h.busy+1)
+	r.ahead = float64(h.busy) + h.elsewhere.Busy
 	t.unfinished.push(f, now)
 }
 
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -71,7 +71,7 @@
 		for _, s := range own.shares {
 			share.Places += s.Places
 			load := p.observer.Load(now, s.Host.ID)
-			share.Filled += load.UnderWay()
+			share.Filled += load.Busy + load.Expected
 		}
 		all = append(all, share)
 	}
@@ -173,10 +173,14 @@
 		p.addAvoided(now, s.Host, wasTried)
 		return
 	}
-	fill := float64(load.UnderWay()) / (float64(s.Places) * load.speed())
-	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
+	fill := load.UnderWay() / float64(s.Places)
+	p.admission.choice.Add(pimadmit.Own, s.Host, weighted(fill, load.speed())*slowdown(now, s.Host), float64(load.Open))
 }
 
+// weighted returns the filled part of a queue as it is compared with others and with limits. A request waits longer at a slow backend
+// server and less long at a fast one, but a fast one does not queue more requests than others.
+func weighted(fill, speed float64) float64 { return max(fill/speed, 2*fill-1) }
+
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
 // another data centre.
 func (p *Placer) addOthers(
@@ -193,10 +197,12 @@
 		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
-			perSlot := (float64(load.UnderWay()) + load.BusyElsewhere) / (float64(max(1, h.Slots)) * load.speed())
+			places := float64(a.cfg.Places(h))
+			fill := (load.UnderWay() + load.BusyElsewhere*(1-load.Vacant)) / places
+			perSlot := weighted(fill, load.speed()) * places / float64(max(1, h.Slots))
 			a.choice.Add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
 		default:
-			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
+			a.remoteShare(h.DataCentre).add(p.rng, h, load.Busy+load.Expected, slowdown(now, h))
 		}
 	}
 	return p.addRemote(service)
--- a/internal/scenario/pimadmission/sim.go
+++ b/internal/scenario/pimadmission/sim.go
@@ -142,6 +142,7 @@
 // exchangeReports sends the loads that each VM has observed to the others, each after its own delay.
 func (s *sim) exchangeReports() {
 	for from, v := range s.vms {
+		v.table.Prune(s.Now(), s.catalog)
 		reports := map[pimcatalog.HostID]pimflow.Report{}
 		for _, r := range v.table.Report(s.Now()) {
 			reports[r.ID] = r
