fix: a full queue does not look like requests that take no place

Change: the predicted time grows only up to a full queue (pimflow.Settings.MaxPerSlot, from admission.queue_per_slot), and counts are trusted from 0.65 of it on.

--- a/internal/coordination/pimflow/occupancy.go
+++ b/internal/coordination/pimflow/occupancy.go
@@ -20,7 +20,7 @@
 	initialOccupancy = 0.2
 	// trustedOccupancy is the value from which counts are taken as they are: the answer time of a full queue is somewhat shorter than the
 	// count alone predicts, as requests in service are partly done and the way to the caller does not grow.
-	trustedOccupancy = 0.7
+	trustedOccupancy = 0.65
 )
 
 // occupancy is the part of the counted requests of a class that occupy its backend servers. A request counts as running until the caller's next packet, which comes late if the answer fits one packet and the flow stays open. Then the
@@ -75,6 +75,7 @@
 	if speed <= 0 {
 		speed = 1
 	}
-	predicted := time.Duration(float64(work) * perSlot / speed)
+	// A full queue refuses further requests, so that answers no longer take longer with more of them.
+	predicted := time.Duration(float64(work) * min(perSlot, t.cfg.MaxPerSlot) / speed)
 	t.occupancy(h.class).add(float64(elapsed) / float64(predicted))
 }
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -19,6 +19,8 @@
 	// RunningFor is how long a request counts as running if no packet of the caller shows its answer; an answer that fits
 	// one packet is not seen.
 	RunningFor time.Duration
+	// MaxPerSlot is the number of requests, running and queued, that a backend server takes for each slot.
+	MaxPerSlot float64
 	// IdleFor is how long a flow without packets is kept.
 	IdleFor time.Duration
 	// SuspectMin and SuspectMax bound the time for which new flows avoid a backend server that does not answer.
@@ -39,6 +41,7 @@
 		AnswerWithin:    60 * time.Millisecond,
 		RetransmitAfter: 200 * time.Millisecond,
 		RunningFor:      500 * time.Millisecond,
+		MaxPerSlot:      5,
 		IdleFor:         20 * time.Second,
 		SuspectMin:      500 * time.Millisecond,
 		SuspectMax:      4 * time.Second,
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -126,6 +126,9 @@
 	cfg := pimflow.DefaultSettings()
 	answers := n.set.NewHistogram("pimentoyard_answer_seconds")
 	cfg.OnAnswer = func(d time.Duration) { answers.Update(d.Seconds()) }
+	if queue := n.cfg.Admission.QueuePerSlot; queue > 0 {
+		cfg.MaxPerSlot = 1 + queue
+	}
 	table := pimflow.New(cfg)
 	obs := &observer{table: table}
 	placer := pimplace.New(n.cfg.Node.DataCentre, obs, pimpick.LeastLoaded{}, newRand())
