fix: a large silence in a heartbeat keeps no VM known for ever

RemotePeer.SilentS was converted to a duration before it was compared, so a large number overflowed to a negative age, and the VM stayed known for up to 292 years. Data centres without a known VM kept their place among the 64 that are remembered, so that new ones could be refused. An empty name of a data centre or service was stored.

The number is compared first, empty data centres are removed, and empty names are ignored. Both tests failed before.

--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -274,8 +274,10 @@
 		}
 	}
 	expire(m.peers)
-	for _, of := range m.remotePeers {
-		expire(of)
+	for dc, of := range m.remotePeers {
+		if expire(of); len(of) == 0 {
+			delete(m.remotePeers, dc)
+		}
 	}
 }
 
--- a/internal/coordination/pimgossip/remote.go
+++ b/internal/coordination/pimgossip/remote.go
@@ -104,7 +104,7 @@
 
 // addRemotePeer returns the entry of a VM of another data centre, which it creates unless there are too many.
 func (m *Mesh) addRemotePeer(r *pimmesh.RemotePeer) *peer {
-	if r.DataCentre == m.cfg.DataCentre || !r.Address.IsValid() {
+	if r.DataCentre == m.cfg.DataCentre || r.DataCentre == "" || !r.Address.IsValid() {
 		return nil
 	}
 	of := m.remotePeers[r.DataCentre]
@@ -151,12 +151,12 @@
 // addRemoteNamed adds the VMs of other data centres that a heartbeat names.
 func (m *Mesh) addRemoteNamed(now pimclock.Instant, named []pimmesh.RemotePeer) {
 	for i := range named[:min(len(named), sampleSize)] {
-		heard := now.Add(-time.Duration(named[i].SilentS) * time.Second)
-		if named[i].SilentS < 0 || now.Sub(heard) > m.cfg.RemoveAfter {
+		// The number is compared first, since a large one overflows as a duration.
+		if named[i].SilentS < 0 || float64(named[i].SilentS) > m.cfg.RemoveAfter.Seconds() {
 			continue
 		}
 		if p := m.addRemotePeer(&named[i]); p != nil {
-			p.namedAt = max(p.namedAt, heard)
+			p.namedAt = max(p.namedAt, now.Add(-time.Duration(named[i].SilentS)*time.Second))
 		}
 	}
 }
@@ -168,6 +168,7 @@
 		k := RemoteService{DataCentre: l.DataCentre, Service: l.Service}
 		known, isKnown := m.remote[k]
 		switch {
+		case l.DataCentre == "" || l.Service == "":
 		case l.DataCentre == m.cfg.DataCentre || l.Hosts <= 0 || l.Busy < 0 || l.AgeMs < 0 || l.AgeMs > m.cfg.SummaryTTL.Milliseconds():
 		case isKnown && !known.At.Before(at) || !isKnown && len(m.remote) >= maxRemoteLoads:
 		default:
--- a/internal/coordination/pimgossip/remote_test.go
+++ b/internal/coordination/pimgossip/remote_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -134,3 +136,46 @@
 	is.Equal(len(m.RemoteLoads(now)), maxRemoteLoads)
 	is.Equal(len(m.remotePeers), 0) // the summaries had no sender
 }
+
+// Guards against VMs of other data centres that stay known for ever because a time in a heartbeat overflows, against empty names, and
+// against addresses to which nothing can be sent.
+func TestOddRemotePeersAreIgnored(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings(inForceWithin)
+	cfg.Name, cfg.DataCentre, cfg.Address = "vm-0", "ikeja", netip.MustParseAddrPort("10.0.0.1:7720")
+	m, now := New(cfg, rand.New(rand.NewPCG(1, 1))), pimclock.Instant(time.Hour)
+	address := netip.MustParseAddrPort("10.1.0.1:7720")
+	for _, silent := range []int{-1, 61, 1 << 33, 1 << 34, 10_000_000_000, 14_000_000_000, math.MaxInt64, math.MinInt64} {
+		m.addRemoteNamed(now, []pimmesh.RemotePeer{{DataCentre: "apapa", Name: "a", Address: address, SilentS: silent}})
+		is.Equal(len(m.remotePeers), 0)
+	}
+	m.addRemoteNamed(now, []pimmesh.RemotePeer{{Name: "a", Address: address, SilentS: 1}, {DataCentre: "apapa", Name: "a", SilentS: 1}})
+	m.ReceiveSummary(now, &pimmesh.Summary{
+		Loads:  []pimmesh.ServiceLoad{{Service: "desk", Hosts: 1}, {DataCentre: "apapa", Hosts: 1}},
+		Sender: pimmesh.RemotePeer{Name: "a", Address: address},
+	})
+	is.Equal(len(m.remotePeers), 0)
+	is.Equal(len(m.RemoteLoads(now)), 0)
+}
+
+// Guards against data centres without a known VM that use up the number of data centres that are remembered.
+func TestDataCentresWithoutVMsAreForgotten(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings(inForceWithin)
+	cfg.Name, cfg.DataCentre, cfg.Address = "vm-0", "ikeja", netip.MustParseAddrPort("10.0.0.1:7720")
+	m, now := New(cfg, rand.New(rand.NewPCG(1, 1))), pimclock.Instant(time.Hour)
+	receive := func(dc pimid.DataCentre) {
+		m.ReceiveSummary(now, &pimmesh.Summary{
+			Sender: pimmesh.RemotePeer{DataCentre: dc, Name: "a", Address: netip.MustParseAddrPort("10.1.0.1:7720")},
+		})
+	}
+	for i := range maxDataCentres {
+		receive(pimid.DataCentre(fmt.Sprint(i)))
+	}
+	is.Equal(len(m.remotePeers), maxDataCentres)
+	now = now.Add(m.removalTimeout() + time.Second)
+	m.Tick(now, View{})
+	is.Equal(len(m.remotePeers), 0)
+	receive("apapa")
+	is.Equal(len(m.remotePeers["apapa"]), 1)
+}
