fix: long names of services do not keep heartbeats and summaries from being sent

Only the loads of a heartbeat were shortened to fit a datagram. Leaving out services with long names was ruled out, since up to three fit. Loads of other data centres are now removed one by one once a heartbeat is down to eight loads; a summary loses its last loads. The test failed before with 'message does not fit into a datagram'.

--- a/internal/pimentry/heartbeat_test.go
+++ b/internal/pimentry/heartbeat_test.go
@@ -3,12 +3,14 @@
 import (
 	"math/rand/v2"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
 	"github.com/matryer/is"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimgossip"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimmesh"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/transport/pimseal"
@@ -58,3 +60,26 @@
 			reported, withSpeeds, len(hb.Loads), len(remote), len(peers), len(datagram))
 	}
 }
+
+// Guards against heartbeats and summaries that are never sent because long names of services do not fit a datagram: a VM with one other
+// one in its data centre would count as failed there.
+func TestLongNamesOfServicesFitADatagram(t *testing.T) {
+	is := is.New(t)
+	sealer, err := pimseal.New([]byte("0123456789abcdef0123456789abcdef"), pimseal.Identity{Node: 1})
+	is.NoErr(err)
+	m := &mesh{sealer: sealer}
+	for _, size := range []int{100, 400, 2000} {
+		var remote []pimmesh.ServiceLoad
+		for range pimgossip.MaxSummary {
+			remote = append(remote, pimmesh.ServiceLoad{DataCentre: "apapa", Service: pimcatalog.Service(strings.Repeat("s", size)), Hosts: 50, Busy: 150})
+		}
+		hb := &pimmesh.Heartbeat{Name: "ikeja-vm-0001", DataCentre: "ikeja", Remote: remote[:4:4], Loads: loads(make([]pimflow.Report, 40))}
+		_, err = m.encode(&pimmesh.Message{Heartbeat: hb})
+		is.NoErr(err)
+		is.True(len(hb.Remote) > 0 == (size < 1000)) // those that fit are kept
+		is.True(len(hb.Loads) > 0)
+		_, err = m.encode(&pimmesh.Message{Summary: &pimmesh.Summary{Loads: remote}})
+		is.NoErr(err)
+		is.Equal(len(remote), pimgossip.MaxSummary)
+	}
+}
--- a/internal/pimentry/mesh.go
+++ b/internal/pimentry/mesh.go
@@ -161,7 +161,7 @@
 	return reported
 }
 
-// encode encodes a message for the wire. A heartbeat that does not fit a datagram loses its last loads.
+// encode encodes a message for the wire, and shortens it if it does not fit a datagram.
 func (m *mesh) encode(msg *pimmesh.Message) (datagram []byte, err error) {
 	for {
 		plain, err := pimmesh.Encode(msg)
@@ -169,15 +169,34 @@
 			return nil, err
 		}
 		datagram, err = m.sealer.Seal(time.Now().UnixMilli(), plain)
-		if hb := msg.Heartbeat; errors.Is(err, pimseal.ErrTooLarge) && hb != nil && len(hb.Loads) > 0 {
-			const kept = 0.8
-			hb.Loads = hb.Loads[:int(kept*float64(len(hb.Loads)))]
+		if errors.Is(err, pimseal.ErrTooLarge) && shorten(msg) {
 			continue
 		}
 		return datagram, err
 	}
 }
 
+// minLoads is the number of loads that a heartbeat keeps as long as it holds loads of other data centres, which take much room only
+// if services have long names.
+const minLoads = 8
+
+// shorten removes some of the loads of a heartbeat or a summary, and reports whether there were any.
+func shorten(msg *pimmesh.Message) bool {
+	const kept = 0.8
+	hb, summary := msg.Heartbeat, msg.Summary
+	switch {
+	case hb != nil && (len(hb.Loads) > minLoads || len(hb.Loads) > 0 && len(hb.Remote) == 0):
+		hb.Loads = hb.Loads[:int(kept*float64(len(hb.Loads)))]
+	case hb != nil && len(hb.Remote) > 0:
+		hb.Remote = hb.Remote[:len(hb.Remote)-1]
+	case summary != nil && len(summary.Loads) > 0:
+		summary.Loads = summary.Loads[:len(summary.Loads)-1]
+	default:
+		return false
+	}
+	return true
+}
+
 func (m *mesh) sendAll(out []pimgossip.Outgoing) {
 	for i := range out {
 		m.send(out[i].To, &out[i].Message)
