fix: evacuations go with urgent changes between VMs

A VM that is receiving a large configuration pulls only the changes of backend servers, whose delta left out evacuations: the begin of one waited for the configuration, on a slow link for longer than its bound. The urgent delta now carries the whole set, as others do; VMs of the previous version ignore the field. The revision from which the platform is watched stays that of the view.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -38,7 +38,8 @@
 	Urgent pimid.Revision `cbor:"9,keyasint,omitempty"`
 	// Last is the revision of the last change of the entries that were left out, since they changed after To.
 	Last pimid.Revision `cbor:"11,keyasint,omitempty"`
-	// UrgentOnly is set if the delta holds nothing but the changes of backend servers, for a VM that requested only these.
+	// UrgentOnly is set if the delta holds nothing but the changes of backend servers and evacuations, for a VM that requested only
+	// these.
 	UrgentOnly bool `cbor:"10,keyasint,omitempty"`
 }
 
@@ -229,10 +230,10 @@
 	defer func() { err = oops.In("pimregistry").Wrapf(err, "merge revisions %v to %v", d.From, d.To) }()
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	r.mergeEvacuations(d.Evacuations)
 	if d.UrgentOnly {
 		return r.mergeUrgent(&d)
 	}
-	r.mergeEvacuations(d.Evacuations)
 	if d.To <= r.revision {
 		return nil
 	}
--- a/internal/coordination/pimregistry/urgent.go
+++ b/internal/coordination/pimregistry/urgent.go
@@ -31,14 +31,14 @@
 }
 
 // SinceUrgent returns only the changes of backend servers that a request asks for, in parts as Since, or nothing if this VM may
-// not know all of them.
+// not know all of them. Evacuations are included, so that they do not wait for a large configuration either.
 func (r *Registry) SinceUrgent(q DeltaRequest) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	if max(q.Urgent, q.Base) < r.base || q.Urgent >= r.urgent || q.Urgent.Era() != r.urgent.Era() {
 		return Delta{}
 	}
-	d := Delta{From: q.Urgent, To: r.urgent, Newest: r.urgent, UrgentOnly: true}
+	d := Delta{From: q.Urgent, To: r.urgent, Newest: r.urgent, UrgentOnly: true, Evacuations: r.evacuations.set()}
 	if last, ok := r.lastRevisionOfPart(q.Urgent, r.urgent, r.cfg.PartSize); ok {
 		d.To, d.More = last, true
 	}
--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -276,3 +276,25 @@
 	is.Equal(r.Revision(), pimid.Revision(10))
 	is.Equal(host(r, 9), nil)
 }
+
+// Guards against a request for evacuation that waits behind a large configuration on the link between two VMs, and against a VM that
+// takes the rest of the view for read because of it.
+func TestEvacuationGoesAheadOfAConfiguration(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	reader, other := startedRegistry(t, clock), startedRegistry(t, clock)
+	from := reader.Revision()
+	apply(t, reader, configChange(from+1, 9, route(3, time.Second)), evacuate(from+2, "ikeja"))
+	d := reader.SinceUrgent(other.DeltaRequest())
+	is.NoErr(other.Merge(d))
+	is.True(other.Catalog().IsEvacuated("ikeja"))
+	is.Equal(other.Revision(), from)
+	is.Equal(other.ReadFrom(), from)
+	apply(t, reader, endEvacuation(from+3, "ikeja"))
+	is.NoErr(other.Merge(reader.SinceUrgent(other.DeltaRequest())))
+	is.True(!other.Catalog().IsEvacuated("ikeja"))
+	is.NoErr(other.Merge(d)) // a late copy
+	is.True(!other.Catalog().IsEvacuated("ikeja"))
+	is.NoErr(other.Merge(reader.Since(other.DeltaRequest())))
+	is.Equal(other.ReadFrom(), from+3)
+}
