fix: a VM that lacks parts of a delta does not pass on urgent changes

An entry that changed before the end of a part and again after it is left out of the part. A VM that had only the part counted as knowing all changes of backend servers up to its end, and passed that on; the receiver then did not ask another VM for the first change, such as a leaving, until the second one or the large configuration arrived. Such a VM now answers with nothing, until it has the later parts. The test failed before for parts of both kinds.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -127,7 +127,7 @@
 	if last, ok := r.lastRevisionOfPart(q.From, r.revision, limit); ok {
 		d.To, d.More = last, true
 	}
-	if !d.More {
+	if !d.More && r.knowsUrgent() {
 		d.Urgent = r.urgent
 	}
 	if r.isPartial {
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -85,6 +85,10 @@
 	partialUntil pimid.Revision
 	// urgent is the revision up to which all changes of backend servers are known; it is at least revision.
 	urgent pimid.Revision
+	// urgentUntil is the revision that urgent must reach after a part of an urgent delta, as partialUntil after a part of one with all
+	// changes.
+	urgentUntil pimid.Revision
+
 	routes *pimcatalog.RouteTable
 	config *pimcatalog.Config
 	// wantsWholeConfig is set once the changes from another VM did not lead to its routes.
--- a/internal/coordination/pimregistry/urgent.go
+++ b/internal/coordination/pimregistry/urgent.go
@@ -30,12 +30,16 @@
 	return r.revision > 0 && to.Era() == r.revision.Era() && from <= r.urgent && to > r.urgent
 }
 
+// knowsUrgent reports whether all changes of backend servers up to urgent are known. While later parts of a delta are missing, entries
+// are that have changed before the end of a part and again after it.
+func (r *Registry) knowsUrgent() bool { return !r.isPartial && r.urgent >= r.urgentUntil }
+
 // SinceUrgent returns only the changes of backend servers that a request asks for, in parts as Since, or nothing if this VM may
 // not know all of them. Evacuations are included, so that they do not wait for a large configuration either.
 func (r *Registry) SinceUrgent(q DeltaRequest) Delta {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if max(q.Urgent, q.Base) < r.base || q.Urgent >= r.urgent || q.Urgent.Era() != r.urgent.Era() {
+	if !r.knowsUrgent() || max(q.Urgent, q.Base) < r.base || q.Urgent >= r.urgent || q.Urgent.Era() != r.urgent.Era() {
 		return Delta{}
 	}
 	d := Delta{From: q.Urgent, To: r.urgent, Newest: r.urgent, UrgentOnly: true, Evacuations: r.evacuations.set()}
@@ -57,6 +61,9 @@
 	}
 	r.mergeEntries(r.clock.Now(), d)
 	r.urgent = d.To
+	if d.More {
+		r.urgentUntil = max(r.urgentUntil, d.Last, d.Newest)
+	}
 	r.publish()
 	return nil
 }
--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -298,3 +298,39 @@
 	is.NoErr(other.Merge(reader.Since(other.DeltaRequest())))
 	is.Equal(other.ReadFrom(), from+3)
 }
+
+// Guards against a leaving that is not passed on since it takes place before the end of a part that leaves the entry out: a VM that
+// lacks the later parts, of either kind, does not know all changes of backend servers up to the end of the part.
+func TestUrgentChangesDoNotComeFromAVMThatLacksParts(t *testing.T) {
+	for name, urgentOnly := range map[string]bool{"all changes": false, "urgent changes": true} {
+		t.Run(name, func(t *testing.T) {
+			is := is.New(t)
+			clock := &pimclock.Manual{}
+			sender, partial, receiver, behind := startedRegistry(t, clock), startedRegistry(t, clock), startedRegistry(t, clock), startedRegistry(t, clock)
+			sender.cfg.PartSize = 1
+			from := sender.Revision()
+			leaving, restated := leavingChange(from+1), leavingChange(from+9)
+			apply(t, behind, leaving, hostChange(from+2, 9), hostChange(from+3, 10))
+			apply(t, sender, leaving, hostChange(from+2, 9), hostChange(from+3, 10), restated)
+			if urgentOnly {
+				is.NoErr(partial.Merge(sender.SinceUrgent(partial.DeltaRequest())))
+			} else {
+				is.NoErr(partial.Merge(sender.Since(partial.DeltaRequest())))
+			}
+			is.True(!host(partial, 7).Leaving) // left out, since it changed again
+			is.NoErr(receiver.Merge(partial.SinceUrgent(receiver.DeltaRequest())))
+			is.NoErr(receiver.Merge(behind.SinceUrgent(receiver.DeltaRequest())))
+			is.True(host(receiver, 7).Leaving)
+
+			for partial.DeltaRequest().Urgent < sender.DeltaRequest().Urgent {
+				if urgentOnly {
+					is.NoErr(partial.Merge(sender.SinceUrgent(partial.DeltaRequest())))
+				} else {
+					is.NoErr(partial.Merge(sender.Since(partial.DeltaRequest())))
+				}
+			}
+			is.NoErr(receiver.Merge(partial.SinceUrgent(receiver.DeltaRequest())))
+			is.Equal(receiver.DeltaRequest().Urgent, from+9)
+		})
+	}
+}
