fix: negative loads of a damaged heartbeat are ignored

A negative number of requests or flows made a backend server look emptier than idle, and a negative silence made it look alive in the future, which hides that it does not answer. The test failed before.

--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -47,7 +47,8 @@
 	at               pimclock.Instant
 }
 
-// recordLoads replaces the loads of a VM, and adds the speeds that they contain.
+// recordLoads replaces the loads of a VM, and adds the speeds that they contain. Damaged loads are ignored: a negative one would attract
+// all flows, or make the backend server look alive later than it was.
 func (p *peer) recordLoads(now pimclock.Instant, loads []pimmesh.HostLoad) {
 	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(loads))
 	for id, s := range p.speeds {
@@ -56,6 +57,9 @@
 		}
 	}
 	for _, l := range loads {
+		if l.Busy < 0 || l.Open < 0 || l.SilentFor < 0 {
+			continue
+		}
 		p.loads[l.ID] = l
 		if l.Weight <= 0 {
 			continue
--- a/internal/coordination/pimgossip/load_test.go
+++ b/internal/coordination/pimgossip/load_test.go
@@ -1,6 +1,7 @@
 package pimgossip
 
 import (
+	"math"
 	"math/rand/v2"
 	"net/netip"
 	"testing"
@@ -45,3 +46,24 @@
 	report("10.1.0.2:7720", pimmesh.HostLoad{ID: a, Busy: 200})
 	is.Equal(m.Loads(now)[a].Weight, 0.0)
 }
+
+// Guards against damaged loads that make a backend server look alive in the future, or less than idle, so that it attracts all flows.
+func TestNegativeLoadsAreIgnored(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings(inForceWithin)
+	cfg.Name, cfg.DataCentre, cfg.Address = "vm-0", "ikeja", netip.MustParseAddrPort("10.0.0.1:7720")
+	m, now := New(cfg, rand.New(rand.NewPCG(1, 1))), pimclock.Instant(time.Hour)
+	m.Receive(now, &pimmesh.Heartbeat{
+		Name: "vm-1", DataCentre: "ikeja", Address: netip.MustParseAddrPort("10.0.0.2:7720"), Incarnation: 1,
+		Loads: []pimmesh.HostLoad{
+			{ID: 1, Busy: -100},
+			{ID: 2, Open: -5},
+			{ID: 3, SilentFor: -time.Hour},
+			{ID: 4, SilentFor: math.MinInt64},
+			{ID: 5, Busy: 100, Open: 2, SilentFor: time.Second},
+		},
+	}, View{})
+	loads := m.Loads(now)
+	is.Equal(len(loads), 1)
+	is.Equal(loads[5].AliveAt, now.Add(-time.Second-transitAllowance))
+}
