fix: the reader gets evacuations ahead of a large configuration

The simulated store returned evacuations to urgent watches, but ApplyUrgent ignored them, and Store.WatchUrgent did not ask.

--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -299,6 +299,22 @@
 	is.Equal(other.ReadFrom(), from+3)
 }
 
+// Guards against a request for evacuation that the reader itself gets only behind a large configuration.
+func TestReaderAppliesUrgentEvacuations(t *testing.T) {
+	is := is.New(t)
+	r := startedRegistry(t, &pimclock.Manual{})
+	from := r.Revision()
+	begin, end := evacuate(from+2, "ikeja"), endEvacuation(from+3, "ikeja")
+	is.True(r.ApplyUrgent(Batch{From: from, To: from + 2, Changes: []Change{begin}}))
+	is.True(r.Catalog().IsEvacuated("ikeja"))
+	is.True(r.ApplyUrgent(Batch{From: from + 2, To: from + 3, Changes: []Change{end}}))
+	is.True(!r.Catalog().IsEvacuated("ikeja"))
+	is.Equal(r.ReadFrom(), from)
+	is.NoErr(r.Apply(Batch{From: from, To: from + 2, Changes: []Change{configChange(from+1, 9, route(3, time.Second)), begin}}))
+	is.True(!r.Catalog().IsEvacuated("ikeja")) // the late response does not begin it again
+	is.Equal(r.ReadFrom(), from+2)
+}
+
 // Guards against a leaving that is not passed on since it takes place before the end of a part that leaves the entry out: a VM that
 // lacks the later parts, of either kind, does not know all changes of backend servers up to the end of the part.
 func TestUrgentChangesDoNotComeFromAVMThatLacksParts(t *testing.T) {
