fix: the speed of a backend server does not change its places

Admission divided the filled part of a share by the learned speed and compared the result with the limit. A backend server of speed 1.6 got up to 16 requests for 10 places, the last 6 of which it answers with 503, and one of speed 0.6 was refused further requests at 6 of 10, although nothing may be refused while a backend server has room. Speed and slow start now only order the candidates of one kind; whether there is room follows from the places alone, and candidates with room go before full ones. Choice.Reset takes the demand, since the limit is needed while candidates are added; the tests of Choice changed in these calls only.

An idle backend server in slow start had a wait of 0 x 1.6, and the fewest open flows, so it went before all idle warm ones. Its wait now includes the new request. Counting the new request for warm ones too was ruled out: all flows of a VM with little load would then go to its fastest backend server.

TestSpeedDoesNotChangeThePlaces, TestRoomGoesBeforeSpeed and TestIdleWarmServersGoBeforeColdOnes failed before. The tests of pimadmit, pimplace and scenario/pimadmission pass.

--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -61,55 +61,85 @@
 // sharedSlotLoad is the reported load in requests per slot up to which another VM's backend server seems to have a free slot.
 const sharedSlotLoad = 0.75
 
-// Choice collects the candidates for one flow and keeps the least loaded of each kind; of equal ones that with the fewest open flows, of
-// several of those a random one. Open flows do not count as load, since most of them may be idle for minutes.
+// Choice collects the candidates for one flow and keeps the best of each kind: those with room go before full ones, then the shortest wait
+// decides, then the fewest open flows, of several equal ones a random one. Open flows do not count as load, since most of them may be idle
+// for minutes.
 type Choice struct {
-	cfg  Settings
-	rng  *rand.Rand
-	best [kindCount]best
+	cfg Settings
+	rng *rand.Rand
+	// limit is the part of the places that the flow may help to fill.
+	limit float64
+	best  [kindCount]best
 }
 
 type best struct {
 	host *pimcatalog.Host
-	load float64
-	open float64
-	// ties is the number of candidates with this load and number of open flows.
+	Use
+	isFull bool
+	// ties is the number of candidates with this use.
 	ties int
 }
 
-// NewChoice returns an empty choice, which can be used again after Reset.
+// Use is what a candidate is used for at present.
+type Use struct {
+	// Fill decides whether there is room: the filled part of the share of an own backend server, the requests per slot of others.
+	Fill float64
+	// Wait orders the candidates of one kind. It depends on the speed, unlike Fill, since a queue holds the same number of requests at
+	// any speed.
+	Wait float64
+	// Open is the number of open flows.
+	Open float64
+}
+
+// NewChoice returns a choice, which is used after Reset.
 func NewChoice(cfg Settings, rng *rand.Rand) *Choice { return &Choice{cfg: cfg, rng: rng} }
 
-// Reset removes all candidates.
-func (c *Choice) Reset() { c.best = [kindCount]best{} }
+// Reset removes all candidates and begins a choice for a flow.
+func (c *Choice) Reset(d *Demand) { c.best, c.limit = [kindCount]best{}, c.cfg.limit(d) }
 
-// Add adds a candidate with a number of open flows. The load of an own backend server is the filled part of the share, that of others
-// the requests per slot.
-func (c *Choice) Add(k Kind, h *pimcatalog.Host, load, open float64) {
+// Add adds a candidate.
+func (c *Choice) Add(k Kind, h *pimcatalog.Host, u Use) {
 	b := &c.best[k]
+	isFull := c.isFull(k, u.Fill)
 	switch {
-	case b.host == nil || load < b.load || load == b.load && open < b.open:
-		*b = best{host: h, load: load, open: open, ties: 1}
-	case load == b.load && open == b.open:
+	case b.host == nil || b.isFull && !isFull || isFull == b.isFull && u.less(&b.Use):
+		*b = best{host: h, Use: u, isFull: isFull, ties: 1}
+	case isFull == b.isFull && u.Wait == b.Wait && u.Open == b.Open:
 		if b.ties++; c.rng.IntN(b.ties) == 0 {
-			b.host = h
+			b.host, b.Use = h, u
 		}
 	}
 }
 
+func (u *Use) less(other *Use) bool {
+	return u.Wait < other.Wait || u.Wait == other.Wait && u.Open < other.Open
+}
+
+// isFull reports whether a candidate of the own data centre has no room for the flow. Half of the places of shared ones stay free, since
+// their reported load is old.
+func (c *Choice) isFull(k Kind, fill float64) bool {
+	switch k {
+	case Own:
+		return fill >= c.limit
+	case Shared:
+		return fill >= c.limit/c.cfg.idleFill()/2 //nolint:mnd // half
+	default:
+		return false
+	}
+}
+
 // OwnSlot returns an own backend server with a free slot, or nil. If there is one, no other candidates are needed.
 func (c *Choice) OwnSlot() *pimcatalog.Host {
-	if own := &c.best[Own]; own.host != nil && own.load < c.cfg.idleFill() {
+	if own := &c.best[Own]; own.host != nil && own.Fill < c.cfg.idleFill() {
 		return own.host
 	}
 	return nil
 }
 
-// Decide chooses a backend server for a flow; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen is set if the VM may send
+// Decide chooses a backend server for the flow given to Reset; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen is set if the VM may send
 // one more flow to another data centre.
 func (c *Choice) Decide(d *Demand, isRemoteOpen bool) (h *pimcatalog.Host, r Rule) {
 	own, shared, remote, avoided := &c.best[Own], &c.best[Shared], &c.best[Remote], &c.best[Avoided]
-	limit := c.cfg.limit(d)
 	hasHome := own.host != nil || shared.host != nil
 	switch {
 	case !hasHome && remote.host == nil && avoided.host == nil:
@@ -118,11 +148,11 @@
 		return nil, Expired
 	case c.OwnSlot() != nil:
 		return own.host, OwnSlot
-	case shared.host != nil && shared.load < sharedSlotLoad:
+	case shared.host != nil && shared.Fill < sharedSlotLoad:
 		return shared.host, SharedSlot
-	case own.host != nil && own.load < limit:
+	case own.host != nil && !own.isFull:
 		return own.host, OwnQueue
-	case shared.host != nil && shared.load < limit/c.cfg.idleFill()/2:
+	case shared.host != nil && !shared.isFull:
 		return shared.host, SharedQueue
 	case remote.host != nil && (!hasHome || isRemoteOpen):
 		return remote.host, OtherDataCentre
--- a/internal/coordination/pimadmit/choice_test.go
+++ b/internal/coordination/pimadmit/choice_test.go
@@ -43,10 +43,12 @@
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
 			choice := NewChoice(DefaultSettings(), rand.New(rand.NewPCG(1, 1)))
+			demand := &Demand{Level: c.level, Timeout: c.timeout, Attempt: 2}
+			choice.Reset(demand)
 			for k, l := range c.loads {
-				choice.Add(k, &pimcatalog.Host{ID: pimcatalog.HostID(k + 1)}, l, 0)
+				choice.Add(k, &pimcatalog.Host{ID: pimcatalog.HostID(k + 1)}, Use{Fill: l, Wait: l})
 			}
-			h, rule := choice.Decide(&Demand{Level: c.level, Timeout: c.timeout, Attempt: 2}, c.isRemoteOpen)
+			h, rule := choice.Decide(demand, c.isRemoteOpen)
 			is.Equal(rule.String(), c.want.String())
 			is.Equal(h == nil, c.want >= NoRoom)
 		})
@@ -60,9 +62,9 @@
 	hosts, chosen := hostsWith(2, 2, 2, 2, 2), map[*pimcatalog.Host]int{}
 	const rounds = 5000
 	for range rounds {
-		choice.Reset()
+		choice.Reset(&Demand{})
 		for _, h := range hosts {
-			choice.Add(Own, h, 0, 0)
+			choice.Add(Own, h, Use{})
 		}
 		h, _ := choice.Decide(&Demand{}, false)
 		chosen[h]++
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -106,7 +106,7 @@
 	demand := pimadmit.Demand{
 		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
-	a.choice.Reset()
+	a.choice.Reset(&demand)
 	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
@@ -173,8 +173,7 @@
 		p.addAvoided(now, s.Host, wasTried)
 		return
 	}
-	fill := float64(load.UnderWay()) / (float64(s.Places) * load.speed())
-	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
+	p.admission.choice.Add(pimadmit.Own, s.Host, use(now, s.Host, &load, float64(load.UnderWay()), float64(s.Places), float64(load.Open)))
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
@@ -193,8 +192,8 @@
 		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
-			perSlot := (float64(load.UnderWay()) + load.BusyElsewhere) / (float64(max(1, h.Slots)) * load.speed())
-			a.choice.Add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
+			busy, open := float64(load.UnderWay())+load.BusyElsewhere, float64(load.Open)+load.OpenElsewhere
+			a.choice.Add(pimadmit.Shared, h, use(now, h, &load, busy, float64(max(1, h.Slots)), open))
 		default:
 			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
 		}
@@ -247,7 +246,7 @@
 		} else {
 			load += closedLoad
 		}
-		p.admission.choice.Add(pimadmit.Remote, r.best, load, 0)
+		p.admission.choice.Add(pimadmit.Remote, r.best, pimadmit.Use{Wait: load})
 	}
 	return isOpen
 }
@@ -258,7 +257,17 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, cost, 0)
+	p.admission.choice.Add(pimadmit.Avoided, h, pimadmit.Use{Wait: cost})
+}
+
+// use returns the use of a backend server with a number of requests under way, for which it has the given places or slots. One in slow
+// start counts the new request as well: it has the fewest open flows, and would otherwise go before all warm ones that are idle.
+func use(now pimclock.Instant, h *pimcatalog.Host, load *Load, busy, places, open float64) pimadmit.Use {
+	u := pimadmit.Use{Fill: busy / places, Wait: busy / (places * load.speed()), Open: open}
+	if h.ColdFor(now) > 0 {
+		u.Wait = coldFactor * (busy + 1) / (places * load.speed())
+	}
+	return u
 }
 
 // slowdown is the factor by which requests take longer at a backend server that has just started.
--- a/internal/coordination/pimplace/admission_test.go
+++ b/internal/coordination/pimplace/admission_test.go
@@ -211,3 +211,39 @@
 	is.Equal(a.Shares(0), []ServiceShare{{Service: "desk", Places: 20, Filled: 5}})
 	is.Equal(len(placerWith(nil).Shares(0)), 0)
 }
+
+// Guards against requests beyond the queue of a fast backend server, which answers 503, and against refusals while a slow one has
+// room: the speed changes how long a request waits, not how many the queue holds.
+func TestSpeedDoesNotChangeThePlaces(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(1, 1, "ikeja")...)
+	at := func(speed float64, busy int) string {
+		a.loads[1] = Load{Load: pimflow.Load{Busy: busy, Open: busy, Speed: speed}}
+		return a.place(0, 0).Rule
+	}
+	is.Equal(at(1.6, 10), pimadmit.NoRoom.String())
+	is.Equal(at(0.6, 9), pimadmit.OwnQueue.String())
+	is.Equal(at(1.6, 2), pimadmit.OwnQueue.String()) // both slots are taken
+	is.Equal(at(0.6, 1), pimadmit.OwnSlot.String())
+}
+
+// Guards against flows at a full fast backend server while a slower one has room.
+func TestRoomGoesBeforeSpeed(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(2, 1, "ikeja")...)
+	a.loads[1] = Load{Load: pimflow.Load{Busy: 10, Speed: 2}}
+	a.loads[2] = Load{Load: pimflow.Load{Busy: 7, Speed: 0.6}}
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(2))
+	a.loads[1] = Load{Load: pimflow.Load{Busy: 7, Speed: 2}}
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(1))
+}
+
+// Guards against flows at a backend server in slow start, which has no open flows yet, while a warm one is idle as well.
+func TestIdleWarmServersGoBeforeColdOnes(t *testing.T) {
+	is := is.New(t)
+	hosts := deskHosts(2, 1, "ikeja")
+	hosts[0].ColdUntil = 1
+	a := newAdmitting(nil, hosts...)
+	a.set(2, 0, 100, 0)
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(2))
+}
