fix: copies of opening packets that may have opened a flow are not answered with a reset

An expired copy was reset although another VM, after a change of the VMs that the fabric uses, or this VM may have forwarded an earlier one; the same held for copies forwarded by this VM if all backend servers had ended or were evacuated since. The reset can reach the caller after the answer and break the open flow. Such copies are now dropped.

The note that no copy of a flow was forwarded did not say which copies this VM had seen, and was used at any age: a flow whose copies reached several VMs, or of a port that was used before, could be reset.

--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -42,7 +42,7 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, deferred: deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, deferred: deferredFlows{at: map[pimpacket.Flow]deferral{}},
 	}
 }
 
@@ -123,19 +123,21 @@
 	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: p.excluded, Rule: rule.String()}
-	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
+		return pimsteer.Placement{Reason: p.excluded, Later: last != 0, Rule: rule.String()}
+	case rule == pimadmit.NoRoom && a.deferred.mayBeOpen(now, pkt):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
 	case demand.MayWait() && !a.pressureOf(service).IsHigh():
 		a.pressureOf(service).Record(now, false)
-		a.deferred.add(now, pkt.Flow)
+		a.deferred.add(now, pkt)
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
 	default:
 		if demand.Level.Rank == 0 {
 			a.pressureOf(service).Record(now, false)
 		}
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
+		// A copy of a flow that may be open is dropped, also if it has expired.
+		isLater := last != 0 || a.deferred.mayBeOpen(now, pkt)
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
 	activity.Record(now, route.Priority)
--- a/internal/coordination/pimplace/deferred.go
+++ b/internal/coordination/pimplace/deferred.go
@@ -17,27 +17,41 @@
 
 // deferredFlows are flows of which no copy of the opening packet has been forwarded, so that a reset breaks nothing.
 type deferredFlows struct {
-	at      map[pimpacket.Flow]pimclock.Instant
+	at      map[pimpacket.Flow]deferral
 	sweptAt pimclock.Instant
 }
 
-func (d *deferredFlows) has(f pimpacket.Flow) bool {
-	_, ok := d.at[f]
-	return ok
+// deferral is the last copy of an opening packet that was left to the next one.
+type deferral struct {
+	at      pimclock.Instant
+	attempt int
 }
 
-// add remembers a flow, and forgets those whose callers have given up.
-func (d *deferredFlows) add(now pimclock.Instant, f pimpacket.Flow) {
+// mayBeOpen reports whether an earlier copy of an opening packet may have been forwarded. A copy that did not arrive here may have
+// reached another VM, and an old entry belongs to an earlier flow of the same port.
+func (d *deferredFlows) mayBeOpen(now pimclock.Instant, pkt *pimpacket.Packet) bool {
+	if pkt.Attempt <= 0 {
+		return false
+	}
+	last, ok := d.at[pkt.Flow]
+	return !ok || last.attempt != pkt.Attempt-1 || now.Sub(last.at) >= deferredFor
+}
+
+// add remembers a flow none of whose copies was forwarded, and forgets those whose callers have given up.
+func (d *deferredFlows) add(now pimclock.Instant, pkt *pimpacket.Packet) {
+	if d.mayBeOpen(now, pkt) {
+		return
+	}
 	if now.Sub(d.sweptAt) >= deferredFor {
 		d.sweptAt = now
-		for old, at := range d.at {
-			if now.Sub(at) >= deferredFor {
+		for old, last := range d.at {
+			if now.Sub(last.at) >= deferredFor {
 				delete(d.at, old)
 			}
 		}
 	}
-	if len(d.at) < maxDeferred {
-		d.at[f] = now
+	if _, ok := d.at[pkt.Flow]; ok || len(d.at) < maxDeferred {
+		d.at[pkt.Flow] = deferral{at: now, attempt: max(0, pkt.Attempt)}
 	}
 }
 
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -100,7 +100,9 @@
 		last, _ := p.observer.Tried(pkt.Flow)
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	default:
-		return pimsteer.Placement{Reason: p.excluded}
+		// The answer to an earlier copy may be on the way, and a reset could reach the caller after it.
+		last, _ := p.observer.Tried(pkt.Flow)
+		return pimsteer.Placement{Reason: p.excluded, Later: last != 0}
 	}
 	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
 	return pimsteer.Placement{Host: p.candidates[chosen]}
