fix: unknown backend servers cost no memory when they are looked up

Table.Loads allocated a zero Elsewhere for each backend server without an entry. TestUnknownBackendServersCostNoMemory failed before (1 allocation).

--- a/internal/coordination/pimflow/host.go
+++ b/internal/coordination/pimflow/host.go
@@ -85,7 +85,7 @@
 func (t *Table) Loads(now pimclock.Instant, id pimcatalog.HostID) (Load, *Elsewhere) {
 	h := t.hosts[id]
 	if h == nil {
-		return Load{}, &Elsewhere{}
+		return Load{}, &t.unknown
 	}
 	return Load{
 		Busy: h.busy, Expected: h.expected, Open: h.open, Suspect: now.Before(h.suspectUntil), Misses: h.currentMisses(now, t.cfg.SuspectMax), MissedFrom: h.missedFrom,
--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -92,6 +92,8 @@
 	// lastExpire is the last call of Expire; misses are not counted before ignoreMissesUntil.
 	lastExpire, ignoreMissesUntil pimclock.Instant
 	suspicions                    []Suspicion
+	// unknown is what was observed elsewhere of an unknown backend server; it stays zero.
+	unknown Elsewhere
 }
 
 // Cause says why a backend server is suspected.
--- a/internal/coordination/pimflow/table_test.go
+++ b/internal/coordination/pimflow/table_test.go
@@ -349,3 +349,14 @@
 	table.RecordForwarded(now, &pimpacket.Packet{Flow: second.Flow, Flags: pimpacket.Reset}, 1)
 	is.Equal(counts(), [3]int{0, 0, 0})
 }
+
+// Guards against garbage for each backend server that this VM does not know: a choice among 33,000 allocated 2 MB.
+func TestUnknownBackendServersCostNoMemory(t *testing.T) {
+	is := is.New(t)
+	table := New(DefaultSettings())
+	var load Load
+	var elsewhere *Elsewhere
+	is.Equal(testing.AllocsPerRun(100, func() { load, elsewhere = table.Loads(0, 1) }), 0.0)
+	is.Equal(load, Load{})
+	is.Equal(*elsewhere, Elsewhere{})
+}
