fix: decisions about large services look at a bounded number of backend servers

Services of more than 256 backend servers are now sampled: 64 of the own data centre and 4 of each other one, at equal distances from a random first one. If all of a sample are excluded, all are looked at. Requests of this VM in other data centres are counted exactly, from the backend servers that it has used, and the demand is scaled. Services up to 256 are decided as before.

--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -28,6 +28,8 @@
 	pressure   map[pimcatalog.Service]*pimadmit.Pressure
 	// remote is a buffer that addOthers reuses.
 	remote []remoteShare
+	// away holds the backend servers of other data centres with requests of this VM, for large services.
+	away map[pimcatalog.Service][]awayHost
 	// deferred holds the flows that were left to the next copy of their opening packet.
 	deferred deferredFlows
 }
@@ -42,7 +44,8 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, deferred: deferredFlows{at: map[pimpacket.Flow]deferral{}},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, away: map[pimcatalog.Service][]awayHost{},
+		deferred: deferredFlows{at: map[pimpacket.Flow]deferral{}},
 	}
 }
 
@@ -118,6 +121,12 @@
 		isRemoteOpen = p.addOthers(now, c, service, own, wasTried)
 	}
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
+	index := p.indexFor(c, service)
+	if rule == pimadmit.NoCandidate && index != nil {
+		// All of the sample are excluded, but others may not be.
+		isRemoteOpen = p.addOthersOf(now, c, c.Service(service), nil, service, own, wasTried)
+		h, rule = a.choice.Decide(&demand, isRemoteOpen)
+	}
 	switch {
 	case h != nil:
 	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
@@ -140,6 +149,9 @@
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
+	if index != nil && h.DataCentre != p.home {
+		a.recordAway(service, h)
+	}
 	activity.Record(now, route.Priority)
 	if demand.Level.Rank == 0 {
 		a.pressureOf(service).Record(now, true)
@@ -182,10 +194,22 @@
 // another data centre.
 func (p *Placer) addOthers(
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, own *allotment, wasTried func(pimcatalog.HostID) bool,
+) (isRemoteOpen bool) {
+	hosts, x := c.Service(service), p.indexFor(c, service)
+	if x != nil {
+		hosts = p.sampledAll(x)
+	}
+	return p.addOthersOf(now, c, hosts, x, service, own, wasTried)
+}
+
+// addOthersOf is addOthers for some backend servers; x is set if they are a sample.
+func (p *Placer) addOthersOf(
+	now pimclock.Instant, c *pimcatalog.Catalog, hosts []*pimcatalog.Host, x *hostIndex, service pimcatalog.Service, own *allotment,
+	wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
 	a.remote = a.remote[:0]
-	for _, h := range c.Service(service) {
+	for _, h := range hosts {
 		if own.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
@@ -200,6 +224,9 @@
 			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
 		}
 	}
+	if x != nil {
+		p.scaleRemote(now, x, service)
+	}
 	return p.addRemote(service)
 }
 
--- a/internal/coordination/pimplace/bench_test.go
+++ b/internal/coordination/pimplace/bench_test.go
@@ -2,14 +2,19 @@
 
 import (
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
 // benchPlacer returns a placer of one of 22 VMs with 40 backend servers of its own data centre and 80 others, which all have the given
@@ -61,3 +66,71 @@
 		}
 	}
 }
+
+// largeService returns a placer with a flow table of one of 381 VMs, and a catalog with a service of 2,200 backend servers in each of 15
+// data centres, all of which are busy. Without priorities, its routes have the same one.
+func largeService(hasPriorities bool) *admitting {
+	cfg := deskConfig()
+	if !hasPriorities {
+		cfg.Routes[1].Priority = cfg.Routes[0].Priority
+	}
+	const perDataCentre, vms, busyHere, busyElsewhere = 2200, 381, 20, 12
+	rng := rand.New(rand.NewPCG(1, 1))
+	var hosts []*pimcatalog.Host
+	table := pimflow.New(pimflow.DefaultSettings())
+	elsewhere := map[pimcatalog.HostID]pimflow.Elsewhere{}
+	for dc := range 15 {
+		name := pimid.DataCentre("ikeja")
+		if dc > 0 {
+			name = pimid.DataCentre(fmt.Sprintf("dc-%d", dc))
+		}
+		for range perDataCentre {
+			h := &pimcatalog.Host{ID: pimcatalog.HostID(rng.Uint64()), Service: "desk", DataCentre: name, Slots: 2}
+			hosts = append(hosts, h)
+			if dc == 0 {
+				elsewhere[h.ID] = pimflow.Elsewhere{Busy: busyElsewhere}
+			}
+		}
+	}
+	a := &admitting{cfg: cfg, catalog: pimcatalog.NewCatalog(1, pimcatalog.NewRouteTable(cfg), hosts)}
+	table.SetElsewhere(1, maps.All(elsewhere))
+	a.Placer = New("ikeja", &fakeObserver{table: table}, pimpick.LeastLoaded{}, rng)
+	names := []string{}
+	for i := range vms - 1 {
+		names = append(names, fmt.Sprintf("vm-%03d", i))
+	}
+	a.EnableAdmission(pimadmit.DefaultSettings(), "vm-380")
+	a.SetVMs(names)
+	port := uint16(0)
+	for _, s := range a.allot(1, a.catalog, "desk").shares {
+		for range busyHere {
+			port++
+			flow := pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port)}
+			table.RecordOpening(1, &pimpacket.Packet{Flow: flow, Flags: pimpacket.Open}, s.Host.ID)
+		}
+	}
+	return a
+}
+
+// BenchmarkLargeService measures one decision if all backend servers of the data centre are full: at 250 new flows a second, 0.045 of a core is
+// 180 microseconds for each.
+func BenchmarkLargeService(b *testing.B) {
+	for _, c := range []struct {
+		name          string
+		hasPriorities bool
+	}{{"admission", true}, {"least_cost", false}} {
+		b.Run(c.name, func(b *testing.B) {
+			a := largeService(c.hasPriorities)
+			now := pimclock.Instant(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(4 * time.Millisecond)
+				a.Place(now, a.catalog, &a.cfg.Routes[1], &pimpacket.Packet{Flags: pimpacket.Open})
+			}
+		})
+	}
+}
+
+func callerOf(port int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.MustParseAddr("100.64.0.8"), uint16(port))
+}
--- a/internal/coordination/pimplace/cost.go
+++ b/internal/coordination/pimplace/cost.go
@@ -45,7 +45,7 @@
 	open := float64(load.Open) + load.OpenElsewhere
 	speed := load.speed()
 	if p.demand != nil {
-		p.demand.count(busy, float64(max(1, h.Slots))*speed, h.DataCentre == p.home)
+		p.demand.count(p.weight*busy, p.weight*float64(max(1, h.Slots))*speed, h.DataCentre == p.home)
 	}
 	cost := (busy + openCost*open) / (float64(max(1, h.Slots)) * speed)
 	crossing := 0.0
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -65,6 +65,12 @@
 	// demands holds the demand for each service; demand is that of the current call of Place.
 	demands map[pimcatalog.Service]*demand
 	demand  *demand
+	// indexes holds those of the large services in the catalog indexed; sample is a buffer.
+	indexes map[pimcatalog.Service]*hostIndex
+	indexed *pimcatalog.Catalog
+	sample  []*pimcatalog.Host
+	// weight is the number of backend servers for which each one counts in the demand.
+	weight float64
 	// excluded is why backend servers were excluded from the current choice; see exclude.
 	excluded pimsteer.Reason
 }
@@ -113,8 +119,25 @@
 func (p *Placer) addCandidates(
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, f pimpacket.Flow, isHome bool,
 ) (best float64) {
-	last, before := p.observer.Tried(f)
 	hosts := c.Service(service)
+	p.weight = 1
+	if x := p.indexFor(c, service); x != nil {
+		hosts, p.weight = p.sampled(x, isHome)
+	}
+	best = p.addAll(now, c, hosts, f, isHome)
+	if math.IsInf(best, 1) && len(hosts) < len(c.Service(service)) {
+		// All of the sample are excluded, but others may not be.
+		p.weight = 1
+		best = p.addAll(now, c, c.Service(service), f, isHome)
+	}
+	return best
+}
+
+// addAll is addCandidates for some backend servers of a service.
+func (p *Placer) addAll(
+	now pimclock.Instant, c *pimcatalog.Catalog, hosts []*pimcatalog.Host, f pimpacket.Flow, isHome bool,
+) (best float64) {
+	last, before := p.observer.Tried(f)
 	best = math.Inf(1)
 	// The random order and tieBreak keep VMs without observations from all choosing the same backend server.
 	first := p.rng.IntN(max(1, len(hosts)))
