fix: refused flows stay refused while the view is old

With a view that is not fresh, refused opening packets are dropped instead of answered with a reset. This VM did not remember that it had forwarded no copy, so it placed the next one regardless of the limits: during an outage of the platform less urgent flows took the places that are kept for urgent ones 200 ms later. Refused flows are now remembered like those that were left to the next copy.

TestRefusedFlowsStayRefusedWithAnOldView failed before (later_copy instead of no_room). The tests of pimplace and scenario/pimadmission pass.

--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -146,6 +146,10 @@
 		}
 		// A copy of a flow that may be open is dropped, also if it has expired.
 		isLater := last != 0 || a.deferred.mayBeOpen(now, pkt)
+		if !isLater {
+			// With an old view, the packet is dropped instead of answered with a reset, and its next copy follows.
+			a.deferred.add(now, pkt)
+		}
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
--- a/internal/coordination/pimplace/deferred_test.go
+++ b/internal/coordination/pimplace/deferred_test.go
@@ -47,3 +47,18 @@
 	d.add(now.Add(deferredFor), copyOf(1, 0))
 	is.Equal(len(d.at), 1)
 }
+
+// Guards against less urgent flows in the places of urgent ones while the view is not fresh: refused packets are then dropped instead of
+// answered with a reset, and their next copies were placed regardless of the limits.
+func TestRefusedFlowsStayRefusedWithAnOldView(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(1, 1, "ikeja")...)
+	a.place(0, 0)
+	a.place(1, 0)
+	a.set(1, 6, 6, 0)
+	for attempt := range 3 {
+		p := a.place(1, attempt)
+		is.Equal(p.Rule, pimadmit.NoRoom.String())
+		is.True(!p.Later)
+	}
+}
