fix: backend servers without a report do not count as idle

In admission a backend server is used by the VM that has it in its share, and a VM hears from few others within the 1.5 s for which a report counts: about 18 of 22, 381 or 5,700. All others looked idle, so a VM without room sent them flows of any priority (shared_slot), which they answered with 503. While not all running VMs have reported, a backend server without a report now counts as filled like the own shares on average over 150 ms, since the fabric spreads new flows evenly. pimgossip.Mesh.HasAllLoads tells whether all have; with complete reports nothing changes.

The simulation takes the part of lost reports (Unheard); runs without it are as before.

--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -123,3 +123,15 @@
 	}
 	return loads
 }
+
+// HasAllLoads reports whether all running VMs have reported their loads within Settings.LoadTTL.
+func (m *Mesh) HasAllLoads(now pimclock.Instant) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	for _, p := range m.peers {
+		if m.isRunning(now, p) && now.Sub(p.receivedAt) > m.cfg.LoadTTL {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/coordination/pimgossip/load_test.go
+++ b/internal/coordination/pimgossip/load_test.go
@@ -45,3 +45,25 @@
 	report("10.1.0.2:7720", pimmesh.HostLoad{ID: a, Busy: 200})
 	is.Equal(m.Loads(now)[a].Weight, 0.0)
 }
+
+// Guards against backend servers that look idle because the VM that uses them has not reported recently.
+func TestHasAllLoads(t *testing.T) {
+	is := is.New(t)
+	cfg := DefaultSettings(3 * time.Second)
+	cfg.Name, cfg.DataCentre, cfg.Address = "vm-0", "ikeja", netip.MustParseAddrPort("10.1.0.1:7720")
+	m, now := New(cfg, rand.New(rand.NewPCG(1, 1))), pimclock.Instant(time.Hour)
+	hear := func(from string) {
+		m.Receive(now, &pimmesh.Heartbeat{
+			Name: from, DataCentre: "ikeja", Address: netip.MustParseAddrPort(from), SentAt: time.Duration(now),
+		}, View{})
+	}
+	is.True(m.HasAllLoads(now)) // alone
+	hear("10.1.0.2:7720")
+	hear("10.1.0.3:7720")
+	is.True(m.HasAllLoads(now))
+	now = now.Add(cfg.LoadTTL + 1)
+	hear("10.1.0.2:7720")
+	is.True(len(m.Names(now)) == 2 && !m.HasAllLoads(now))
+	hear("10.1.0.3:7720")
+	is.True(m.HasAllLoads(now))
+}
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -30,6 +30,9 @@
 	remote []remoteShare
 	// away holds the backend servers of other data centres with requests of this VM, for large services.
 	away map[pimcatalog.Service][]awayHost
+	// isPartial is set if some VMs have not reported their loads; fills is the mean fill of the own shares, which stands for theirs.
+	isPartial bool
+	fills     map[pimcatalog.Service]*meanFill
 	// deferred holds the flows that were left to the next copy of their opening packet.
 	deferred deferredFlows
 }
@@ -44,7 +47,7 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, away: map[pimcatalog.Service][]awayHost{},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, away: map[pimcatalog.Service][]awayHost{}, fills: map[pimcatalog.Service]*meanFill{},
 		deferred: deferredFlows{at: map[pimpacket.Flow]deferral{}},
 	}
 }
@@ -56,6 +59,13 @@
 	}
 }
 
+// SetReported sets whether the recent loads of all other running VMs are known; by default, they are.
+func (p *Placer) SetReported(isComplete bool) {
+	if a := p.admission; a != nil {
+		a.isPartial = !isComplete
+	}
+}
+
 // ServiceShare is the share of a VM in the backend servers of one service.
 type ServiceShare struct {
 	Service pimcatalog.Service
@@ -113,9 +123,12 @@
 	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
+	busy, places := 0, pimadmit.Places(0)
 	for _, s := range own.shares {
-		p.addOwn(now, c, s, wasTried(s.Host.ID))
+		busy += p.addOwn(now, c, s, wasTried(s.Host.ID))
+		places += s.Places
 	}
+	a.fillOf(service).update(now, float64(busy)/float64(max(1, places))*(1+a.cfg.QueuePerSlot))
 	isRemoteOpen := false
 	if a.choice.OwnSlot() == nil {
 		isRemoteOpen = p.addOthers(now, c, service, own, wasTried)
@@ -181,17 +194,18 @@
 	return activity
 }
 
-// addOwn adds a backend server of the VM's own share.
-func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) {
+// addOwn adds a backend server of the VM's own share, and returns the requests under way there.
+func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) (busy int) {
 	if p.isExcluded(now, c, s.Host) {
-		return
+		return 0
 	}
 	load := p.observer.Load(now, s.Host.ID)
 	if load.isSuspect(now) || wasTried {
 		p.addAvoided(now, s.Host, wasTried)
-		return
+		return load.UnderWay()
 	}
 	p.admission.choice.Add(pimadmit.Own, s.Host, use(now, s.Host, &load, float64(load.UnderWay()), float64(s.Places), float64(load.Open)))
+	return load.UnderWay()
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
@@ -222,7 +236,7 @@
 		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
-			busy, open := float64(load.UnderWay())+load.BusyElsewhere, float64(load.Open)+load.OpenElsewhere
+			busy, open := a.sharedBusy(&load, max(1, h.Slots), a.fillOf(service)), float64(load.Open)+load.OpenElsewhere
 			a.choice.Add(pimadmit.Shared, h, use(now, h, &load, busy, float64(max(1, h.Slots)), open))
 		default:
 			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -236,6 +236,7 @@
 	shares := e.placer.Shares(now)
 	e.shares.Store(&shares)
 	e.placer.SetVMs(e.node.mesh.gossip.Names(now))
+	e.placer.SetReported(e.node.mesh.gossip.HasAllLoads(now))
 	e.summarise(now)
 	e.updateUnresponsive(now)
 }
--- a/internal/scenario/pimadmission/admission_test.go
+++ b/internal/scenario/pimadmission/admission_test.go
@@ -108,3 +108,31 @@
 		is.True(p.after.RecoveryMs <= maxRecoveryMs)
 	})
 }
+
+// Guards against urgent requests that are lost in a large data centre: backend servers of other shares without a report look idle, so that
+// a VM without room sends them flows of any priority, which they answer with 503.
+func TestUnheardReportsDoNotOpenTheReserve(t *testing.T) {
+	for _, unheard := range []float64{0.3, 0.6, 0.95} {
+		for _, load := range []float64{0.8, 1.5, 2} {
+			t.Run(fmt.Sprintf("%.2f %s", unheard, name(BothRise, load)), func(t *testing.T) {
+				is := is.New(t)
+				var reports []Report
+				for seed := range uint64(seeds) {
+					cfg := DefaultConfig(seed+1, BothRise, load, true)
+					cfg.Unheard = unheard
+					reports = append(reports, Run(cfg))
+				}
+				r := Sum(reports)
+				t.Logf("goodput %.4f, 503 %d, urgent %.3f (first second %.3f), less urgent %.3f",
+					r.Goodput, r.QueueFull, r.Routes[0].Served(), r.Routes[0].OnsetServed(), r.Routes[1].Served())
+				is.True(r.Routes[0].Served() >= MinServed)
+				is.True(r.Routes[0].OnsetServed() >= MinServed)
+				if load < 1 {
+					is.True(r.Routes[1].Served() >= 0.999) // while there is room
+					return
+				}
+				is.True(r.Goodput >= 0.9)
+			})
+		}
+	}
+}
--- a/internal/scenario/pimadmission/config.go
+++ b/internal/scenario/pimadmission/config.go
@@ -33,7 +33,10 @@
 	// Load is the work that the first tries of all requests offer during the burst, in parts of the capacity.
 	Load float64
 	// Admission enables the refusal of flows by priority.
-	Admission   bool
+	Admission bool
+	// Unheard is the part of the reports that do not reach another VM: in a large data centre a VM hears from few others within the time
+	// for which a report counts.
+	Unheard     float64
 	Calm, Burst time.Duration
 }
 
--- a/internal/scenario/pimadmission/sim.go
+++ b/internal/scenario/pimadmission/sim.go
@@ -36,6 +36,8 @@
 	placer *pimplace.Placer
 	// reports holds the last reports of the other VMs.
 	reports [vms]map[pimcatalog.HostID]pimflow.Report
+	// heard is the part of the other VMs whose reports are known.
+	heard float64
 }
 
 // Load implements pimplace.Observer.
@@ -46,6 +48,11 @@
 		l.BusyElsewhere += r.Busy
 		l.OpenElsewhere += float64(r.Open)
 	}
+	if v.heard > 0 {
+		// As pimgossip.Mesh.Loads does.
+		l.BusyElsewhere /= v.heard
+		l.OpenElsewhere /= v.heard
+	}
 	return l
 }
 
@@ -148,12 +155,32 @@
 		}
 		for to, other := range s.vms {
 			if to != from {
-				s.After(time.Duration(s.Rand.Float64()*float64(reportDelayMax)), func() { other.reports[from] = reports })
+				heard := reports
+				if s.cfg.Unheard > 0 && s.Rand.Float64() < s.cfg.Unheard {
+					heard = nil
+				}
+				s.After(time.Duration(s.Rand.Float64()*float64(reportDelayMax)), func() {
+					if other.reports[from] = heard; s.cfg.Unheard > 0 {
+						other.countHeard()
+					}
+				})
 			}
 		}
 	}
 }
 
+// countHeard counts the other VMs whose reports are known.
+func (v *vm) countHeard() {
+	n := 0
+	for _, r := range v.reports {
+		if r != nil {
+			n++
+		}
+	}
+	v.heard = float64(n) / (vms - 1)
+	v.placer.SetReported(n == vms-1)
+}
+
 // load returns the load that a route offers now, in parts of the capacity.
 func (s *sim) load(k int) float64 {
 	total, urgent := normalLoad, normalLoad*urgentShare
