--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -28,6 +28,11 @@
 	pressure   map[pimcatalog.Service]*pimadmit.Pressure
 	// remote is a buffer that addOthers reuses.
 	remote []remoteShare
+	// away holds the backend servers of other data centres with requests of this VM, for large services.
+	away map[pimcatalog.Service][]awayHost
+	// isPartial is set if some VMs have not reported their loads; fills is the mean fill of the own shares, which stands for theirs.
+	isPartial bool
+	fills     map[pimcatalog.Service]*meanFill
 	// deferred holds the flows that were left to the next copy of their opening packet.
 	deferred deferredFlows
 }
@@ -42,7 +47,8 @@
 func (p *Placer) EnableAdmission(cfg pimadmit.Settings, self string) {
 	p.admission = &admission{
 		cfg: cfg, choice: pimadmit.NewChoice(cfg, p.rng), self: self, vms: []string{self},
-		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, deferred: deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{}},
+		activity: map[pimcatalog.Service]*pimadmit.Activity{}, pressure: map[pimcatalog.Service]*pimadmit.Pressure{}, away: map[pimcatalog.Service][]awayHost{}, fills: map[pimcatalog.Service]*meanFill{},
+		deferred: deferredFlows{at: map[pimpacket.Flow]deferral{}},
 	}
 }
 
@@ -53,6 +59,13 @@
 	}
 }
 
+// SetReported sets whether the recent loads of all other running VMs are known; by default, they are.
+func (p *Placer) SetReported(isComplete bool) {
+	if a := p.admission; a != nil {
+		a.isPartial = !isComplete
+	}
+}
+
 // ServiceShare is the share of a VM in the backend servers of one service.
 type ServiceShare struct {
 	Service pimcatalog.Service
@@ -82,9 +95,9 @@
 // The bounds of the requests in other data centres while the own one has no room.
 const (
 	// maxRemoteLoad is the number of requests per slot up to which a data centre of known load gets requests of others.
-	maxRemoteLoad = 1.0
+	maxRemoteLoad = 0.5
 	// maxUnknownRemote is the number of requests that a VM may have under way in a data centre of unknown load.
-	maxUnknownRemote = 3
+	maxUnknownRemote = 1
 )
 
 // remoteShare is what a VM may send to one other data centre.
@@ -106,38 +119,56 @@
 	demand := pimadmit.Demand{
 		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
-	a.choice.Reset()
+	a.choice.Reset(&demand)
 	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
+	busy, places := 0.0, pimadmit.Places(0)
 	for _, s := range own.shares {
-		p.addOwn(now, c, s, wasTried(s.Host.ID))
+		busy += p.addOwn(now, c, s, wasTried(s.Host.ID))
+		places += s.Places
 	}
+	a.fillOf(service).update(now, busy/float64(max(1, places))*(1+a.cfg.QueuePerSlot))
 	isRemoteOpen := false
 	if a.choice.OwnSlot() == nil {
 		isRemoteOpen = p.addOthers(now, c, service, own, wasTried)
 	}
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
+	index := p.indexFor(c, service)
+	if rule == pimadmit.NoCandidate && index != nil {
+		// All of the sample are excluded, but others may not be.
+		isRemoteOpen = p.addOthersOf(now, c, c.Service(service), nil, service, own, wasTried)
+		h, rule = a.choice.Decide(&demand, isRemoteOpen)
+	}
 	switch {
 	case h != nil:
 	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
 		return p.refuseSlowStart(now, c, service, pkt, last != 0)
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: p.excluded, Rule: rule.String()}
-	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
+		return pimsteer.Placement{Reason: p.excluded, Later: last != 0, Rule: rule.String()}
+	case rule == pimadmit.NoRoom && a.deferred.mayBeOpen(now, pkt):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
 	case demand.MayWait() && !a.pressureOf(service).IsHigh():
 		a.pressureOf(service).Record(now, false)
-		a.deferred.add(now, pkt.Flow)
+		a.deferred.add(now, pkt)
 		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
 	default:
 		if demand.Level.Rank == 0 {
 			a.pressureOf(service).Record(now, false)
 		}
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
+		// A copy of a flow that may be open is dropped, also if it has expired.
+		isLater := last != 0 || a.deferred.mayBeOpen(now, pkt)
+		if !isLater {
+			// With an old view, the packet is dropped instead of answered with a reset, and its next copy follows.
+			a.deferred.add(now, pkt)
+		}
+		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
 	}
 	a.deferred.remove(pkt.Flow)
+	if index != nil && h.DataCentre != p.home {
+		a.recordAway(service, h)
+	}
 	activity.Record(now, route.Priority)
 	if demand.Level.Rank == 0 {
 		a.pressureOf(service).Record(now, true)
@@ -163,32 +194,40 @@
 	return activity
 }
 
-// addOwn adds a backend server of the VM's own share.
-func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) {
+// addOwn adds a backend server of the VM's own share, and returns the requests under way there.
+func (p *Placer) addOwn(now pimclock.Instant, c *pimcatalog.Catalog, s pimadmit.Share, wasTried bool) (busy float64) {
 	if p.isExcluded(now, c, s.Host) {
-		return
+		return 0
 	}
 	load := p.observer.Load(now, s.Host.ID)
 	if load.isSuspect(now) || wasTried {
 		p.addAvoided(now, s.Host, wasTried)
-		return
+		return load.UnderWay()
 	}
-	fill := load.UnderWay() / float64(s.Places)
-	p.admission.choice.Add(pimadmit.Own, s.Host, weighted(fill, load.speed())*slowdown(now, s.Host), float64(load.Open))
+	p.admission.choice.Add(pimadmit.Own, s.Host, use(now, s.Host, &load, load.UnderWay(), float64(s.Places), float64(load.Open)))
+	return load.UnderWay()
 }
 
-// weighted returns the filled part of a queue as it is compared with others and with limits. A request waits longer at a slow backend
-// server and less long at a fast one, but a fast one does not queue more requests than others.
-func weighted(fill, speed float64) float64 { return max(fill/speed, 2*fill-1) }
-
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
 // another data centre.
 func (p *Placer) addOthers(
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, own *allotment, wasTried func(pimcatalog.HostID) bool,
+) (isRemoteOpen bool) {
+	hosts, x := c.Service(service), p.indexFor(c, service)
+	if x != nil {
+		hosts = p.sampledAll(x)
+	}
+	return p.addOthersOf(now, c, hosts, x, service, own, wasTried)
+}
+
+// addOthersOf is addOthers for some backend servers; x is set if they are a sample.
+func (p *Placer) addOthersOf(
+	now pimclock.Instant, c *pimcatalog.Catalog, hosts []*pimcatalog.Host, x *hostIndex, service pimcatalog.Service, own *allotment,
+	wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
 	a.remote = a.remote[:0]
-	for _, h := range c.Service(service) {
+	for _, h := range hosts {
 		if own.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
@@ -197,14 +236,15 @@
 		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
-			places := float64(a.cfg.Places(h))
-			fill := (load.UnderWay() + load.BusyElsewhere*(1-load.Vacant)) / places
-			perSlot := weighted(fill, load.speed()) * places / float64(max(1, h.Slots))
-			a.choice.Add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
+			busy, open := a.sharedBusy(&load, max(1, h.Slots), a.fillOf(service)), float64(load.Open)+load.OpenElsewhere
+			a.choice.Add(pimadmit.Shared, h, use(now, h, &load, busy, float64(max(1, h.Slots)), open))
 		default:
 			a.remoteShare(h.DataCentre).add(p.rng, h, load.Busy+load.Expected, slowdown(now, h))
 		}
 	}
+	if x != nil {
+		p.scaleRemote(now, x, service)
+	}
 	return p.addRemote(service)
 }
 
@@ -253,7 +293,7 @@
 		} else {
 			load += closedLoad
 		}
-		p.admission.choice.Add(pimadmit.Remote, r.best, load, 0)
+		p.admission.choice.Add(pimadmit.Remote, r.best, pimadmit.Use{Wait: load})
 	}
 	return isOpen
 }
@@ -264,7 +304,17 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, cost, 0)
+	p.admission.choice.Add(pimadmit.Avoided, h, pimadmit.Use{Wait: cost})
+}
+
+// use returns the use of a backend server with a number of requests under way, for which it has the given places or slots. One in slow
+// start counts the new request as well: it has the fewest open flows, and would otherwise go before all warm ones that are idle.
+func use(now pimclock.Instant, h *pimcatalog.Host, load *Load, busy, places, open float64) pimadmit.Use {
+	u := pimadmit.Use{Fill: busy / places, Wait: busy / (places * load.speed()), Open: open}
+	if h.ColdFor(now) > 0 {
+		u.Wait = coldFactor * (busy + 1) / (places * load.speed())
+	}
+	return u
 }
 
 // slowdown is the factor by which requests take longer at a backend server that has just started.
--- a/internal/coordination/pimplace/admission_test.go
+++ b/internal/coordination/pimplace/admission_test.go
@@ -111,12 +111,15 @@
 }
 
 // Guards against the placement of a flow whose caller no longer waits, and against a wrong reason: whether the flow is late must not
-// depend on the load.
+// depend on the load. No copy of its opening packet was forwarded.
 func TestExpiredFlowIsRefusedAtOnce(t *testing.T) {
 	is := is.New(t)
 	a := newAdmitting(nil, deskHosts(2, 1, "ikeja")...)
+	a.set(1, 10, 10, 0)
+	a.set(2, 10, 10, 0)
+	is.True(a.place(0, 0).Later)
+	clear(a.loads)
 	a.cfg.Routes[0].Timeout = 150 * time.Millisecond
-	is.True(a.place(0, 0).Host != nil)
 	p := a.place(0, 1)
 	is.True(p.Host == nil && !p.Later)
 	is.Equal(p.Rule, pimadmit.Expired.String())
@@ -211,3 +214,39 @@
 	is.Equal(a.Shares(0), []ServiceShare{{Service: "desk", Places: 20, Filled: 5}})
 	is.Equal(len(placerWith(nil).Shares(0)), 0)
 }
+
+// Guards against requests beyond the queue of a fast backend server, which answers 503, and against refusals while a slow one has
+// room: the speed changes how long a request waits, not how many the queue holds.
+func TestSpeedDoesNotChangeThePlaces(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(1, 1, "ikeja")...)
+	at := func(speed float64, busy int) string {
+		a.loads[1] = Load{Load: pimflow.Load{Busy: busy, Open: busy, Speed: speed}}
+		return a.place(0, 0).Rule
+	}
+	is.Equal(at(1.6, 10), pimadmit.NoRoom.String())
+	is.Equal(at(0.6, 9), pimadmit.OwnQueue.String())
+	is.Equal(at(1.6, 2), pimadmit.OwnQueue.String()) // both slots are taken
+	is.Equal(at(0.6, 1), pimadmit.OwnSlot.String())
+}
+
+// Guards against flows at a full fast backend server while a slower one has room.
+func TestRoomGoesBeforeSpeed(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(2, 1, "ikeja")...)
+	a.loads[1] = Load{Load: pimflow.Load{Busy: 10, Speed: 2}}
+	a.loads[2] = Load{Load: pimflow.Load{Busy: 7, Speed: 0.6}}
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(2))
+	a.loads[1] = Load{Load: pimflow.Load{Busy: 7, Speed: 2}}
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(1))
+}
+
+// Guards against flows at a backend server in slow start, which has no open flows yet, while a warm one is idle as well.
+func TestIdleWarmServersGoBeforeColdOnes(t *testing.T) {
+	is := is.New(t)
+	hosts := deskHosts(2, 1, "ikeja")
+	hosts[0].ColdUntil = 1
+	a := newAdmitting(nil, hosts...)
+	a.set(2, 0, 100, 0)
+	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(2))
+}
