--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -82,7 +82,7 @@
 	},
 	"platform_restored": func(r *run, _ *rand.Rand) func() {
 		older := r.copyStore()
-		r.env.Store.SetFault(platformtest.Fault{Reset: true})
+		r.setPlatformFault(platformtest.Fault{Reset: true})
 		return func() { r.restoreStore(older) }
 	},
 	"delay":    proxyFault(impairment{Delay: 200 * time.Millisecond}),
@@ -94,12 +94,12 @@
 		// The platform turns half of the VMs away, possibly its reader, and serves the others.
 		var refused []*vm
 		for _, i := range rng.Perm(len(r.vms))[:len(r.vms)/2] {
-			r.vms[i].proxy.set(impairment{Refuse: true})
+			r.impair(r.vms[i], impairment{Refuse: true})
 			refused = append(refused, r.vms[i])
 		}
 		return func() {
 			for _, v := range refused {
-				v.proxy.set(impairment{})
+				r.impair(v, impairment{})
 			}
 		}
 	},
@@ -115,7 +115,9 @@
 		return func() { r.env.Store.Delete(key) }
 	},
 	"reset": func(r *run, rng *rand.Rand) func() {
-		r.randomVM(rng).proxy.reset()
+		v := r.randomVM(rng)
+		v.proxy.reset()
+		r.parts.touch(linkPart+v.address.String(), time.Now())
 		return nil
 	},
 	"host_crash": func(r *run, rng *rand.Rand) func() {
@@ -143,29 +145,48 @@
 			r.hostChanged(h)
 		}
 	},
-	"config":  func(r *run, rng *rand.Rand) func() { r.changeConfig(rng); return nil },
-	"garbage": func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
+	"evacuate": func(r *run, rng *rand.Rand) func() { return r.evacuate(rng) },
+	"overload": func(r *run, rng *rand.Rand) func() { return r.startBurst(rng) },
+	"config":   func(r *run, rng *rand.Rand) func() { r.changeConfig(rng); return nil },
+	"garbage":  func(r *run, _ *rand.Rand) func() { r.sendGarbage(); return nil },
 }
 
 // platformFault makes the metadata store fail for all VMs.
 func platformFault(f platformtest.Fault) fault {
 	return func(r *run, _ *rand.Rand) func() {
-		r.env.Store.SetFault(f)
-		return func() { r.env.Store.SetFault(platformtest.Fault{}) }
+		r.setPlatformFault(f)
+		return func() { r.setPlatformFault(platformtest.Fault{}) }
 	}
 }
 
 // proxyFault impairs the connections between a random VM and the platform.
 func proxyFault(imp impairment) fault {
 	return func(r *run, rng *rand.Rand) func() {
-		p := r.randomVM(rng).proxy
-		p.set(imp)
-		return func() { p.set(impairment{}) }
+		v := r.randomVM(rng)
+		r.impair(v, imp)
+		return func() { r.impair(v, impairment{}) }
 	}
 }
 
+// impair sets the impairment of the connections between a VM and the platform.
+func (r *run) impair(v *vm, imp impairment) {
+	v.proxy.set(imp)
+	r.parts.set(linkPart+v.address.String(), imp != impairment{}, time.Now())
+}
+
+// setPlatformFault sets the fault of the metadata store. One that is only slow still answers, so that bounds apply.
+func (r *run) setPlatformFault(f platformtest.Fault) {
+	r.env.Store.SetFault(f)
+	r.parts.set(platformPart, f.Busy || f.Silent || f.Reset, time.Now())
+}
+
 // PlannedFaults are the kinds of planned work.
-var PlannedFaults = []string{"config", "hangup", "host_leaves", "planned_stop", "reader_handover", "rolling_restart"}
+var PlannedFaults = []string{
+	"config", "evacuate", "hangup", "host_leaves", "overload", "planned_stop", "reader_handover", "rolling_restart",
+}
+
+// excusesNothing contains the kinds that do not excuse a reset of an open flow, neither at their start nor at their end.
+var excusesNothing = map[string]bool{"evacuate": true, "overload": true}
 
 // FaultNames returns the names of all kinds of faults, sorted.
 func FaultNames() (names []string) {
@@ -198,7 +219,11 @@
 		pimclock.Sleep(ctx, time.Duration(rng.ExpFloat64()*float64(meanFaultInterval)))
 		name := names[rng.IntN(len(names))]
 		length := time.Duration(rng.Float64() * float64(maxFaultDuration))
-		r.addFaultNote("fault", fmt.Sprintf("%s for %v", name, length.Round(time.Millisecond)))
+		note := r.addFaultNote
+		if excusesNothing[name] {
+			note = r.addNote
+		}
+		note("fault", fmt.Sprintf("%s for %v", name, length.Round(time.Millisecond)))
 		heal := faults[name](r, rng)
 		if heal == nil {
 			continue
@@ -209,7 +234,7 @@
 			defer close(ended)
 			pimclock.Sleep(ctx, length)
 			heal()
-			r.addFaultNote("healed", name)
+			note("healed", name)
 		}()
 	}
 	for _, wait := range waits {
--- a/internal/soak/pimsoak/report.go
+++ b/internal/soak/pimsoak/report.go
@@ -68,14 +68,24 @@
 	r.cfg.Log.Error().Uint64("seed", r.cfg.Seed).Int64("at_ms", v.AtMs).Str("kind", kind).Msg(v.Text)
 }
 
-// addFaultNote records the start or the end of a fault.
+// addFaultNote records the start or the end of a fault that may break open flows.
 func (r *run) addFaultNote(kind, text string) {
 	r.mu.Lock()
-	defer r.mu.Unlock()
 	r.lastFault = time.Now()
+	r.mu.Unlock()
+	r.addNote(kind, text)
+}
+
+// addNote records the start or the end of an event.
+func (r *run) addNote(kind, text string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.report.Notes = append(r.report.Notes, Note{AtMs: time.Since(r.start).Milliseconds(), Kind: kind, Text: text})
 }
 
+// countOK counts a check that was made.
+func (r *run) countOK(what string) { r.count(what, nil) }
+
 func (r *run) count(step string, err error) {
 	result := "ok"
 	if err != nil {
--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -1,12 +1,14 @@
 package pimsoak
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -34,6 +36,13 @@
 	// storeCopy is the last copy of the metadata store.
 	storeCopy *platformtest.StoreCopy
 	report    Report
+
+	parts    *parts
+	openings *openings
+	overload overload
+	// evacuated contains the data centres whose evacuation is requested.
+	evacuationMu sync.Mutex
+	evacuated    map[string]bool
 }
 
 // services are the two services; their names are the first word of each answer.
@@ -57,7 +66,11 @@
 		cfg: cfg, env: env, start: time.Now(), http: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}},
 		changedAt: map[*platformtest.Host]time.Time{}, drainedAt: map[*platformtest.Host]time.Time{},
 		routes: map[netip.AddrPort]string{}, report: newReport(cfg.Seed),
+		parts: newParts(), evacuated: map[string]bool{},
 	}
+	r.openings = newOpenings(r.parts, r.addViolation, r.countOK)
+	env.OnOpening = r.openings.record
+	env.Warmup = &platformtest.Warmup{Length: longWarmup, PerSecond: warmupPerSecond}
 	defer r.endVMs()
 	if err = r.setUp(ctx); err != nil {
 		return report, err
@@ -66,6 +79,7 @@
 	r.runFaultPhase(ctx)
 	r.checkConvergence(ctx)
 	r.checkHosts()
+	r.checkBursts()
 	return r.report, nil
 }
 
@@ -78,7 +92,14 @@
 	}
 	for _, service := range services {
 		for range r.cfg.HostsPerService {
-			r.addHost(service)
+			r.startHost(service, r.emptiestZone(service), 0)
+		}
+	}
+	for range batchHosts {
+		if _, err := r.env.StartHost(platformtest.HostConfig{
+			Service: batchService, Zone: zones[0], ServiceTime: batchServiceTime, Slots: batchSlots, Queue: batchQueue,
+		}); err != nil {
+			return err
 		}
 	}
 	for n := 1; n <= r.cfg.VMs; n++ {
@@ -107,7 +128,7 @@
 }
 
 // runFaultPhase runs the load, the fabric and the faults at the same time. The load goes on for twice calmAfter after
-// the end of the last fault.
+// the end of the last fault, with a burst in between.
 func (r *run) runFaultPhase(ctx context.Context) {
 	faultCtx, stopFaults := context.WithTimeout(ctx, r.cfg.Length)
 	defer stopFaults()
@@ -126,8 +147,21 @@
 		load.Go(func() { r.runLongFlow(loadCtx, caller, n) })
 		load.Go(func() { r.runShortFlows(loadCtx, caller, n) })
 	}
+	if caller, err := r.env.NewCaller(r.cfg.Callers + 2); err == nil {
+		load.Go(func() { r.runCalls(loadCtx, caller, urgentRoute, "urgent", func() float64 { return urgentRate }) })
+		load.Go(func() { r.runCalls(loadCtx, caller, lowRoute, "lower", r.overload.lowRate) })
+	} else {
+		r.cfg.Log.Error().Err(err).Msg("caller not started")
+	}
 	r.runFaults(faultCtx)
-	pimclock.Sleep(ctx, 2*calmAfter)
+	for _, service := range services { // VMs send to cold backend servers of their own data centre only
+		r.startHost(service, zones[0], longWarmup)
+	}
+	pimclock.Sleep(ctx, calmAfter)
+	if end := r.startBurst(nil); end != nil {
+		end()
+	}
+	pimclock.Sleep(ctx, calmAfter)
 	stopLoad()
 	load.Wait()
 	background.Wait()
@@ -240,7 +274,7 @@
 	return r.randomVM(rng)
 }
 
-// randomHost returns a backend server that is not leaving and whose service has another running one, or nil.
+// randomHost returns a backend server of services that is not leaving and whose service has another running one, or nil.
 func (r *run) randomHost(rng *rand.Rand) *platformtest.Host {
 	hosts := r.env.Hosts()
 	for _, i := range rng.Perm(len(hosts)) {
@@ -253,16 +287,31 @@
 				sameService++
 			}
 		}
-		if !leaving && sameService > 1 {
+		if !leaving && sameService > 1 && hosts[i].Service() != batchService {
 			return hosts[i]
 		}
 	}
 	return nil
 }
 
-func (r *run) addHost(service string) {
+// addHost starts a backend server that is in slow start.
+func (r *run) addHost(service string) { r.startHost(service, r.emptiestZone(service), warmupLength) }
+
+// emptiestZone returns the data centre that has the fewest backend servers of a service.
+func (r *run) emptiestZone(service string) string {
+	perZone := map[string]int{}
+	for _, h := range r.env.Hosts() {
+		if h.Service() == service {
+			perZone[h.Zone()]++
+		}
+	}
+	return slices.MinFunc(zones, func(a, b string) int { return cmp.Compare(perZone[a], perZone[b]) })
+}
+
+func (r *run) startHost(service, zone string, cold time.Duration) {
 	const serviceTime = 2 * time.Millisecond
-	if _, err := r.env.AddHost(service, "ikeja", serviceTime); err != nil {
+	cfg := platformtest.HostConfig{Service: service, Zone: zone, ServiceTime: serviceTime, Slots: 2, Cold: cold}
+	if _, err := r.env.StartHost(cfg); err != nil {
 		r.cfg.Log.Error().Err(err).Msg("backend server not started")
 	}
 }
@@ -295,7 +344,9 @@
 // backend servers that have ended expire.
 func (r *run) restoreStore(c *platformtest.StoreCopy) {
 	r.env.Store.Restore(c)
-	r.env.Store.SetFault(platformtest.Fault{})
+	r.setPlatformFault(platformtest.Fault{})
+	// What is written again is acknowledged only then.
+	defer func() { r.parts.touch(platformPart, time.Now()) }()
 	ended, err := r.env.WriteAgain()
 	if err != nil {
 		r.cfg.Log.Error().Err(err).Msg("entries not written again")
@@ -322,7 +373,9 @@
 
 func (r *run) publishConfig() error {
 	r.mu.Lock()
-	var routes []platformtest.RouteConfig
+	routes := []platformtest.RouteConfig{
+		{Address: urgentRoute, Service: batchService, Urgent: true}, {Address: lowRoute, Service: batchService},
+	}
 	for address, service := range r.routes {
 		routes = append(routes, platformtest.RouteConfig{Address: address, Service: service})
 	}
--- a/internal/soak/pimsoak/vm.go
+++ b/internal/soak/pimsoak/vm.go
@@ -37,6 +37,10 @@
 [platform]
 address = "{{.Platform}}"
 timeout = "500ms"
+evacuated_within = "{{.EvacuatedWithin}}"
+[slow_start]
+overage = {{.Overage}}
+slack = {{.Slack}}
 [operator]
 address = "{{.Ops}}"
 `))
@@ -77,6 +81,7 @@
 		"N": n, "Packets": at(v.address, r.env.PacketPort), "Ready": at(v.address, r.env.ReadyPort),
 		"Peer": at(v.address, r.env.PeerPort), "Ops": at(v.address, r.env.OpsPort),
 		"Platform": p.address(), "Seeds": seeds,
+		"EvacuatedWithin": evacuatedWithin, "Overage": warmupOverage, "Slack": warmupSlack,
 	})
 	if err != nil {
 		return nil, err
@@ -106,6 +111,8 @@
 	v.cmd, v.endExpected, v.paused, v.version, v.started = cmd, false, false, 0, time.Now()
 	v.logged = v.logSize()
 	v.done = make(chan struct{})
+	v.run.parts.set(v.part(), false, v.started)
+	v.run.parts.touch(v.part(), v.started)
 	go v.waitForExit(cmd, v.done)
 	return nil
 }
@@ -181,12 +188,16 @@
 	case syscall.SIGCONT:
 		v.paused = false
 	}
+	v.run.parts.set(v.part(), v.endExpected || v.paused, time.Now())
 	if err := v.cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		v.run.cfg.Log.Warn().Err(err).Int("vm", v.n).Msg("signal not sent")
 	}
 	return v.done
 }
 
+// part is the name of the process among the parts that faults disturb.
+func (v *vm) part() string { return processPart + v.address.String() }
+
 // end stops the process for good and closes its log.
 func (v *vm) end() {
 	v.signal(syscall.SIGCONT)
