--- a/internal/soak/pimsoak/run.go
+++ b/internal/soak/pimsoak/run.go
@@ -96,11 +96,7 @@
 		}
 	}
 	for range batchHosts {
-		if _, err := r.env.StartHost(platformtest.HostConfig{
-			Service: batchService, Zone: zones[0], ServiceTime: batchServiceTime, Slots: batchSlots, Queue: batchQueue,
-		}); err != nil {
-			return err
-		}
+		r.startHost(batchService, zones[0], 0)
 	}
 	for n := 1; n <= r.cfg.VMs; n++ {
 		p, closeProxy, err := newProxy(ctx, r.env.VMAddress(n), r.env.StoreAddress)
@@ -154,7 +150,9 @@
 		r.cfg.Log.Error().Err(err).Msg("caller not started")
 	}
 	r.runFaults(faultCtx)
-	for _, service := range services { // VMs send to cold backend servers of their own data centre only
+	// VMs send to cold backend servers of their own data centre only, and seldom if the service has room
+	// elsewhere: the burst leaves none.
+	for _, service := range append([]string{batchService}, services...) {
 		r.startHost(service, zones[0], longWarmup)
 	}
 	pimclock.Sleep(ctx, calmAfter)
@@ -309,8 +307,10 @@
 }
 
 func (r *run) startHost(service, zone string, cold time.Duration) {
-	const serviceTime = 2 * time.Millisecond
-	cfg := platformtest.HostConfig{Service: service, Zone: zone, ServiceTime: serviceTime, Slots: 2, Cold: cold}
+	cfg := platformtest.HostConfig{Service: service, Zone: zone, ServiceTime: 2 * time.Millisecond, Slots: 2, Cold: cold}
+	if service == batchService {
+		cfg.ServiceTime, cfg.Slots, cfg.Queue = batchServiceTime, batchSlots, batchQueue
+	}
 	if _, err := r.env.StartHost(cfg); err != nil {
 		r.cfg.Log.Error().Err(err).Msg("backend server not started")
 	}
