--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -212,7 +212,8 @@
 	case r.cfg.Planned:
 		names = PlannedFaults
 	default:
-		names = FaultNames()
+		// Evacuations last long, so that few would reach their bound.
+		names = append(FaultNames(), "evacuate", "evacuate")
 	}
 	var waits []func()
 	for ctx.Err() == nil {
--- a/internal/soak/pimsoak/load.go
+++ b/internal/soak/pimsoak/load.go
@@ -28,6 +28,7 @@
 			opened, err := caller.Open(fixedRoutes[service])
 			r.count("open", err)
 			if err != nil {
+				pimclock.Sleep(ctx, longFlowInterval) // a reset of an opening packet comes at once
 				continue
 			}
 			flow = opened
--- a/internal/soak/pimsoak/overload.go
+++ b/internal/soak/pimsoak/overload.go
@@ -61,6 +61,8 @@
 	route    netip.AddrPort
 	began    time.Time
 	answered bool
+	// failures are the errors of the attempts that were not answered.
+	failures []string
 }
 
 // burst is a period in which the lower route offers too much.
@@ -84,12 +86,24 @@
 	return answered / float64(max(1, n)), n
 }
 
+// lost describes the calls of a route begun in a period that were not answered.
+func lost(calls []call, route netip.AddrPort, from, to time.Time) string {
+	var texts []string
+	for _, c := range calls {
+		if c.route == route && !c.answered && !c.began.Before(from) && c.began.Before(to) {
+			texts = append(texts, fmt.Sprintf("%d ms (%s)", c.began.Sub(from).Milliseconds(), strings.Join(c.failures, ", ")))
+		}
+	}
+	return strings.Join(texts, "; ")
+}
+
 // check calls violated if calls during or after the burst were not answered as they should be, and counted for each check.
 func (b *burst) check(calls []call, violated func(kind, format string, args ...any), counted func(what string)) {
 	check := func(kind, name string, route netip.AddrPort, from, to time.Time, least float64) {
 		counted(kind + " " + name)
 		if got, n := share(calls, route, from, to); n == 0 || got < least {
-			violated(kind, "%.3f of %d calls of the %s route were answered, at least %.2f should be", got, n, name, least)
+			violated(kind, "%.3f of %d calls of the %s route were answered, at least %.2f should be; not answered, by their start in the period: %s",
+				got, n, name, least, lost(calls, route, from, to))
 		}
 	}
 	if b.counts {
@@ -153,7 +167,7 @@
 		next = next.Add(time.Duration(float64(time.Second) / rate()))
 		wg.Go(func() {
 			c := call{route: route, began: time.Now()}
-			c.answered = r.callBatch(caller, route, name)
+			c.answered, c.failures = r.callBatch(caller, route, name)
 			r.overload.mu.Lock()
 			defer r.overload.mu.Unlock()
 			r.overload.calls = append(r.overload.calls, c)
@@ -164,8 +178,8 @@
 // errBusy means that a backend server found its queue full.
 var errBusy = errors.New("queue full")
 
-// callBatch calls batchService and reports whether it has answered within callAttempts.
-func (r *run) callBatch(caller *platformtest.Caller, route netip.AddrPort, name string) bool {
+// callBatch calls batchService and reports whether it has answered within callAttempts, and the errors of the attempts.
+func (r *run) callBatch(caller *platformtest.Caller, route netip.AddrPort, name string) (answered bool, failures []string) {
 	for n := range callAttempts {
 		if n > 0 {
 			time.Sleep(attemptPause)
@@ -173,10 +187,11 @@
 		err := r.attempt(caller, route)
 		r.count(fmt.Sprintf("%s route, attempt %d", name, n+1), err)
 		if err == nil {
-			return true
+			return true, failures
 		}
+		failures = append(failures, err.Error())
 	}
-	return false
+	return false, failures
 }
 
 // attempt sends one request on a new flow.
