--- a/internal/coordination/pimflow/table.go
+++ b/internal/coordination/pimflow/table.go
@@ -65,7 +65,7 @@
 	// running is set from the request to the first sign of its answer, for at most RunningFor.
 	running      bool
 	runningSince pimclock.Instant
-	// isExpected is set from the opening packet to the first request, for at most RunningFor.
+	// isExpected is set from the opening packet to the first request, for at most AnswerWithin.
 	isExpected bool
 	// requestedAt is when the last request was forwarded; it is zero once a sign of its answer was seen.
 	requestedAt pimclock.Instant
@@ -159,7 +159,7 @@
 	}
 	t.host(now, id).open++
 	t.unanswered.push(p.Flow, now)
-	t.expectRequest(now, p.Flow, r)
+	t.expectRequest(now, r)
 }
 
 // RecordForwarded records that a packet of an open flow was forwarded to a backend server. The first packet after the
@@ -224,10 +224,9 @@
 }
 
 // expectRequest counts the first request of a flow that opens, which follows within a round trip.
-func (t *Table) expectRequest(now pimclock.Instant, f pimpacket.Flow, r *record) {
+func (t *Table) expectRequest(now pimclock.Instant, r *record) {
 	r.isExpected = true
 	t.host(now, r.host).expected++
-	t.unfinished.push(f, now)
 }
 
 // endExpected ends the count of a request that has arrived or will not.
@@ -298,20 +297,21 @@
 func (t *Table) Expire(now pimclock.Instant) {
 	t.detectPause(now)
 	for f, at, ok := t.unanswered.popBefore(now.Add(-t.cfg.AnswerWithin)); ok; f, at, ok = t.unanswered.popBefore(now.Add(-t.cfg.AnswerWithin)) {
-		if r := t.flows[f]; r != nil && r.opening && r.openedAt == at {
+		r := t.flows[f]
+		if r == nil || r.openedAt != at {
+			continue
+		}
+		// Its packets may reach another VM from now on.
+		t.endExpected(now, r)
+		if r.opening {
 			t.recordMiss(now, at, r, CauseUnanswered)
 		}
 	}
 	for f, at, ok := t.unfinished.popBefore(now.Add(-t.cfg.RunningFor)); ok; f, at, ok = t.unfinished.popBefore(now.Add(-t.cfg.RunningFor)) {
-		r := t.flows[f]
-		switch {
-		case r == nil:
-		case r.running && r.runningSince == at:
+		if r := t.flows[f]; r != nil && r.running && r.runningSince == at {
 			r.running = false
 			h := t.host(now, r.host)
 			h.setBusy(now, h.busy-1)
-		case r.isExpected && r.openedAt == at:
-			t.endExpected(now, r)
 		}
 	}
 	t.sweep(now)
