feat: the decision on a flow is separate from its record, and can be explained

Place both chose a backend server and recorded the choice (demand, activity, pressure, deferred flows, shares, denied opening packets), so nothing could ask where a flow would go without changing where later ones go. A second implementation for explanations was ruled out, since it could differ from the decision.

Place now applies a decision that decide returns. Explain runs decide on a copy of the placer with its own random numbers and returns the candidates. The count of denied opening packets moves from AllowsWithin to RecordDenied; oldview_test checks that the question counts nothing, exclude_test the number.

--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -109,7 +109,7 @@
 // one more flow to another data centre.
 func (c *Choice) Decide(d *Demand, isRemoteOpen bool) (h *pimcatalog.Host, r Rule) {
 	own, shared, remote, avoided := &c.best[Own], &c.best[Shared], &c.best[Remote], &c.best[Avoided]
-	limit := c.cfg.limit(d)
+	limit := c.cfg.Limit(d)
 	hasHome := own.host != nil || shared.host != nil
 	switch {
 	case !hasHome && remote.host == nil && avoided.host == nil:
--- a/internal/coordination/pimadmit/demand.go
+++ b/internal/coordination/pimadmit/demand.go
@@ -32,8 +32,8 @@
 	workPart = 0.25
 )
 
-// limit returns the part of the places that the flow may help to fill. It never falls below the slots.
-func (s Settings) limit(d *Demand) float64 {
+// Limit returns the part of the places that the flow may help to fill. It never falls below the slots.
+func (s Settings) Limit(d *Demand) float64 {
 	step := s.Reserve / float64(max(1, d.Level.Count-1))
 	limit := 1 - step*float64(d.Level.Rank)
 	if d.isLate() {
--- a/internal/coordination/pimadmit/demand_test.go
+++ b/internal/coordination/pimadmit/demand_test.go
@@ -46,7 +46,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			is := is.New(t)
-			is.True(cfg.limit(&c.first) > cfg.limit(&c.second))
+			is.True(cfg.Limit(&c.first) > cfg.Limit(&c.second))
 		})
 	}
 }
@@ -67,7 +67,7 @@
 		urgent, less := random(Level{Rank: rank, Count: count}), random(Level{Rank: rank + 1 + rng.IntN(count-1-rank), Count: count})
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
 			is := is.New(t)
-			is.True(cfg.limit(urgent) >= cfg.limit(less)-tolerance)
+			is.True(cfg.Limit(urgent) >= cfg.Limit(less)-tolerance)
 		})
 	}
 }
@@ -84,7 +84,7 @@
 		for _, d := range extremes {
 			t.Run(fmt.Sprintf("%+v %+v", cfg, d), func(t *testing.T) {
 				is := is.New(t)
-				limit := cfg.limit(&d)
+				limit := cfg.Limit(&d)
 				is.True(limit >= cfg.idleFill() && limit <= 1)
 			})
 		}
--- a/internal/coordination/pimadmit/level.go
+++ b/internal/coordination/pimadmit/level.go
@@ -62,8 +62,11 @@
 // Level is the rank of a priority among those of a service that have recent flows: Rank 0 is the most urgent of Count.
 type Level struct{ Rank, Count int }
 
-// Level returns the level of a flow of a priority.
+// Level returns the level of a flow of a priority; the nil value has no recent flows.
 func (a *Activity) Level(now pimclock.Instant, value pimcatalog.Priority) (l Level) {
+	if a == nil {
+		return l
+	}
 	total := 0.0
 	for i := range a.priorities {
 		total += a.priorities[i].weight(now)
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -67,18 +67,22 @@
 		return nil
 	}
 	for service, own := range p.admission.allotments {
-		share := ServiceShare{Service: service}
-		for _, s := range own.shares {
-			share.Places += s.Places
-			load := p.observer.Load(now, s.Host.ID)
-			share.Filled += load.UnderWay()
-		}
-		all = append(all, share)
+		all = append(all, p.share(now, service, own))
 	}
 	slices.SortFunc(all, func(a, b ServiceShare) int { return cmp.Compare(a.Service, b.Service) })
 	return all
 }
 
+func (p *Placer) share(now pimclock.Instant, service pimcatalog.Service, own *allotment) ServiceShare {
+	share := ServiceShare{Service: service}
+	for _, s := range own.shares {
+		share.Places += s.Places
+		load := p.observer.Load(now, s.Host.ID)
+		share.Filled += load.UnderWay()
+	}
+	return share
+}
+
 // The bounds of the requests in other data centres while the own one has no room.
 const (
 	// maxRemoteLoad is the number of requests per slot up to which a data centre of known load gets requests of others.
@@ -98,16 +102,16 @@
 }
 
 // admit chooses a backend server for an opening packet, or refuses it.
-func (p *Placer) admit(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
-) pimsteer.Placement {
-	a := p.admission
-	own, activity := p.allot(now, c, service), a.activityOf(service)
+func (p *Placer) admit(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet, d *decision) {
+	a, service := p.admission, d.service
+	own, isNew := p.allot(now, c, service)
+	d.own, d.isOwnNew, d.activity = own, isNew, a.activity[service]
 	demand := pimadmit.Demand{
-		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+		Level: d.activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
+	d.level = demand.Level
+	p.trace.setDemand(&demand)
 	a.choice.Reset()
-	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
 	for _, s := range own.shares {
@@ -121,28 +125,53 @@
 	switch {
 	case h != nil:
 	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
-		return p.refuseSlowStart(now, c, service, pkt, last != 0)
+		d.placement = p.refuseSlowStart(now, c, service, pkt, last != 0)
+		return
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: p.excluded, Rule: rule.String()}
+		d.placement = pimsteer.Placement{Reason: p.excluded, Rule: rule.String()}
+		return
 	case rule == pimadmit.NoRoom && pkt.Attempt > 0 && !a.deferred.has(pkt.Flow):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
-	case demand.MayWait() && !a.pressureOf(service).IsHigh():
-		a.pressureOf(service).Record(now, false)
-		a.deferred.add(now, pkt.Flow)
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
+	case demand.MayWait() && !a.isPressureHigh(service):
+		d.isDeferred = true
+		d.placement = pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
+		return
 	default:
-		if demand.Level.Rank == 0 {
-			a.pressureOf(service).Record(now, false)
+		d.placement = pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
+		return
+	}
+	d.placement = pimsteer.Placement{Host: h, Rule: rule.String()}
+}
+
+// apply records a decision.
+func (a *admission) apply(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet, d *decision) {
+	if a.catalog != c {
+		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
+	}
+	if d.isOwnNew {
+		a.allotments[d.service] = d.own
+	}
+	isPlaced := d.placement.Host != nil
+	if isPlaced {
+		a.deferred.remove(pkt.Flow)
+		if d.activity == nil {
+			d.activity = a.activityOf(d.service)
 		}
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: last != 0, Rule: rule.String()}
+		d.activity.Record(now, route.Priority)
 	}
-	a.deferred.remove(pkt.Flow)
-	activity.Record(now, route.Priority)
-	if demand.Level.Rank == 0 {
-		a.pressureOf(service).Record(now, true)
+	if d.isDeferred {
+		a.deferred.add(now, pkt.Flow)
+	}
+	if d.level.Rank == 0 && (isPlaced || d.placement.Reason == pimsteer.ReasonNoRoom) {
+		a.pressureOf(d.service).Record(now, isPlaced)
 	}
-	return pimsteer.Placement{Host: h, Rule: rule.String()}
+}
+
+// isPressureHigh reports whether flows of a service are refused at once instead of being left to the next copy.
+func (a *admission) isPressureHigh(service pimcatalog.Service) bool {
+	pressure := a.pressure[service]
+	return pressure != nil && pressure.IsHigh()
 }
 
 func (a *admission) pressureOf(service pimcatalog.Service) *pimadmit.Pressure {
@@ -174,7 +203,7 @@
 		return
 	}
 	fill := float64(load.UnderWay()) / (float64(s.Places) * load.speed())
-	p.admission.choice.Add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
+	p.add(pimadmit.Own, s.Host, fill*slowdown(now, s.Host), float64(load.Open))
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
@@ -194,9 +223,10 @@
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
 			perSlot := (float64(load.UnderWay()) + load.BusyElsewhere) / (float64(max(1, h.Slots)) * load.speed())
-			a.choice.Add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
+			p.add(pimadmit.Shared, h, perSlot*slowdown(now, h), float64(load.Open)+load.OpenElsewhere)
 		default:
-			a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
+			perSlot := a.remoteShare(h.DataCentre).add(p.rng, h, load.UnderWay(), slowdown(now, h))
+			p.trace.add(pimadmit.Remote, h, perSlot, 0)
 		}
 	}
 	return p.addRemote(service)
@@ -212,12 +242,18 @@
 	return &a.remote[len(a.remote)-1]
 }
 
-// add adds a backend server with the requests of this VM there; of equal ones a random one is kept.
-func (r *remoteShare) add(rng *rand.Rand, h *pimcatalog.Host, busy int, slowdown float64) {
+// add adds a candidate for the choice.
+func (p *Placer) add(kind pimadmit.Kind, h *pimcatalog.Host, load, open float64) {
+	p.admission.choice.Add(kind, h, load, open)
+	p.trace.add(kind, h, load, open)
+}
+
+// add adds a backend server with the requests of this VM there, and returns its load; of equal ones a random one is kept.
+func (r *remoteShare) add(rng *rand.Rand, h *pimcatalog.Host, busy int, slowdown float64) (load float64) {
 	slots := max(1, h.Slots)
 	r.slots += slots
 	r.busy += busy
-	load := float64(busy) / float64(slots) * slowdown
+	load = float64(busy) / float64(slots) * slowdown
 	switch {
 	case r.best == nil || load < r.bestLoad:
 		r.best, r.bestLoad, r.ties = h, load, 1
@@ -226,6 +262,7 @@
 			r.best = h
 		}
 	}
+	return load
 }
 
 // addRemote adds the best backend server of each other data centre, those in data centres with room for further requests of this VM
@@ -241,13 +278,14 @@
 		if others.isKnown {
 			room = (maxRemoteLoad - others.perSlot) * float64(r.slots) / float64(len(p.admission.vms)+1)
 		}
-		load := others.perSlot + r.bestLoad
+		base := others.perSlot
 		if float64(r.busy) < room {
 			isOpen = true
 		} else {
-			load += closedLoad
+			base += closedLoad
 		}
-		p.admission.choice.Add(pimadmit.Remote, r.best, load, 0)
+		p.admission.choice.Add(pimadmit.Remote, r.best, base+r.bestLoad, 0)
+		p.trace.addRemote(r, base, room)
 	}
 	return isOpen
 }
@@ -258,7 +296,7 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, cost, 0)
+	p.add(pimadmit.Avoided, h, cost, 0)
 }
 
 // slowdown is the factor by which requests take longer at a backend server that has just started.
@@ -270,14 +308,11 @@
 }
 
 // allot returns the share of this VM in the backend servers of a service in the data centre. They are divided among its VMs again if
-// either has changed. A backend server whose tag belongs to another one gets no flows, thus has no share.
-func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) *allotment {
+// either has changed; apply keeps it. A backend server whose tag belongs to another one gets no flows, thus has no share.
+func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) (own *allotment, isNew bool) {
 	a := p.admission
-	if a.catalog != c {
-		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
-	}
-	if own := a.allotments[service]; own != nil {
-		return own
+	if own := a.allotments[service]; own != nil && a.catalog == c {
+		return own, false
 	}
 	var hosts []*pimcatalog.Host
 	for _, h := range c.Service(service) {
@@ -285,10 +320,9 @@
 			hosts = append(hosts, h)
 		}
 	}
-	own := &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
+	own = &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
 	for _, s := range own.shares {
 		own.isOwn[s.Host.ID] = true
 	}
-	a.allotments[service] = own
-	return own
+	return own, true
 }
--- a/internal/coordination/pimplace/cost.go
+++ b/internal/coordination/pimplace/cost.go
@@ -44,7 +44,7 @@
 	busy := float64(load.Busy) + load.BusyElsewhere
 	open := float64(load.Open) + load.OpenElsewhere
 	speed := load.speed()
-	if p.demand != nil {
+	if p.isCounting {
 		p.demand.count(busy, float64(max(1, h.Slots))*speed, h.DataCentre == p.home)
 	}
 	cost := (busy + openCost*open) / (float64(max(1, h.Slots)) * speed)
@@ -125,18 +125,25 @@
 	d.at, d.home, d.slots = now, 0, 0
 }
 
-// demandFor returns the demand for a service and creates it on first use.
-func (p *Placer) demandFor(service pimcatalog.Service) *demand {
+// demandOf returns the demand for a service; zero before the first decision.
+func (p *Placer) demandOf(service pimcatalog.Service) demand {
+	if d := p.demands[service]; d != nil {
+		return *d
+	}
+	return demand{}
+}
+
+func (p *Placer) setDemand(service pimcatalog.Service, current demand) {
 	d := p.demands[service]
 	if d == nil {
 		d = &demand{}
 		p.demands[service] = d
 	}
-	return d
+	*d = current
 }
 
 func (p *Placer) crossingCost(service pimcatalog.Service) float64 {
-	d := p.demandFor(service)
+	d := p.demandOf(service)
 	overload := min(max(0, (d.perSlot-demandMin)/(demandMax-demandMin)), 1)
 	return crossingCost + overload*(overloadedCrossingCost-crossingCost)
 }
--- a/internal/coordination/pimplace/exclude.go
+++ b/internal/coordination/pimplace/exclude.go
@@ -14,6 +14,8 @@
 	// AllowsWithin reports whether a backend server that can handle perSecond requests a second may get an opening packet from this
 	// VM now or, if no other one is sent, after the given time.
 	AllowsWithin(now pimclock.Instant, h *pimcatalog.Host, perSecond float64, d time.Duration) bool
+	// RecordDenied records that the bound has excluded n backend servers from the choice for an opening packet.
+	RecordDenied(n int)
 }
 
 // LimitSlowStart sets the bound for backend servers in slow start; without it there is none.
@@ -39,6 +41,10 @@
 	reason, isExcluded := p.exclude(now, c, h)
 	if isExcluded {
 		p.excluded = max(p.excluded, reason)
+		p.trace.addExcluded(h, reason)
+	}
+	if reason == pimsteer.ReasonSlowStart {
+		p.denied++
 	}
 	return isExcluded
 }
--- a/internal/coordination/pimplace/exclude_test.go
+++ b/internal/coordination/pimplace/exclude_test.go
@@ -17,8 +17,11 @@
 type fakeSlowStart struct {
 	after     map[pimcatalog.HostID]time.Duration
 	perSecond float64
+	denied    int
 }
 
+func (s *fakeSlowStart) RecordDenied(n int) { s.denied += n }
+
 func (s *fakeSlowStart) AllowsWithin(_ pimclock.Instant, h *pimcatalog.Host, perSecond float64, d time.Duration) bool {
 	s.perSecond = perSecond
 	after, ok := s.after[h.ID]
@@ -56,6 +59,7 @@
 	none := &fakeSlowStart{}
 	is.Equal(place(0, none, "desk"), pimcatalog.HostID(1)) // although it is busy
 	is.Equal(none.perSecond, 2.0)
+	is.Equal(none.denied, 2)
 	is.Equal(place(0, none, "video"), pimcatalog.HostID(4))
 	is.Equal(place(0, &fakeSlowStart{after: map[pimcatalog.HostID]time.Duration{3: 0}}, "desk"), pimcatalog.HostID(3))
 	is.True(place(0, nil, "desk") != 1)
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -4,6 +4,7 @@
 	"math"
 	"math/rand/v2"
 
+	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimpick"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimsteer"
@@ -62,11 +63,16 @@
 	slowStart SlowStart
 	// remote holds the loads of other data centres that the current call of Place has looked up.
 	remote []remoteLoad
-	// demands holds the demand for each service; demand is that of the current call of Place.
-	demands map[pimcatalog.Service]*demand
-	demand  *demand
-	// excluded is why backend servers were excluded from the current choice; see exclude.
+	// demands holds the demand for each service; demand is that of the current decision while isCounting is set.
+	demands    map[pimcatalog.Service]*demand
+	demand     demand
+	isCounting bool
+	// excluded is why backend servers were excluded from the current choice; see exclude. denied is the number of those that the
+	// limit of their slow start excluded.
 	excluded pimsteer.Reason
+	denied   int
+	// trace receives the candidates of the current decision; nil except in Explain.
+	trace *trace
 }
 
 // New returns a placer for a VM in the data centre home.
@@ -78,13 +84,68 @@
 func (p *Placer) Place(
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet,
 ) pimsteer.Placement {
-	service := p.service(route)
-	if p.admission != nil && c.Routes.HasPriorities(service) {
-		return p.admit(now, c, service, route, pkt)
+	d := p.decide(now, c, p.service(route), route, pkt)
+	p.apply(now, c, route, pkt, &d)
+	return d.placement
+}
+
+// decision is the choice for an opening packet, with what apply records.
+type decision struct {
+	service   pimcatalog.Service
+	placement pimsteer.Placement
+	// denied is the number of backend servers that the limit of their slow start excluded.
+	denied int
+	// demand is the demand for the service with the requests that the decision has counted; only without admission.
+	demand demand
+	// own is the share of this VM, nil without admission; the further fields have a meaning only with it. isOwnNew is set if it was
+	// made for this decision.
+	own      *allotment
+	isOwnNew bool
+	// activity is nil before the first placed flow of the service.
+	activity *pimadmit.Activity
+	level    pimadmit.Level
+	// isDeferred is set if the flow is left to the next copy of its opening packet because no copy has been forwarded.
+	isDeferred bool
+}
+
+// decide chooses a backend server for an opening packet. It changes only the buffers of the placer, so that Explain can use it on a
+// copy.
+func (p *Placer) decide(
+	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
+) decision {
+	d := decision{service: service}
+	p.excluded, p.denied = pimsteer.ReasonNoHost, 0
+	if p.usesAdmission(c, service) {
+		p.admit(now, c, route, pkt, &d)
+	} else {
+		p.chooseLeastCost(now, c, pkt, &d)
+	}
+	d.denied = p.denied
+	return d
+}
+
+// usesAdmission reports whether flows of a service may be refused for lack of room.
+func (p *Placer) usesAdmission(c *pimcatalog.Catalog, service pimcatalog.Service) bool {
+	return p.admission != nil && c.Routes.HasPriorities(service)
+}
+
+// apply records a decision.
+func (p *Placer) apply(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet, d *decision) {
+	if d.denied > 0 {
+		p.slowStart.RecordDenied(d.denied)
+	}
+	if d.own == nil {
+		p.setDemand(d.service, d.demand)
+		return
 	}
+	p.admission.apply(now, c, route, pkt, d)
+}
+
+// chooseLeastCost chooses the backend server with the least cost.
+func (p *Placer) chooseLeastCost(now pimclock.Instant, c *pimcatalog.Catalog, pkt *pimpacket.Packet, d *decision) {
+	service := d.service
 	p.candidates, p.costs, p.remote = p.candidates[:0], p.costs[:0], p.remote[:0]
-	p.excluded = pimsteer.ReasonNoHost
-	p.demand = p.demandFor(service)
+	p.demand, p.isCounting = p.demandOf(service), true
 	best := p.addCandidates(now, c, service, pkt.Flow, true)
 	// In other data centres the cost is at least that of crossing and of the service time, so that most flows need no look at
 	// their backend servers. The requests of the own data centre there are counted from time to time.
@@ -93,17 +154,19 @@
 		p.addCandidates(now, c, service, pkt.Flow, false)
 	}
 	p.demand.update(now)
-	p.demand = nil
+	d.demand, p.isCounting = p.demand, false
 	switch {
 	case len(p.candidates) > 0:
 	case p.excluded == pimsteer.ReasonSlowStart:
 		last, _ := p.observer.Tried(pkt.Flow)
-		return p.refuseSlowStart(now, c, service, pkt, last != 0)
+		d.placement = p.refuseSlowStart(now, c, service, pkt, last != 0)
+		return
 	default:
-		return pimsteer.Placement{Reason: p.excluded}
+		d.placement.Reason = p.excluded
+		return
 	}
 	chosen := p.policy.Choose(p.rng, len(p.candidates), func(i int) float64 { return p.costs[i] })
-	return pimsteer.Placement{Host: p.candidates[chosen]}
+	d.placement.Host = p.candidates[chosen]
 }
 
 // addCandidates adds the backend servers of the own data centre, or those of the others, that may take a flow, and returns the least
@@ -121,10 +184,12 @@
 		if (h.DataCentre == p.home) != isHome || p.isExcluded(now, c, h) {
 			continue
 		}
-		cost := p.cost(now, h) + tieBreak*p.rng.Float64()
+		cost := p.cost(now, h)
 		if h.ID == last || h.ID == before {
 			cost += alreadyTriedCost
 		}
+		p.trace.addCost(h, cost, isHome)
+		cost += tieBreak * p.rng.Float64()
 		p.candidates, p.costs = append(p.candidates, h), append(p.costs, cost)
 		best = min(best, cost)
 	}
@@ -136,13 +201,17 @@
 
 func boundedWeight(s pimcatalog.Share) int64 { return int64(min(max(0, s.Weight), maxWeight)) }
 
-// service chooses a service at random by the weights of the route; without weights it returns the first one. A route without
-// shares, which another VM may have sent, has no service.
-func (p *Placer) service(route *pimcatalog.Route) pimcatalog.Service {
-	total := int64(0)
+func totalWeight(route *pimcatalog.Route) (total int64) {
 	for _, s := range route.Shares {
 		total += boundedWeight(s)
 	}
+	return total
+}
+
+// service chooses a service at random by the weights of the route; without weights it returns the first one. A route without
+// shares, which another VM may have sent, has no service.
+func (p *Placer) service(route *pimcatalog.Route) pimcatalog.Service {
+	total := totalWeight(route)
 	switch {
 	case len(route.Shares) == 0:
 		return ""
--- a/internal/pimentry/oldview_test.go
+++ b/internal/pimentry/oldview_test.go
@@ -41,6 +41,8 @@
 	is.True(allows())
 	run(200 * time.Millisecond)
 	is.True(!allows())
+	is.Equal(s.denied.Get(), uint64(0)) // a question alone counts nothing; see RecordDenied
+	s.RecordDenied(2)
 	is.Equal(s.denied.Get(), uint64(2))
 	n.registry.ReadSucceeded(0)
 	n.registry.ConfirmRead()
--- a/internal/pimentry/slowstart.go
+++ b/internal/pimentry/slowstart.go
@@ -33,13 +33,12 @@
 // AllowsWithin implements pimplace.SlowStart. A view that is not current may lack the restart of a backend server or a later limit, so
 // nothing is sent then.
 func (s *slowStart) AllowsWithin(now pimclock.Instant, h *pimcatalog.Host, perSecond float64, d time.Duration) bool {
-	allowed := s.node.registry.Fresh(now) && s.limiter.AllowsWithin(now, h, perSecond, d)
-	if !allowed && d == 0 {
-		s.denied.Inc()
-	}
-	return allowed
+	return s.node.registry.Fresh(now) && s.limiter.AllowsWithin(now, h, perSecond, d)
 }
 
+// RecordDenied implements pimplace.SlowStart.
+func (s *slowStart) RecordDenied(n int) { s.denied.Add(n) }
+
 // update passes the present membership to the limiter.
 func (s *slowStart) update(now pimclock.Instant) {
 	if s != nil {
