feat: pimentry explain shows where a flow would go and why

An operator could see from logs where flows went, not where the next one would go, nor which limit or exclusion would decide. The answer comes from pimsteer.Steer with a placer that only explains, so the code that decides also explains. Answering in the goroutine of the operator server was ruled out: it would need a lock around the flow table for each packet.

pimentry explain asks one or several VMs and prints text or JSON.

--- a/cmd/pimentry/commands_test.go
+++ b/cmd/pimentry/commands_test.go
@@ -28,6 +28,10 @@
 		"check_missing": {[]string{"check", "--settings", "testdata/missing.toml"}, pimcli.ExitFault},
 		"run_faults":    {[]string{"run", "--settings", "testdata/faults.toml"}, pimcli.ExitFault},
 		"no_settings":   {[]string{"run"}, pimcli.ExitUsage},
+		"explain_help":  {[]string{"explain", "--help"}, pimcli.ExitOK},
+		"explain_no_vm": {[]string{"explain", "198.18.0.1:443"}, pimcli.ExitUsage},
+		"explain_route": {[]string{"explain", "--vm", "127.0.0.1:1", "desk"}, pimcli.ExitFault},
+		"explain_vm":    {[]string{"explain", "--vm", "vm-1", "198.18.0.1:443"}, pimcli.ExitFault},
 		"unknown":       {[]string{"walk"}, pimcli.ExitUsage},
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -278,14 +278,14 @@
 		if others.isKnown {
 			room = (maxRemoteLoad - others.perSlot) * float64(r.slots) / float64(len(p.admission.vms)+1)
 		}
-		base := others.perSlot
-		if float64(r.busy) < room {
+		load, hasRoom := others.perSlot+r.bestLoad, float64(r.busy) < room
+		if hasRoom {
 			isOpen = true
 		} else {
-			base += closedLoad
+			load += closedLoad
 		}
-		p.admission.choice.Add(pimadmit.Remote, r.best, base+r.bestLoad, 0)
-		p.trace.addRemote(r, base, room)
+		p.admission.choice.Add(pimadmit.Remote, r.best, load, 0)
+		p.trace.addRemote(r, others.perSlot, room, hasRoom)
 	}
 	return isOpen
 }
--- a/internal/coordination/pimplace/explain.go
+++ b/internal/coordination/pimplace/explain.go
@@ -42,6 +42,9 @@
 	// Reason is why an excluded one may receive no new flow.
 	Reason pimsteer.Reason
 	Load   Load
+	// Speed is relative to the mean; IsSuspect is set if new flows avoid the backend server.
+	Speed     float64
+	IsSuspect bool
 	// Places is the number of requests that this VM may have under way there; zero outside its own share.
 	Places pimadmit.Places
 	// Value is what the decision compares within a kind, the least being the best: the filled part of the places for an own backend
@@ -49,6 +52,8 @@
 	Value float64
 	// IsCost is set if Value is a cost.
 	IsCost bool
+	// IsClosed is set for a remote one whose data centre has no room for further requests of this VM; others come first.
+	IsClosed bool
 	// IsTie is set for the chosen backend server and for those that only chance has ruled out.
 	IsTie bool
 	open  float64
@@ -122,15 +127,16 @@
 	}
 }
 
-// addRemote adds a data centre; base is added to the loads of its backend servers.
-func (t *trace) addRemote(r *remoteShare, base, room float64) {
+// addRemote adds a data centre with the load that its own VMs cause.
+func (t *trace) addRemote(r *remoteShare, perSlot, room float64, isOpen bool) {
 	if t == nil {
 		return
 	}
 	t.remote = append(t.remote, RemoteExplanation{DataCentre: r.dataCentre, UnderWay: r.busy, Room: room})
 	for id, c := range t.candidates {
 		if c.Kind == CandidateRemote && c.Host.DataCentre == r.dataCentre {
-			c.Value += base
+			c.Value += perSlot
+			c.IsClosed = !isOpen
 			t.candidates[id] = c
 		}
 	}
@@ -177,6 +183,7 @@
 			candidate = Candidate{Host: h, Kind: CandidateNotExamined}
 		}
 		candidate.Load, candidate.Places = p.observer.Load(now, h.ID), places[h.ID]
+		candidate.Speed, candidate.IsSuspect = candidate.Load.speed(), candidate.Load.isSuspect(now)
 		e.Candidates = append(e.Candidates, candidate)
 	}
 	e.markTies()
@@ -204,7 +211,7 @@
 			c.IsTie = c.IsCost && c.Value <= least+tieBreak
 			continue
 		}
-		c.IsTie = c.Kind == chosen.Kind && c.Value == chosen.Value && c.open == chosen.open
+		c.IsTie = c.Kind == chosen.Kind && c.IsClosed == chosen.IsClosed && c.Value == chosen.Value && c.open == chosen.open
 	}
 }
 
--- a/internal/coordination/pimramp/assign.go
+++ b/internal/coordination/pimramp/assign.go
@@ -47,3 +47,23 @@
 	binary.BigEndian.PutUint64(b[8:], uint64(id))
 	return xxhash.Sum64(b[:])
 }
+
+// Owner returns the VM that sends to a backend server while it is in slow start, by the membership that this VM knows. It is empty in
+// other data centres, before the first update, and if two VMs have the same score.
+func (l *Limiter) Owner(h *pimcatalog.Host) (name string) {
+	if h.DataCentre != l.cfg.DataCentre {
+		return ""
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	best := uint64(0)
+	for _, v := range l.vms {
+		switch s := score(v.hash, h.ID); {
+		case name == "" && s >= best || s > best:
+			name, best = v.name, s
+		case s == best:
+			name = ""
+		}
+	}
+	return name
+}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -57,6 +57,8 @@
 	overloaded atomic.Bool
 	// lines bounds the rate of log lines about flows.
 	lines *pimlog.Bucket
+	// explains are the requests for explanations, which the loop answers between packets.
+	explains explainRequests
 }
 
 func newEdge(n *Node, conn *net.UDPConn, obs *observer, placer *pimplace.Placer) *edge {
@@ -64,6 +66,7 @@
 		node: n, conn: conn, table: obs.table, observer: obs, placer: placer, counters: newEdgeCounters(n.set),
 		flows:        newFlowCounters(n.set, n.cfg.Node.DataCentre),
 		unresponsive: map[pimcatalog.HostID]bool{}, lines: pimlog.NewBucket(lineBurst, linesPerSecond),
+		explains: newExplainRequests(),
 	}
 	if err := conn.SetReadBuffer(receiveBufferBytes); err != nil {
 		n.log.Warn().Err(err).Msg("receive buffer not set")
@@ -119,6 +122,7 @@
 		e.table.Expire(now)
 		e.handleSuspicions(now)
 		e.publishReports(now)
+		e.answerExplain(now)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -170,7 +170,7 @@
 	n.registerMetrics()
 	_, stop, err := pimops.New(ctx, pimops.Config{
 		Address: n.cfg.Operator.Address.String(), WriteMetrics: n.writeMetrics,
-		Status: func(context.Context) (any, error) { return n.Status(), nil }, Log: n.log,
+		Status: func(context.Context) (any, error) { return n.Status(), nil }, Explain: n.serveExplain, Log: n.log,
 	})
 	if err != nil {
 		return err
--- a/internal/pimentry/slowstart.go
+++ b/internal/pimentry/slowstart.go
@@ -72,3 +72,11 @@
 	_, ok := c.SlowStart(h.Service)
 	return ok && h.ColdFor(now) > 0
 }
+
+// owner returns the VM that sends to a backend server in slow start; empty if it is not known or there is no limit.
+func (s *slowStart) owner(h *pimcatalog.Host) string {
+	if s == nil {
+		return ""
+	}
+	return s.limiter.Owner(h)
+}
--- a/internal/transport/pimops/handler.go
+++ b/internal/transport/pimops/handler.go
@@ -32,8 +32,8 @@
 	s.serveJSON(w, r, func(ctx context.Context) (any, error) { return s.cfg.Explain(ctx, r.URL.Query()) })
 }
 
-// serveJSON writes the value that get returns as JSON, or its error as text: with status 400 for ErrQuery, otherwise
-// 500.
+// serveJSON writes the value that get returns as JSON, or its error as text: with status 400 for ErrQuery, 429 for
+// ErrBusy, otherwise 500.
 func (s *Server) serveJSON(w http.ResponseWriter, r *http.Request, get func(context.Context) (any, error)) {
 	value, err := get(r.Context())
 	var text []byte
@@ -44,6 +44,10 @@
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
+	if errors.Is(err, ErrBusy) {
+		http.Error(w, err.Error(), http.StatusTooManyRequests)
+		return
+	}
 	if err != nil {
 		s.cfg.Log.Warn().Err(err).Str("path", r.URL.Path).Msg("operator request failed")
 		http.Error(w, err.Error(), http.StatusInternalServerError)
--- a/internal/transport/pimops/server.go
+++ b/internal/transport/pimops/server.go
@@ -30,6 +30,9 @@
 // ErrQuery means that the query parameters of a request are wrong.
 var ErrQuery = errors.New("wrong query parameters")
 
+// ErrBusy means that too many requests were made.
+var ErrBusy = errors.New("too many requests")
+
 // Config holds the address of the server and the functions behind its endpoints.
 type Config struct {
 	// Address is host and port; without a host, the server listens on the loopback interface. Empty means
@@ -40,7 +43,7 @@
 	// Status returns the value of /status, which is written as JSON; nil disables the endpoint.
 	Status func(ctx context.Context) (any, error)
 	// Explain returns the value of /explain, which is written as JSON; nil disables the endpoint.
-	// Its error is ErrQuery if the parameters are wrong.
+	// Its error is ErrQuery if the parameters are wrong, ErrBusy if there were too many requests.
 	Explain func(ctx context.Context, parameters url.Values) (any, error)
 	Log     zerolog.Logger
 }
