--- a/internal/coordination/pimramp/limiter_test.go
+++ b/internal/coordination/pimramp/limiter_test.go
@@ -119,7 +119,9 @@
 		l := New(settings(name))
 		now := settle(l, start, group(name, names...))
 		for id := range pimcatalog.HostID(7000) {
-			if l.Owns(now, host(id)) {
+			isOwned := l.Owns(now, host(id))
+			is.Equal(l.Owner(host(id)) == name, isOwned)
+			if isOwned {
 				owners[id]++
 				owned[name]++
 			}
@@ -143,6 +145,7 @@
 	is.True(l.Allows(now, h, 0))
 	h.DataCentre = "apapa"
 	is.True(!l.Allows(now, h, 0))
+	is.Equal(l.Owner(h), "")
 }
 
 // Guards against a VM that owns backend servers although it may not know all VMs, or they may not know it.
--- a/internal/pimentry/explain_test.go
+++ b/internal/pimentry/explain_test.go
@@ -1,7 +1,9 @@
 package pimentry
 
 import (
+	"context"
 	"encoding/json"
+	"errors"
 	"flag"
 	"fmt"
 	"math/rand/v2"
@@ -25,6 +27,7 @@
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpacket"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
+	"github.com/pimentoyard/pimentoyard/internal/transport/pimops"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -180,3 +183,55 @@
 		})
 	}
 }
+
+// Guards against a loop that is kept from its packets by many requests for explanations, and against a request that waits for ever
+// because the loop has stopped.
+func TestExplanationsAreBounded(t *testing.T) {
+	is := is.New(t)
+	x := newExplainedEdge()
+	x.node.edge, x.explains = x.edge, newExplainRequests()
+	is.NoErr(x.node.registry.Restore(pimregistry.Snapshot{
+		Revision: 2, Changes: []pimregistry.Change{{Revision: 2, Config: &pimcatalog.Config{Version: 1}}},
+	}))
+	ended, cancel := context.WithCancel(t.Context())
+	cancel()
+	allowed := 0
+	const seconds = 10
+	for range 100 * seconds {
+		x.clock.Advance(time.Second / 100)
+		_, err := x.node.Explain(ended, explained)
+		if !errors.Is(err, pimops.ErrBusy) {
+			is.True(errors.Is(err, context.Canceled))
+			allowed++
+		}
+	}
+	is.True(allowed >= explainPerSecond*seconds && allowed <= explainBurst+explainPerSecond*seconds)
+}
+
+// Guards against an answer of the loop that is lost, and against a loop that waits for the operator server.
+func TestLoopAnswersBetweenPackets(t *testing.T) {
+	is := is.New(t)
+	x := newExplainedEdge()
+	x.explains = newExplainRequests()
+	x.answerExplain(x.clock.Now()) // no request
+	x.explains.requests = make(chan explainRequest, 1)
+	request := explainRequest{address: explained, answer: make(chan Explanation, 1)}
+	x.explains.requests <- request
+	x.answerExplain(x.clock.Now())
+	is.Equal((<-request.answer).Address, explained)
+}
+
+// BenchmarkExplain measures how long an explanation keeps the loop from its packets.
+func BenchmarkExplain(b *testing.B) {
+	for _, n := range []int{4, 50, 500} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			x := newExplainedEdge()
+			x.add(n, "desk", "ikeja", nil)
+			x.add(n, "desk", "apapa", nil)
+			b.ReportAllocs()
+			for b.Loop() {
+				x.explain(true, explained)
+			}
+		})
+	}
+}
--- a/internal/transport/pimops/server_test.go
+++ b/internal/transport/pimops/server_test.go
@@ -79,6 +79,9 @@
 		Address: ":0", Log: zerolog.Nop(), WriteMetrics: set.WritePrometheus,
 		Status: func(context.Context) (any, error) { return map[string]int{"revision": 9}, nil },
 		Explain: func(_ context.Context, parameters url.Values) (any, error) {
+			if parameters.Get("service") == "busy" {
+				return nil, ErrBusy
+			}
 			q, err := pimexplain.Parse(parameters)
 			if err != nil {
 				return nil, fmt.Errorf("%w: %w", ErrQuery, err)
@@ -97,6 +100,8 @@
 		is.Equal(status, http.StatusOK) // path
 		golden(t, name, body)
 	}
+	status, _ := get(t, s, "/explain?service=busy")
+	is.Equal(status, http.StatusTooManyRequests)
 	for _, bad := range []string{
 		"", "service=1", "service=1&source=10.1.2.3:4&sauce=1", "service=70000&source=10.1.2.3:4",
 		"service=1&source=10.1.2.3:4&kind=put", "service=1&source=10.1.2.3:4&token=%21", "service=1&source=10.1.2.3:4&tag=x",
