--- a/internal/pimentry/explain_test.go
+++ b/internal/pimentry/explain_test.go
@@ -103,14 +103,18 @@
 	}
 }
 
-// explain explains a flow with a view that is confirmed just now.
+// explain explains a flow.
 func (x *explainedEdge) explain(isFresh bool, address netip.AddrPort, evacuated ...pimid.DataCentre) Explanation {
+	return x.edge.explain(x.clock.Now(), x.view(isFresh, evacuated...), address)
+}
+
+// view returns a view with the routes and backend servers.
+func (x *explainedEdge) view(isFresh bool, evacuated ...pimid.DataCentre) *pimsteer.View {
 	cfg := &pimcatalog.Config{
 		Version: 4, Routes: x.routes, Services: []pimcatalog.Service{"desk", "video"},
 		SlowStart: []pimcatalog.SlowStart{{Service: "desk", PerSecond: 2}},
 	}
-	view := &pimsteer.View{Fresh: isFresh, Catalog: pimcatalog.NewCatalog(17, pimcatalog.NewRouteTable(cfg), x.hosts, evacuated...)}
-	return x.edge.explain(x.clock.Now(), view, address)
+	return &pimsteer.View{Fresh: isFresh, Catalog: pimcatalog.NewCatalog(17, pimcatalog.NewRouteTable(cfg), x.hosts, evacuated...)}
 }
 
 // Guards against unintended changes of the explanations that programs read, and against a decision that is explained as another one.
@@ -228,9 +232,10 @@
 			x := newExplainedEdge()
 			x.add(n, "desk", "ikeja", nil)
 			x.add(n, "desk", "apapa", nil)
+			view := x.view(true)
 			b.ReportAllocs()
 			for b.Loop() {
-				x.explain(true, explained)
+				x.edge.explain(x.clock.Now(), view, explained)
 			}
 		})
 	}
