fix: a further copy is explained as that of a flow that this VM has left to it

Each copy was explained as that of a flow whose first copy had reached another VM, so without room copies 1 and 2 were shown as placed (later_copy), where the VM that dropped copy 0 refuses them. Explain now takes the explanation of the copy before. TestExplanationOfFurtherCopies compares the three copies with Place; seen failing with copy 2 of a flow whose copy 1 was refused.

--- a/internal/coordination/pimplace/explain.go
+++ b/internal/coordination/pimplace/explain.go
@@ -67,8 +67,8 @@
 	Admission *AdmissionExplanation
 	// Candidates are the backend servers of the service in the order of the catalog.
 	Candidates []Candidate
-	// CrossingCost is the cost of another data centre of known load.
-	CrossingCost float64
+	// isDeferred is set if Place would remember that it has left the flow, or an earlier copy explained before, to the next copy.
+	isDeferred bool
 }
 
 // AdmissionExplanation is what a VM compares for a service whose routes have different priorities.
@@ -149,22 +149,28 @@
 }
 
 // Explain returns how a flow of a route to one of its services would be placed now. It uses the decision of Place on a copy of the
-// placer, so nothing is recorded and no random number of Place is used. The policy of the placer must not have a state.
+// placer, so nothing is recorded and no random number of Place is used. The policy of the placer must not have a state. If an earlier
+// copy of the packet was explained, before is that explanation: a flow that it left to this copy counts as such.
 func (p *Placer) Explain(
 	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
+	before *Explanation,
 ) Explanation {
 	// With a fixed seed, the same state gives the same answer, also among equals.
 	rng := rand.New(rand.NewPCG(1, 1))
-	q := *p
+	q, wasDeferred := *p, before != nil && before.isDeferred
 	q.rng, q.trace = rng, &trace{candidates: map[pimcatalog.HostID]Candidate{}}
 	q.candidates, q.costs, q.remote = nil, nil, nil
 	if p.admission != nil {
 		a := *p.admission
 		a.choice, a.remote = pimadmit.NewChoice(a.cfg, rng), nil
+		if wasDeferred {
+			a.deferred = deferredFlows{at: map[pimpacket.Flow]pimclock.Instant{pkt.Flow: now}}
+		}
 		q.admission = &a
 	}
 	d := q.decide(now, c, service, route, pkt)
-	e := Explanation{Service: service, Placement: d.placement, CrossingCost: p.crossingCost(service)}
+	isDeferred := d.isDeferred || wasDeferred && d.placement.Host == nil
+	e := Explanation{Service: service, Placement: d.placement, isDeferred: isDeferred}
 	places := map[pimcatalog.HostID]pimadmit.Places{}
 	if d.own != nil {
 		e.Admission = &AdmissionExplanation{
--- a/internal/coordination/pimplace/explain_test.go
+++ b/internal/coordination/pimplace/explain_test.go
@@ -38,7 +38,7 @@
 
 // explain explains a flow of a route of the configuration.
 func (a *admitting) explain(now pimclock.Instant, route, attempt int) Explanation {
-	return a.Explain(now, a.catalog, "desk", &a.cfg.Routes[route], &pimpacket.Packet{Flags: pimpacket.Open, Attempt: attempt})
+	return a.Explain(now, a.catalog, "desk", &a.cfg.Routes[route], &pimpacket.Packet{Flags: pimpacket.Open, Attempt: attempt}, nil)
 }
 
 // twins are two placers in the same state, of which only the first one explains.
@@ -82,7 +82,7 @@
 	a, route, pkt := w.explaining, w.rng.IntN(2), &pimpacket.Packet{Flags: pimpacket.Open, Attempt: w.rng.IntN(3)}
 	pkt.Flow.Caller = netip.AddrPortFrom(netip.IPv4Unspecified(), uint16(w.rng.IntN(3)))
 	before := a.state()
-	e := a.Explain(w.now, a.catalog, "desk", &a.cfg.Routes[route], pkt)
+	e := a.Explain(w.now, a.catalog, "desk", &a.cfg.Routes[route], pkt, nil)
 	is.Equal(a.state(), before)
 	is.Equal(len(e.Candidates), len(a.catalog.Hosts()))
 	placed := a.Place(w.now, a.catalog, &a.cfg.Routes[route], pkt)
@@ -156,6 +156,24 @@
 	is.True(!urgent.Admission.IsPressureHigh)
 }
 
+// Guards against an explanation of a further copy that differs from the decision: this VM knows that it has forwarded no copy.
+func TestExplanationOfFurtherCopies(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting([]string{"a"}, deskHosts(1, 1, "ikeja")...)
+	a.set(1, 10, 10, 0)
+	var explained, placed []pimsteer.Placement
+	var before *Explanation
+	for attempt := range 3 {
+		e := a.Explain(0, a.catalog, "desk", &a.cfg.Routes[0], &pimpacket.Packet{Flags: pimpacket.Open, Attempt: attempt}, before)
+		explained, before = append(explained, e.Placement), &e
+	}
+	for attempt := range 3 {
+		placed = append(placed, a.place(0, attempt))
+	}
+	is.Equal(explained, placed)
+	is.Equal(placed[1].Host, nil)
+}
+
 // Guards against a service that may be chosen and is not explained, and against one that can not.
 func TestServicesOfARoute(t *testing.T) {
 	for _, test := range []struct{ shares, want []pimcatalog.Share }{
--- a/internal/pimentry/explain.go
+++ b/internal/pimentry/explain.go
@@ -143,7 +143,7 @@
 type explaining struct {
 	placer  *pimplace.Placer
 	service pimcatalog.Service
-	// last is the explanation of the last decision, nil if Steer needed none.
+	// last is the explanation of the last copy, nil if Steer needed none.
 	last *pimplace.Explanation
 }
 
@@ -151,12 +151,12 @@
 func (x *explaining) Place(
 	now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, p *pimpacket.Packet,
 ) pimsteer.Placement {
-	e := x.placer.Explain(now, c, x.service, route, p)
+	e := x.placer.Explain(now, c, x.service, route, p, x.last)
 	x.last = &e
 	return e.Placement
 }
 
-// decisions returns the decisions on the copies of an opening packet without a record of earlier ones. owner returns the VM that sends
+// decisions returns the decisions on the copies of an opening packet, each as if no earlier copy was forwarded here. owner returns the VM that sends
 // to a backend server in slow start.
 func decisions(
 	now pimclock.Instant, view *pimsteer.View, placer *pimplace.Placer, address netip.AddrPort, owner func(*pimcatalog.Host) string,
@@ -169,8 +169,8 @@
 	}
 	for _, s := range services {
 		var last *ExplainedDecision
+		x := &explaining{placer: placer, service: s.Service}
 		for attempt := range copies {
-			x := &explaining{placer: placer, service: s.Service}
 			pkt := pimpacket.Packet{Flow: pimpacket.Flow{Destination: address}, Flags: pimpacket.Open, Attempt: attempt}
 			verdict := pimsteer.Steer(now, *view, x, &pkt)
 			d := explainDecision(now, &verdict, x.last, owner)
