--- a/internal/coordination/pimplace/explain_test.go
+++ b/internal/coordination/pimplace/explain_test.go
@@ -268,6 +268,26 @@
 	}
 }
 
+// Guards against an explanation that adds an index to those of the placer, which its copy shares once one service of the catalog has one.
+func TestExplanationKeepsNoIndex(t *testing.T) {
+	is := is.New(t)
+	hosts := append(deskHosts(maxLooks+1, 1, "ikeja"), deskHosts(maxLooks+1, 1001, "ikeja")...)
+	for _, h := range hosts[maxLooks+1:] {
+		h.Service = "video"
+	}
+	a := newAdmitting([]string{"a"}, hosts...)
+	video := routeOf(1)
+	video.Shares = []pimcatalog.Share{{Service: "video"}}
+	a.cfg.Routes, a.cfg.Services = append(a.cfg.Routes, video), append(a.cfg.Services, "video")
+	a.catalog = pimcatalog.NewCatalog(1, pimcatalog.NewRouteTable(a.cfg), hosts)
+	is.True(a.place(2, 0).Host != nil)
+	before := a.state()
+	a.Explain(0, a.catalog, "desk", &a.cfg.Routes[0], openingOf(0), nil)
+	is.Equal(a.state(), before)
+	is.True(a.place(0, 0).Host != nil)
+	is.Equal(len(a.indexes), 2)
+}
+
 // Guards against a service that may be chosen and is not explained, and against one that can not.
 func TestServicesOfARoute(t *testing.T) {
 	for _, test := range []struct{ shares, want []pimcatalog.Share }{
