--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -95,12 +95,12 @@
 func NewChoice(cfg Settings, rng *rand.Rand) *Choice { return &Choice{cfg: cfg, rng: rng} }
 
 // Reset removes all candidates and begins a choice for a flow.
-func (c *Choice) Reset(d *Demand) { c.best, c.limit = [kindCount]best{}, c.cfg.limit(d) }
+func (c *Choice) Reset(d *Demand) { c.best, c.limit = [kindCount]best{}, c.cfg.Limit(d) }
 
-// Add adds a candidate.
-func (c *Choice) Add(k Kind, h *pimcatalog.Host, u Use) {
+// Add adds a candidate, and reports whether it has no room for the flow.
+func (c *Choice) Add(k Kind, h *pimcatalog.Host, u Use) (isFull bool) {
 	b := &c.best[k]
-	isFull := c.isFull(k, u.Fill)
+	isFull = c.isFull(k, u.Fill)
 	switch {
 	case b.host == nil || b.isFull && !isFull || isFull == b.isFull && u.less(&b.Use):
 		*b = best{host: h, Use: u, isFull: isFull, ties: 1}
@@ -109,6 +109,7 @@
 			b.host, b.Use = h, u
 		}
 	}
+	return isFull
 }
 
 func (u *Use) less(other *Use) bool {
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -80,18 +80,22 @@
 		return nil
 	}
 	for service, own := range p.admission.allotments {
-		share := ServiceShare{Service: service}
-		for _, s := range own.shares {
-			share.Places += s.Places
-			load := p.observer.Load(now, s.Host.ID)
-			share.Filled += load.Busy + load.Expected
-		}
-		all = append(all, share)
+		all = append(all, p.share(now, service, own))
 	}
 	slices.SortFunc(all, func(a, b ServiceShare) int { return cmp.Compare(a.Service, b.Service) })
 	return all
 }
 
+func (p *Placer) share(now pimclock.Instant, service pimcatalog.Service, own *allotment) ServiceShare {
+	share := ServiceShare{Service: service}
+	for _, s := range own.shares {
+		share.Places += s.Places
+		load := p.observer.Load(now, s.Host.ID)
+		share.Filled += load.Busy + load.Expected
+	}
+	return share
+}
+
 // The bounds of the requests in other data centres while the own one has no room.
 const (
 	// maxRemoteLoad is the number of requests per slot up to which a data centre of known load gets requests of others.
@@ -111,16 +115,16 @@
 }
 
 // admit chooses a backend server for an opening packet, or refuses it.
-func (p *Placer) admit(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, route *pimcatalog.Route, pkt *pimpacket.Packet,
-) pimsteer.Placement {
-	a := p.admission
-	own, activity := p.allot(now, c, service), a.activityOf(service)
+func (p *Placer) admit(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet, d *decision) {
+	a, service := p.admission, d.service
+	own, isNew := p.allot(now, c, service)
+	d.own, d.isOwnNew, d.activity = own, isNew, a.activity[service]
 	demand := pimadmit.Demand{
-		Level: activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+		Level: d.activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
 	}
+	d.level = demand.Level
+	p.trace.setDemand(&demand)
 	a.choice.Reset(&demand)
-	p.excluded = pimsteer.ReasonNoHost
 	last, before := p.observer.Tried(pkt.Flow)
 	wasTried := func(id pimcatalog.HostID) bool { return id == last || id == before }
 	busy, places := 0.0, pimadmit.Places(0)
@@ -128,52 +132,73 @@
 		busy += p.addOwn(now, c, s, wasTried(s.Host.ID))
 		places += s.Places
 	}
-	a.fillOf(service).update(now, busy/float64(max(1, places))*(1+a.cfg.QueuePerSlot))
+	d.fill = a.fillOf(service)
+	d.fill.update(now, busy/float64(max(1, places))*(1+a.cfg.QueuePerSlot))
 	isRemoteOpen := false
 	if a.choice.OwnSlot() == nil {
-		isRemoteOpen = p.addOthers(now, c, service, own, wasTried)
+		isRemoteOpen = p.addOthers(now, c, d, wasTried)
 	}
 	h, rule := a.choice.Decide(&demand, isRemoteOpen)
-	index := p.indexFor(c, service)
-	if rule == pimadmit.NoCandidate && index != nil {
+	if rule == pimadmit.NoCandidate && d.index != nil {
 		// All of the sample are excluded, but others may not be.
-		isRemoteOpen = p.addOthersOf(now, c, c.Service(service), nil, service, own, wasTried)
+		isRemoteOpen = p.addOthersOf(now, c, c.Service(service), false, d, wasTried)
 		h, rule = a.choice.Decide(&demand, isRemoteOpen)
 	}
 	switch {
 	case h != nil:
 	case rule == pimadmit.NoCandidate && p.excluded == pimsteer.ReasonSlowStart:
-		return p.refuseSlowStart(now, c, service, pkt, last != 0)
+		d.placement = p.refuseSlowStart(now, c, service, pkt, last != 0)
+		return
 	case rule == pimadmit.NoCandidate:
-		return pimsteer.Placement{Reason: p.excluded, Later: last != 0, Rule: rule.String()}
+		d.placement = pimsteer.Placement{Reason: p.excluded, Later: last != 0, Rule: rule.String()}
+		return
 	case rule == pimadmit.NoRoom && a.deferred.mayBeOpen(now, pkt):
 		// An earlier copy may have been forwarded, so a reset could break the flow that it has opened.
 		h, rule = a.choice.LeastLoaded()
-	case demand.MayWait() && !a.pressureOf(service).IsHigh():
-		a.pressureOf(service).Record(now, false)
-		a.deferred.add(now, pkt)
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
+	case demand.MayWait() && !a.isPressureHigh(service):
+		d.isDeferred = true
+		d.placement = pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: true, Rule: rule.String()}
+		return
 	default:
-		if demand.Level.Rank == 0 {
-			a.pressureOf(service).Record(now, false)
-		}
 		// A copy of a flow that may be open is dropped, also if it has expired.
 		isLater := last != 0 || a.deferred.mayBeOpen(now, pkt)
-		if !isLater {
-			// With an old view, the packet is dropped instead of answered with a reset, and its next copy follows.
-			a.deferred.add(now, pkt)
+		// With an old view, the packet is dropped instead of answered with a reset, and its next copy follows.
+		d.isDeferred = !isLater
+		d.placement = pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
+		return
+	}
+	d.placement = pimsteer.Placement{Host: h, Rule: rule.String()}
+}
+
+// apply records a decision.
+func (a *admission) apply(now pimclock.Instant, c *pimcatalog.Catalog, route *pimcatalog.Route, pkt *pimpacket.Packet, d *decision) {
+	if a.catalog != c {
+		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
+	}
+	if d.isOwnNew {
+		a.allotments[d.service] = d.own
+	}
+	a.setFill(d.service, d.fill)
+	isPlaced := d.placement.Host != nil
+	if isPlaced {
+		a.deferred.remove(pkt.Flow)
+		if d.activity == nil {
+			d.activity = a.activityOf(d.service)
 		}
-		return pimsteer.Placement{Reason: pimsteer.ReasonNoRoom, Later: isLater, Rule: rule.String()}
+		d.activity.Record(now, route.Priority)
 	}
-	a.deferred.remove(pkt.Flow)
-	if index != nil && h.DataCentre != p.home {
-		a.recordAway(service, h)
+	if d.isDeferred {
+		a.deferred.add(now, pkt)
 	}
-	activity.Record(now, route.Priority)
-	if demand.Level.Rank == 0 {
-		a.pressureOf(service).Record(now, true)
+	if d.level.Rank == 0 && (isPlaced || d.placement.Reason == pimsteer.ReasonNoRoom) {
+		a.pressureOf(d.service).Record(now, isPlaced)
 	}
-	return pimsteer.Placement{Host: h, Rule: rule.String()}
+}
+
+// isPressureHigh reports whether flows of a service are refused at once instead of being left to the next copy.
+func (a *admission) isPressureHigh(service pimcatalog.Service) bool {
+	pressure := a.pressure[service]
+	return pressure != nil && pressure.IsHigh()
 }
 
 func (a *admission) pressureOf(service pimcatalog.Service) *pimadmit.Pressure {
@@ -204,31 +229,32 @@
 		p.addAvoided(now, s.Host, wasTried)
 		return load.UnderWay()
 	}
-	p.admission.choice.Add(pimadmit.Own, s.Host, use(now, s.Host, &load, load.UnderWay(), float64(s.Places), float64(load.Open)))
+	u := use(now, s.Host, &load, load.UnderWay(), float64(s.Places), float64(load.Open))
+	p.add(pimadmit.Own, s.Host, &u)
 	return load.UnderWay()
 }
 
 // addOthers adds the backend servers that do not belong to the own share. It reports whether the VM may send one more flow to
 // another data centre.
 func (p *Placer) addOthers(
-	now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service, own *allotment, wasTried func(pimcatalog.HostID) bool,
+	now pimclock.Instant, c *pimcatalog.Catalog, d *decision, wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
-	hosts, x := c.Service(service), p.indexFor(c, service)
-	if x != nil {
-		hosts = p.sampledAll(x)
+	hosts := c.Service(d.service)
+	if d.index != nil {
+		hosts = p.sampledAll(d.index)
 	}
-	return p.addOthersOf(now, c, hosts, x, service, own, wasTried)
+	return p.addOthersOf(now, c, hosts, d.index != nil, d, wasTried)
 }
 
-// addOthersOf is addOthers for some backend servers; x is set if they are a sample.
+// addOthersOf is addOthers for some backend servers; isSample is set if they are a sample of the index.
 func (p *Placer) addOthersOf(
-	now pimclock.Instant, c *pimcatalog.Catalog, hosts []*pimcatalog.Host, x *hostIndex, service pimcatalog.Service, own *allotment,
+	now pimclock.Instant, c *pimcatalog.Catalog, hosts []*pimcatalog.Host, isSample bool, d *decision,
 	wasTried func(pimcatalog.HostID) bool,
 ) (isRemoteOpen bool) {
 	a := p.admission
 	a.remote = a.remote[:0]
 	for _, h := range hosts {
-		if own.isOwn[h.ID] || p.isExcluded(now, c, h) {
+		if d.own.isOwn[h.ID] || p.isExcluded(now, c, h) {
 			continue
 		}
 		load := p.observer.Load(now, h.ID)
@@ -236,16 +262,18 @@
 		case load.isSuspect(now) || wasTried(h.ID):
 			p.addAvoided(now, h, wasTried(h.ID))
 		case h.DataCentre == p.home:
-			busy, open := a.sharedBusy(&load, max(1, h.Slots), a.fillOf(service)), float64(load.Open)+load.OpenElsewhere
-			a.choice.Add(pimadmit.Shared, h, use(now, h, &load, busy, float64(max(1, h.Slots)), open))
+			busy, open := a.sharedBusy(&load, max(1, h.Slots), &d.fill), float64(load.Open)+load.OpenElsewhere
+			u := use(now, h, &load, busy, float64(max(1, h.Slots)), open)
+			p.add(pimadmit.Shared, h, &u)
 		default:
-			a.remoteShare(h.DataCentre).add(p.rng, h, load.Busy+load.Expected, slowdown(now, h))
+			perSlot := a.remoteShare(h.DataCentre).add(p.rng, h, load.Busy+load.Expected, slowdown(now, h))
+			p.trace.add(pimadmit.Remote, h, &pimadmit.Use{Wait: perSlot}, false)
 		}
 	}
-	if x != nil {
-		p.scaleRemote(now, x, service)
+	if isSample {
+		p.scaleRemote(now, d)
 	}
-	return p.addRemote(service)
+	return p.addRemote(d.service)
 }
 
 func (a *admission) remoteShare(dc pimid.DataCentre) *remoteShare {
@@ -258,12 +286,18 @@
 	return &a.remote[len(a.remote)-1]
 }
 
-// add adds a backend server with the requests of this VM there; of equal ones a random one is kept.
-func (r *remoteShare) add(rng *rand.Rand, h *pimcatalog.Host, busy int, slowdown float64) {
+// add adds a candidate for the choice.
+func (p *Placer) add(kind pimadmit.Kind, h *pimcatalog.Host, u *pimadmit.Use) {
+	isFull := p.admission.choice.Add(kind, h, *u)
+	p.trace.add(kind, h, u, isFull)
+}
+
+// add adds a backend server with the requests of this VM there, and returns its load; of equal ones a random one is kept.
+func (r *remoteShare) add(rng *rand.Rand, h *pimcatalog.Host, busy int, slowdown float64) (load float64) {
 	slots := max(1, h.Slots)
 	r.slots += slots
 	r.busy += busy
-	load := float64(busy) / float64(slots) * slowdown
+	load = float64(busy) / float64(slots) * slowdown
 	switch {
 	case r.best == nil || load < r.bestLoad:
 		r.best, r.bestLoad, r.ties = h, load, 1
@@ -272,6 +306,7 @@
 			r.best = h
 		}
 	}
+	return load
 }
 
 // addRemote adds the best backend server of each other data centre, those in data centres with room for further requests of this VM
@@ -287,13 +322,14 @@
 		if others.isKnown {
 			room = (maxRemoteLoad - others.perSlot) * float64(r.slots) / float64(len(p.admission.vms)+1)
 		}
-		load := others.perSlot + r.bestLoad
-		if float64(r.busy) < room {
+		load, hasRoom := others.perSlot+r.bestLoad, float64(r.busy) < room
+		if hasRoom {
 			isOpen = true
 		} else {
 			load += closedLoad
 		}
 		p.admission.choice.Add(pimadmit.Remote, r.best, pimadmit.Use{Wait: load})
+		p.trace.addRemote(r, others.perSlot, room, hasRoom)
 	}
 	return isOpen
 }
@@ -304,7 +340,7 @@
 	if wasTried {
 		cost += alreadyTriedCost
 	}
-	p.admission.choice.Add(pimadmit.Avoided, h, pimadmit.Use{Wait: cost})
+	p.add(pimadmit.Avoided, h, &pimadmit.Use{Wait: cost})
 }
 
 // use returns the use of a backend server with a number of requests under way, for which it has the given places or slots. One in slow
@@ -326,14 +362,11 @@
 }
 
 // allot returns the share of this VM in the backend servers of a service in the data centre. They are divided among its VMs again if
-// either has changed. A backend server whose tag belongs to another one gets no flows, thus has no share.
-func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) *allotment {
+// either has changed; apply keeps it. A backend server whose tag belongs to another one gets no flows, thus has no share.
+func (p *Placer) allot(now pimclock.Instant, c *pimcatalog.Catalog, service pimcatalog.Service) (own *allotment, isNew bool) {
 	a := p.admission
-	if a.catalog != c {
-		a.catalog, a.allotments = c, map[pimcatalog.Service]*allotment{}
-	}
-	if own := a.allotments[service]; own != nil {
-		return own
+	if own := a.allotments[service]; own != nil && a.catalog == c {
+		return own, false
 	}
 	var hosts []*pimcatalog.Host
 	for _, h := range c.Service(service) {
@@ -341,10 +374,9 @@
 			hosts = append(hosts, h)
 		}
 	}
-	own := &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
+	own = &allotment{shares: pimadmit.Allot(a.cfg, hosts, a.vms, a.self), isOwn: map[pimcatalog.HostID]bool{}}
 	for _, s := range own.shares {
 		own.isOwn[s.Host.ID] = true
 	}
-	a.allotments[service] = own
-	return own
+	return own, true
 }
--- a/internal/coordination/pimplace/bench_test.go
+++ b/internal/coordination/pimplace/bench_test.go
@@ -102,7 +102,8 @@
 	a.EnableAdmission(pimadmit.DefaultSettings(), "vm-380")
 	a.SetVMs(names)
 	port := uint16(0)
-	for _, s := range a.allot(1, a.catalog, "desk").shares {
+	own, _ := a.allot(1, a.catalog, "desk")
+	for _, s := range own.shares {
 		for range busyHere {
 			port++
 			flow := pimpacket.Flow{Caller: netip.AddrPortFrom(netip.MustParseAddr("100.64.0.7"), port)}
--- a/internal/coordination/pimplace/sample.go
+++ b/internal/coordination/pimplace/sample.go
@@ -30,24 +30,28 @@
 	hosts      []*pimcatalog.Host
 }
 
-// indexFor returns the index of a large service, or nil for others. It is made with the first flow after a change of the catalog.
-func (p *Placer) indexFor(c *pimcatalog.Catalog, service pimcatalog.Service) *hostIndex {
+// indexFor returns the index of a large service, or nil for others. It is made with the first flow after a change of the catalog;
+// apply keeps it.
+func (p *Placer) indexFor(c *pimcatalog.Catalog, service pimcatalog.Service) (x *hostIndex, isNew bool) {
 	hosts := c.Service(service)
 	if len(hosts) <= maxLooks {
-		return nil
+		return nil, false
 	}
+	if x := p.indexes[service]; x != nil && p.indexed == c {
+		return x, false
+	}
+	x = &hostIndex{home: pool{dataCentre: p.home}}
+	for _, h := range hosts {
+		x.pool(h.DataCentre).add(h)
+	}
+	return x, true
+}
+
+func (p *Placer) setIndex(c *pimcatalog.Catalog, service pimcatalog.Service, x *hostIndex) {
 	if p.indexed != c {
 		p.indexed, p.indexes = c, map[pimcatalog.Service]*hostIndex{}
 	}
-	x := p.indexes[service]
-	if x == nil {
-		x = &hostIndex{home: pool{dataCentre: p.home}}
-		for _, h := range hosts {
-			x.pool(h.DataCentre).add(h)
-		}
-		p.indexes[service] = x
-	}
-	return x
+	p.indexes[service] = x
 }
 
 func (x *hostIndex) pool(dc pimid.DataCentre) *pool {
@@ -115,20 +119,31 @@
 }
 
 // scaleRemote replaces the numbers of slots and requests, which are those of a sample.
-func (p *Placer) scaleRemote(now pimclock.Instant, x *hostIndex, service pimcatalog.Service) {
+func (p *Placer) scaleRemote(now pimclock.Instant, d *decision) {
 	a := p.admission
 	for i := range a.remote {
 		r := &a.remote[i]
-		all := len(x.pool(r.dataCentre).hosts)
+		all := len(d.index.pool(r.dataCentre).hosts)
 		r.slots, r.busy = r.slots*all/min(awayLooks, all), 0
 	}
-	a.away[service] = slices.DeleteFunc(a.away[service], func(o awayHost) bool {
+	for _, o := range a.away[d.service] {
 		load := p.observer.Load(now, o.id)
 		for i := range a.remote {
 			if a.remote[i].dataCentre == o.dataCentre {
 				a.remote[i].busy += load.Busy + load.Expected
 			}
 		}
+		if load.UnderWay() == 0 {
+			d.idleAway++
+		}
+	}
+}
+
+// removeIdleAway forgets the backend servers of other data centres that have no more requests of this VM.
+func (p *Placer) removeIdleAway(now pimclock.Instant, service pimcatalog.Service) {
+	a := p.admission
+	a.away[service] = slices.DeleteFunc(a.away[service], func(o awayHost) bool {
+		load := p.observer.Load(now, o.id)
 		return load.UnderWay() == 0
 	})
 }
--- a/internal/coordination/pimplace/unheard.go
+++ b/internal/coordination/pimplace/unheard.go
@@ -24,13 +24,21 @@
 	f.at = now
 }
 
-func (a *admission) fillOf(service pimcatalog.Service) *meanFill {
+// fillOf returns the mean fill of the own share of a service; zero before the first decision.
+func (a *admission) fillOf(service pimcatalog.Service) meanFill {
+	if f := a.fills[service]; f != nil {
+		return *f
+	}
+	return meanFill{}
+}
+
+func (a *admission) setFill(service pimcatalog.Service, current meanFill) {
 	f := a.fills[service]
 	if f == nil {
 		f = &meanFill{}
 		a.fills[service] = f
 	}
-	return f
+	*f = current
 }
 
 // sharedBusy returns the requests under way at a backend server of the share of another VM, with the given number of slots. In a large data
