feat: admission knows the work of a route

Cause: pimadmit orders flows of one priority by their work, but nothing told it the work of a route: Demand.Work and MeanWork were never set.

Change: the mean time to the first sign of an answer, which pimflow learns for each route, and its mean over the recent flows of the service.

Measured: TestShortRequestsGoFirst (fails without it); the tests of bursts in scenario/pimadmission pass.

--- a/internal/coordination/pimadmit/level.go
+++ b/internal/coordination/pimadmit/level.go
@@ -35,6 +35,8 @@
 // Activity counts the placed flows of one service by priority; the zero value is empty. Refused flows do not count: in a burst of refused
 // flows and their further tries, an urgent priority with few flows would fall below minActivity and lose its places.
 type Activity struct {
+	// meanWork is the mean time of the requests of the recent flows; zero if unknown.
+	meanWork time.Duration
 	// priorities are in the order of their values, the most urgent one first.
 	priorities []priority
 }
@@ -83,3 +85,22 @@
 	}
 	return l
 }
+
+// workStep is the part of the mean work that one flow replaces.
+const workStep = 0.02
+
+// RecordWork counts the mean time of a request of the route of a new flow.
+func (a *Activity) RecordWork(work time.Duration) {
+	if a.meanWork == 0 {
+		a.meanWork = work
+	}
+	a.meanWork += time.Duration(workStep * float64(work-a.meanWork))
+}
+
+// MeanWork returns the mean time of the requests of the recent flows, or zero if it is unknown.
+func (a *Activity) MeanWork() time.Duration {
+	if a == nil {
+		return 0
+	}
+	return a.meanWork
+}
--- a/internal/coordination/pimplace/admission.go
+++ b/internal/coordination/pimplace/admission.go
@@ -119,8 +119,10 @@
 	a, service := p.admission, d.service
 	own, isNew := p.allot(now, c, service)
 	d.own, d.isOwnNew, d.activity = own, isNew, a.activity[service]
+	d.work, _ = p.observer.Work(route.Address)
 	demand := pimadmit.Demand{
 		Level: d.activity.Level(now, route.Priority), Attempt: pkt.Attempt, Target: route.Target, Timeout: route.Timeout,
+		Work: d.work, MeanWork: d.activity.MeanWork(),
 	}
 	d.level = demand.Level
 	p.trace.setDemand(&demand)
@@ -186,6 +188,9 @@
 			d.activity = a.activityOf(d.service)
 		}
 		d.activity.Record(now, route.Priority)
+		if d.work > 0 {
+			d.activity.RecordWork(d.work)
+		}
 	}
 	if d.isDeferred {
 		a.deferred.add(now, pkt)
--- a/internal/coordination/pimplace/admission_test.go
+++ b/internal/coordination/pimplace/admission_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -250,3 +251,21 @@
 	a.set(2, 0, 100, 0)
 	is.Equal(a.place(0, 0).Host.ID, pimcatalog.HostID(2))
 }
+
+// Guards against long requests that take the places of several short ones of the same priority when there is too little room.
+func TestShortRequestsGoFirst(t *testing.T) {
+	is := is.New(t)
+	a := newAdmitting(nil, deskHosts(1, 1, "ikeja")...)
+	short, long := netip.MustParseAddrPort("198.18.0.1:443"), netip.MustParseAddrPort("198.18.0.2:443")
+	a.cfg.Routes = append(a.cfg.Routes, routeOf(2))
+	a.cfg.Routes[1].Address, a.cfg.Routes[2].Address = short, long
+	a.observer.(*fakeObserver).works = map[netip.AddrPort]time.Duration{short: 10 * time.Millisecond, long: 70 * time.Millisecond}
+	for range 50 {
+		a.place(0, 0)
+		a.place(1, 0)
+		a.place(2, 0)
+	}
+	a.set(1, 6, 6, 0) // three of five places of a slot: the limit of the less urgent routes
+	is.True(a.place(1, 0).Host != nil)
+	is.Equal(a.place(2, 0).Rule, pimadmit.NoRoom.String())
+}
--- a/internal/coordination/pimplace/placer.go
+++ b/internal/coordination/pimplace/placer.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"math/rand/v2"
+	"net/netip"
+	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimadmit"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
@@ -46,6 +48,8 @@
 	// Remote returns the mean requests under way per slot of a service in another data centre, without those of the own data
 	// centre; ok is unset if it is not known or no longer true.
 	Remote(dc pimid.DataCentre, service pimcatalog.Service) (perSlot float64, ok bool)
+	// Work returns the mean time of a request of a route, given by its published address; ok is unset if it is not known.
+	Work(route netip.AddrPort) (d time.Duration, ok bool)
 }
 
 // Placer chooses backend servers for new flows; it must be used by one goroutine only.
@@ -113,6 +117,8 @@
 	// activity is nil before the first placed flow of the service.
 	activity *pimadmit.Activity
 	level    pimadmit.Level
+	// work is the mean time of a request of the route; zero if unknown.
+	work time.Duration
 	// fill is the mean fill of the own share, with that at this decision.
 	fill meanFill
 	// idleAway is the number of remembered backend servers of other data centres that have no more requests of this VM.
--- a/internal/coordination/pimplace/placer_test.go
+++ b/internal/coordination/pimplace/placer_test.go
@@ -27,6 +27,15 @@
 	noSpeeds bool
 	// remote holds the loads of other data centres.
 	remote map[pimid.DataCentre]float64
+	// works holds the work of routes that the table does not know.
+	works map[netip.AddrPort]time.Duration
+}
+
+func (o *fakeObserver) Work(route netip.AddrPort) (d time.Duration, ok bool) {
+	if d, ok = o.works[route]; ok {
+		return d, ok
+	}
+	return o.table.Work(route)
 }
 
 func (o *fakeObserver) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
--- a/internal/coordination/pimplace/speed_test.go
+++ b/internal/coordination/pimplace/speed_test.go
@@ -227,6 +227,10 @@
 // tableObserver observes what a flow table holds, as a VM does.
 type tableObserver struct{ table *pimflow.Table }
 
+func (o *tableObserver) Work(route netip.AddrPort) (d time.Duration, ok bool) {
+	return o.table.Work(route)
+}
+
 func (o *tableObserver) Load(now pimclock.Instant, id pimcatalog.HostID) Load {
 	return LoadOf(now, o.table, id)
 }
--- a/internal/pimentry/observer.go
+++ b/internal/pimentry/observer.go
@@ -1,6 +1,9 @@
 package pimentry
 
 import (
+	"net/netip"
+	"time"
+
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimflow"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimgossip"
 	"github.com/pimentoyard/pimentoyard/internal/coordination/pimplace"
@@ -25,6 +28,9 @@
 	return l.Busy, ok
 }
 
+// Work returns the mean time of a request of a route as learned from its answers.
+func (o *observer) Work(route netip.AddrPort) (d time.Duration, ok bool) { return o.table.Work(route) }
+
 // Load returns the load of a backend server; zero if nothing is known.
 func (o *observer) Load(now pimclock.Instant, id pimcatalog.HostID) pimplace.Load {
 	return pimplace.LoadOf(now, o.table, id)
--- a/internal/scenario/pimadmission/sim.go
+++ b/internal/scenario/pimadmission/sim.go
@@ -143,6 +143,9 @@
 	return v
 }
 
+// Work implements pimplace.Observer.
+func (v *vm) Work(route netip.AddrPort) (d time.Duration, ok bool) { return v.table.Work(route) }
+
 // Remote implements pimplace.Observer; there is one data centre.
 func (v *vm) Remote(pimid.DataCentre, pimcatalog.Service) (perSlot float64, ok bool) { return 0, false }
 
