--- a/internal/coordination/pimadmit/choice.go
+++ b/internal/coordination/pimadmit/choice.go
@@ -140,8 +140,8 @@
 	return nil
 }
 
-// Decide chooses a backend server for the flow given to Reset; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen is set if the VM may send
-// one more flow to another data centre.
+// Decide chooses a backend server for the flow given to Reset; it returns nil with the rules NoRoom, Expired and NoCandidate. isRemoteOpen
+// is set if the VM may send one more flow to another data centre.
 func (c *Choice) Decide(d *Demand, isRemoteOpen bool) (h *pimcatalog.Host, r Rule) {
 	own, shared, remote, avoided := &c.best[Own], &c.best[Shared], &c.best[Remote], &c.best[Avoided]
 	hasHome := own.host != nil || shared.host != nil
--- a/internal/coordination/pimflow/occupancy.go
+++ b/internal/coordination/pimflow/occupancy.go
@@ -23,8 +23,9 @@
 	trustedOccupancy = 0.65
 )
 
-// occupancy is the part of the counted requests of a class that occupy its backend servers. A request counts as running until the caller's next packet, which comes late if the answer fits one packet and the flow stays open. Then the
-// requests counted do not delay each other as much as requests in a queue would.
+// occupancy is the part of the counted requests of a class that occupy its backend servers. A request counts as running until the
+// caller's next packet, which comes late if the answer fits one packet and the flow stays open. Then the requests counted do not delay
+// each other as much as requests in a queue would.
 type occupancy struct {
 	part    float64
 	answers int
@@ -64,7 +65,8 @@
 	elapsed := now.Sub(r.requestedAt)
 	// The caller's next request, or the close after several, comes after a pause.
 	isPrompt := p.Data == 0 && (!p.Flags.Has(pimpacket.Close) || r.requests == 1)
-	if !isPrompt || !r.running || r.requestedAt == 0 || elapsed <= 0 || perSlot <= 1 || !h.isKnown() || now.Before(t.ignoreMissesUntil) || now.Before(h.coldUntil) {
+	isTimed := isPrompt && r.running && r.requestedAt != 0 && elapsed > 0 && !now.Before(t.ignoreMissesUntil)
+	if !isTimed || perSlot <= 1 || !h.isKnown() || now.Before(h.coldUntil) {
 		return
 	}
 	work, ok := t.Work(p.Flow.Destination)
--- a/internal/coordination/pimregistry/evacuation.go
+++ b/internal/coordination/pimregistry/evacuation.go
@@ -25,8 +25,8 @@
 // evacuations are the requests that a VM knows. A request of a revision up to asOf that is missing has been removed, so that no
 // revisions of removals have to be kept to ignore late copies.
 type evacuations struct {
-	// asOf may be above the revision of the view while later parts of a delta are missing or after an urgent delta, and below it after a delta of a VM of a
-	// version that does not know of evacuations.
+	// asOf may be above the revision of the view while later parts of a delta are missing or after an urgent delta, and below it after a
+	// delta of a VM of a version that does not know of evacuations.
 	asOf      pimid.Revision
 	published map[pimid.DataCentre]pimid.Revision
 }
--- a/internal/coordination/pimregistry/urgent.go
+++ b/internal/coordination/pimregistry/urgent.go
@@ -4,9 +4,9 @@
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
-// ApplyUrgent applies a batch that holds all changes of backend servers and evacuations and nothing else, while a large response with all changes is still
-// arriving. The revision of the view stays, so that the changes between are still read; each entry counts by its own revision,
-// whichever way it comes first. It reports whether the batch holds anything new.
+// ApplyUrgent applies a batch that holds all changes of backend servers and evacuations and nothing else, while a large response with all
+// changes is still arriving. The revision of the view stays, so that the changes between are still read; each entry counts by its own
+// revision, whichever way it comes first. It reports whether the batch holds anything new.
 func (r *Registry) ApplyUrgent(b Batch) (isNew bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/pimentry/explain.go
+++ b/internal/pimentry/explain.go
@@ -160,8 +160,8 @@
 	return e.Placement
 }
 
-// decisions returns the decisions on the copies of an opening packet, each as if no earlier copy was forwarded here. owner returns the VM that sends
-// to a backend server in slow start.
+// decisions returns the decisions on the copies of an opening packet, each as if no earlier copy was forwarded here. owner returns the VM
+// that sends to a backend server in slow start.
 func decisions(
 	now pimclock.Instant, view *pimsteer.View, placer *pimplace.Placer, address netip.AddrPort, owner func(*pimcatalog.Host) string,
 ) (all []ExplainedDecision) {
