--- a/review/standin-2/silent.go
+++ b/review/standin-2/silent.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"os"
 	"slices"
 	"time"
 )
@@ -11,15 +12,15 @@
 // The times of the scenario.
 const (
 	// recoverFor is longer than stable_window_ms (4 s), settleFor than the time of any probe.
-	recoverFor = 6 * time.Second
-	settleFor  = 4 * time.Second
+	recoverFor = 5 * time.Second
+	settleFor  = 3 * time.Second
 	// changeGap is the time between two changes of the configuration, the first of which the reader still reads; it is killed after
 	// killAfter and starts again after downFor.
 	changeGap = 330 * time.Millisecond
 	killAfter = 290 * time.Millisecond
 	downFor   = 3500 * time.Millisecond
 	// maxRounds bounds how often the disruption is repeated.
-	maxRounds = 3
+	maxRounds = 5
 )
 
 // silentChannels lets all open channels to the store go silent, waits for longer than stable_window_ms, and kills the VM that reads the
@@ -29,13 +30,16 @@
 		d.record("could not run: %v", err)
 		return couldntRun
 	}
+	// SILENCE=0 and KILL=0 leave out one of the two disruptions, for comparison.
+	hasSilence := hasTrouble && os.Getenv("SILENCE") != "0"
+	hasKill := hasTrouble && os.Getenv("KILL") != "0"
 	p := &prober{d: d}
 	time.Sleep(recoverFor)
 	for range maxRounds {
 		if !p.servesAll() {
 			return couldntRun
 		}
-		if hasTrouble {
+		if hasSilence {
 			for _, v := range d.vms {
 				d.record("%d open channels of %s to the store are silent from now on", v.proxy.silence(), v.name)
 			}
@@ -52,13 +56,13 @@
 		reader := mostCalls(d.vms, before)
 		p.probe(d.vms, d.dropRoute())
 		time.Sleep(killAfter)
-		if hasTrouble {
+		if hasKill {
 			d.kill(reader)
 			p.exclude(reader)
 		}
 		time.Sleep(changeGap - killAfter)
 		p.probe(d.vms, d.dropRoute())
-		if hasTrouble {
+		if hasKill {
 			time.Sleep(downFor)
 			if err := d.start(reader); err != nil {
 				return couldntRun
