--- a/review/standin-2/deployment.go
+++ b/review/standin-2/deployment.go
@@ -53,6 +53,8 @@
 	proxy    *proxy
 	process  *exec.Cmd
 	ended    chan struct{}
+	// calls receives the time of each call to the store.
+	calls chan time.Time
 }
 
 func newDeployment(program, recordFile, zone string) (*deployment, error) {
@@ -184,10 +186,14 @@
 // addVM writes the settings of a VM, as the template of the deploy file has them, and starts it.
 func (d *deployment) addVM(name string) (err error) {
 	n := byte(len(d.vms) + 1)
-	v := &vm{name: name, ip: d.address(1, n), settings: filepath.Join(d.dir, name+".toml")}
+	v := &vm{name: name, ip: d.address(1, n), settings: filepath.Join(d.dir, name+".toml"), calls: make(chan time.Time, 1)}
 	store := netip.AddrPortFrom(d.address(0, 10+n), d.storePort).String()
 	if v.proxy, err = newProxy(store, netip.AddrPortFrom(d.address(0, 1), d.storePort).String(), func(b []byte, isSilent bool) {
 		line, _, _ := strings.Cut(string(b), " HTTP/")
+		select {
+		case v.calls <- time.Now():
+		default: // nobody waits for it
+		}
 		d.record("%s calls the store on a silent channel: %v: %s", v.name, isSilent, line)
 	}); err != nil {
 		return err
--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -19,6 +19,7 @@
 // scenarios are the scenarios by their names.
 var scenarios = map[string]func(d *deployment, hasTrouble bool) int{
 	"silent-channels": silentChannels,
+	"stalled-reader":  stalledReader,
 }
 
 func main() {
--- a/review/standin-2/proxy.go
+++ b/review/standin-2/proxy.go
@@ -6,6 +6,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"time"
 )
 
 // proxy passes the channels of one VM to the store. It can let the open ones go silent, while new ones work.
@@ -19,6 +20,8 @@
 
 	mu       sync.Mutex
 	channels []*channel
+	// cutUntil is the end of the present cut, during which nothing passes; what was sent arrives afterwards.
+	cutUntil time.Time
 }
 
 // channel is one channel through the proxy; once it is silent, nothing passes any more, not even its end.
@@ -42,18 +45,24 @@
 		if err != nil {
 			return
 		}
-		to, err := net.Dial("tcp4", p.target)
-		if err != nil {
-			_ = from.Close()
-			continue
-		}
-		c := &channel{}
-		p.mu.Lock()
-		p.channels = append(p.channels, c)
-		p.mu.Unlock()
-		go p.copy(c, to, from, true)
-		go p.copy(c, from, to, false)
+		go p.accept(from)
+	}
+}
+
+// accept connects a channel to the store.
+func (p *proxy) accept(from net.Conn) {
+	p.awaitEndOfCut()
+	to, err := net.Dial("tcp4", p.target)
+	if err != nil {
+		_ = from.Close()
+		return
 	}
+	c := &channel{}
+	p.mu.Lock()
+	p.channels = append(p.channels, c)
+	p.mu.Unlock()
+	go p.copy(c, to, from, true)
+	go p.copy(c, from, to, false)
 }
 
 func (p *proxy) copy(c *channel, to, from net.Conn, isUp bool) {
@@ -72,6 +81,7 @@
 		if isUp {
 			p.bytesUp.Add(int64(n))
 		}
+		p.awaitEndOfCut()
 		if n > 0 {
 			_, _ = to.Write(buf[:n]) // an error shows at the next read
 		}
@@ -82,6 +92,20 @@
 	}
 }
 
+// cut lets nothing pass for a while, in either direction.
+func (p *proxy) cut(d time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.cutUntil = time.Now().Add(d)
+}
+
+func (p *proxy) awaitEndOfCut() {
+	p.mu.Lock()
+	until := p.cutUntil
+	p.mu.Unlock()
+	time.Sleep(time.Until(until))
+}
+
 // silence lets all open channels go silent for good, and returns their number.
 func (p *proxy) silence() (n int) {
 	p.mu.Lock()
