fix: connections to the platform that are not used are closed after a second

Cause: pimfetch kept unused connections without a limit of time. One that has gone silent shows only once a call on it has timed out, and a VM that takes over has 0.4 s for its first read.

Ruled out: a late take-over (2.0 s after the last confirmation, as designed) and the backoff (the second call came 1.1 s after the first). The log line of a call now has reused_connection and idle_ms, which tell these causes apart.

Change: a connection that no call has used for the time limit of a call is closed. When a call has timed out on a silent connection, the others that were unused since its begin are gone too. There are no further calls, and a reader keeps its connection.

--- a/internal/pimentry/calls.go
+++ b/internal/pimentry/calls.go
@@ -35,6 +35,7 @@
 			return
 		}
 		log.Info().Err(c.Err).Str("path", c.Path).Int64("bytes", c.Bytes).Int64("header_ms", c.Header.Milliseconds()).
-			Int64("total_ms", c.Total.Milliseconds()).Msg("platform call")
+			Int64("total_ms", c.Total.Milliseconds()).Bool("reused_connection", c.Reused).Int64("idle_ms", c.Idle.Milliseconds()).
+			Msg("platform call")
 	}
 }
--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/netip"
 	"net/url"
 	"time"
@@ -22,8 +23,14 @@
 	// Timeout is the longest time without progress: until the header arrives, in addition to the time for which the server
 	// holds the response back, and from then on between two parts of the body.
 	Timeout time.Duration
+	// MaxIdle is the longest time for which a connection that no call uses is kept; zero means Timeout. A connection may go silent
+	// without a reset, which shows only once a call on it has timed out. With MaxIdle up to Timeout, no connection that was idle when
+	// that call began is used after it.
+	MaxIdle time.Duration
 	// SourceAddress is the local address of the connections; the zero value lets the operating system choose.
 	SourceAddress netip.Addr
+	// Dial opens a connection; nil means a TCP connection from SourceAddress.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Observe is called with each finished call; nil means no callback.
 	Observe func(Call)
 }
@@ -45,6 +52,9 @@
 	// Header is the time until the header of the response arrived, zero if it did not. Total is the time until the call
 	// ended.
 	Header, Total time.Duration
+	// Reused is set if the connection had served an earlier call, after which it was idle for Idle.
+	Reused bool
+	Idle   time.Duration
 	// Bytes is the number of bytes of the body that arrived.
 	Bytes int64
 	Err   error
@@ -61,14 +71,22 @@
 
 // New returns a client; cleanup closes idle connections.
 func New(cfg Settings) (c *Client, cleanup func()) {
-	dialer := &net.Dialer{Timeout: cfg.Timeout}
-	if cfg.SourceAddress.IsValid() {
-		dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.SourceAddress, 0))
-	}
 	if cfg.Observe == nil {
 		cfg.Observe = func(Call) {}
 	}
-	transport := &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: maxIdleConnections}
+	if cfg.MaxIdle == 0 {
+		cfg.MaxIdle = cfg.Timeout
+	}
+	if cfg.Dial == nil {
+		dialer := &net.Dialer{Timeout: cfg.Timeout}
+		if cfg.SourceAddress.IsValid() {
+			dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.SourceAddress, 0))
+		}
+		cfg.Dial = dialer.DialContext
+	}
+	transport := &http.Transport{
+		DialContext: cfg.Dial, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: cfg.MaxIdle,
+	}
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
@@ -92,7 +110,8 @@
 			err = ErrStalled
 		}
 	}()
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, r.URL.String(), http.NoBody)
+	trace := httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) { call.Reused, call.Idle = i.Reused, i.IdleTime }}
+	req, err := http.NewRequestWithContext(httptrace.WithClientTrace(ctx, &trace), http.MethodGet, r.URL.String(), http.NoBody)
 	if err != nil {
 		return err
 	}
