test: a VM that is killed while it is paused stays disturbed until the end of the pause

pimbench views counted a VM as in touch at the instant at which it woke, if it had been killed and started within a pause: kill and start set the time of its last disturbance back from the end of the pause, which still held its next run.

--- a/internal/scenario/pimviews/events.go
+++ b/internal/scenario/pimviews/events.go
@@ -129,7 +129,10 @@
 	v, d := s.randomVM(), time.Duration(1+s.Rand.IntN(5))*time.Second
 	v.cutOff = true
 	s.disturb(d)
-	s.After(d, func() { v.cutOff, v.disturbedAt = false, max(v.disturbedAt, s.Now()) })
+	s.After(d, func() {
+		v.cutOff = false
+		v.disturb()
+	})
 }
 
 // takeStoreAway makes the store unreachable for a while. If that lasts, entries lapse and are written again soon afterwards.
@@ -210,7 +213,7 @@
 		s.store.refused[v] = true
 		s.After(d, func() {
 			delete(s.store.refused, v)
-			v.disturbedAt = max(v.disturbedAt, s.Now())
+			v.disturb()
 		})
 	}
 	s.disturb(d)
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -48,7 +48,8 @@
 func (v *vm) start() {
 	s := v.sim
 	v.run++
-	v.running, v.inRotation, v.disturbedAt, v.version = true, true, s.Now(), 0
+	v.running, v.inRotation, v.version = true, true, 0
+	v.disturb()
 	settings := pimregistry.DefaultSettings(inForceWithin)
 	settings.PartSize = 3 + s.Rand.IntN(6)
 	v.registry = pimregistry.New(settings, s.Clock, v.traceDecision)
@@ -92,14 +93,21 @@
 	}
 }
 
-func (v *vm) kill() { v.running, v.inRotation, v.disturbedAt = false, false, v.sim.Now() }
+// disturb records that the VM is disturbed now. A pause goes on when the VM is killed and started again in it.
+func (v *vm) disturb() { v.disturbedAt = max(v.disturbedAt, v.sim.Now()) }
+
+func (v *vm) kill() {
+	v.running, v.inRotation = false, false
+	v.disturb()
+}
 
 // stop is a planned stop: the VM forwards packets for a while and ends.
 func (v *vm) stop() {
 	if !v.running || !v.inRotation {
 		return
 	}
-	v.inRotation, v.disturbedAt = false, v.sim.Now()
+	v.inRotation = false
+	v.disturb()
 	v.sendAll(v.mesh.Announce(v.sim.Now(), v.view(), true))
 	v.after(linger, func() {
 		v.kill()
