fix: a read of the platform counts as of its call, not of the handling of the answer

Cause: the age of a view counted from when the VM handled the header of the response; how long that had waited in the socket does not show. It was passed on as a duration, so that a pause between a read and its use was left out as well.

Ruled out: heartbeats that waited (they were sent after the pause) and a slow read of the neighbour (milliseconds).

Change: a read is complete as of the latest instant at which the platform certainly had nothing newer: of its call, and for an answer without changes the time that the platform was asked to hold it back. It is passed on as an instant.

--- a/internal/coordination/pimconfig/model.go
+++ b/internal/coordination/pimconfig/model.go
@@ -1,8 +1,7 @@
 package pimconfig
 
 import (
-	"time"
-
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -52,8 +51,8 @@
 // End returns the revision up to which the batch holds all changes.
 func (b Batch) End() pimid.Revision { return b.To }
 
-// Lag returns 0: the age of a batch is not used.
-func (b Batch) Lag() time.Duration { return 0 }
+// AsOf returns 0: the age of a batch is not used.
+func (b Batch) AsOf() pimclock.Instant { return 0 }
 
-// Lag returns 0: the age of a snapshot is not used.
-func (s Snapshot) Lag() time.Duration { return 0 }
+// AsOf returns 0: the age of a snapshot is not used.
+func (s Snapshot) AsOf() pimclock.Instant { return 0 }
--- a/internal/coordination/pimregistry/bench_test.go
+++ b/internal/coordination/pimregistry/bench_test.go
@@ -23,7 +23,7 @@
 		s.Changes = append(s.Changes, c)
 	}
 	r := newRegistry(&pimclock.Manual{})
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	if err := r.Restore(s); err != nil {
 		b.Fatal(err)
 	}
--- a/internal/coordination/pimregistry/change.go
+++ b/internal/coordination/pimregistry/change.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -33,16 +34,18 @@
 type Batch struct {
 	From, To pimid.Revision
 	Changes  []Change
-	// ResponseLag is the time from the answer of the platform to the end of the call.
-	ResponseLag time.Duration
+	// SentAt is when this VM sent the call, and AnsweredAt when it handled the header of the response, which may have waited in the
+	// socket. Hold is the time for which the platform was to hold back a response without changes.
+	SentAt, AnsweredAt pimclock.Instant
+	Hold               time.Duration
 }
 
 // Snapshot holds all published entries at a revision; some of them may be newer than Revision.
 type Snapshot struct {
 	Revision pimid.Revision
 	Changes  []Change
-	// ResponseLag is the time from the answer of the platform with the first page to the end of the last call.
-	ResponseLag time.Duration
+	// SentAt is when this VM sent the call for the first page.
+	SentAt pimclock.Instant
 }
 
 // ErrGap means that changes between the revision in force and the start of a delta are missing.
@@ -54,8 +57,16 @@
 // End returns the revision up to which the batch holds all changes.
 func (b Batch) End() pimid.Revision { return b.To }
 
-// Lag returns the time from the answer of the platform to the end of the call.
-func (b Batch) Lag() time.Duration { return b.ResponseLag }
+// AsOf returns the latest instant at which the platform certainly had nothing newer than the batch. When the response arrived does not
+// matter: this VM may have stood still since. A response without changes was held back for Hold after the call was sent, but one that
+// was handled earlier was not, and one with changes may have been sent at once.
+func (b Batch) AsOf() pimclock.Instant {
+	held := b.Hold - b.Hold/clockDriftDivisor
+	if b.To != b.From || b.AnsweredAt.Before(b.SentAt.Add(held)) {
+		return b.SentAt
+	}
+	return b.SentAt.Add(held)
+}
 
-// Lag returns the time from the first answer of the platform to the end of the last call.
-func (s Snapshot) Lag() time.Duration { return s.ResponseLag }
+// AsOf returns the latest instant at which the platform certainly had nothing newer than the revision of the snapshot.
+func (s Snapshot) AsOf() pimclock.Instant { return s.SentAt }
--- a/internal/coordination/pimregistry/delta_test.go
+++ b/internal/coordination/pimregistry/delta_test.go
@@ -48,12 +48,12 @@
 	is := is.New(t)
 	clock := &pimclock.Manual{}
 	behind, late := newRegistry(clock), newRegistry(clock)
-	behind.ReadSucceeded(0)
+	behind.ReadSucceeded(behind.clock.Now())
 	is.NoErr(behind.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(5, 1, route(1, time.Second), route(2, time.Second)), hostChange(6, 7), hostChange(7, 8),
 	}}))
 	// The late VM reads the platform after route 2 and backend server 8 were removed.
-	late.ReadSucceeded(0)
+	late.ReadSucceeded(late.clock.Now())
 	is.NoErr(late.Restore(Snapshot{Revision: 20, Changes: []Change{configChange(15, 2, route(1, time.Second)), hostChange(6, 7)}}))
 	is.NoErr(behind.Merge(late.Since(behind.DeltaRequest())))
 	is.Equal(behind.Revision(), pimid.Revision(20))
@@ -70,12 +70,12 @@
 	clock := &pimclock.Manual{}
 	behind, lister := startedRegistry(t, clock), newRegistry(clock)
 	clock.Advance(time.Minute)
-	lister.ReadSucceeded(0)
+	lister.ReadSucceeded(lister.clock.Now())
 	appeared := hostChange(22, 9)
 	is.NoErr(lister.Restore(Snapshot{Revision: 20, Changes: []Change{
 		configChange(5, 3, route(1, time.Second)), hostChange(21, 7), appeared, hostChange(7, 8),
 	}}))
-	behind.ReadSucceeded(0)
+	behind.ReadSucceeded(behind.clock.Now())
 	is.NoErr(behind.Merge(lister.Since(behind.DeltaRequest())))
 	is.Equal(behind.Revision(), pimid.Revision(20))
 	for _, id := range []pimcatalog.HostID{7, 8, 9} {
@@ -93,7 +93,7 @@
 	cfg := DefaultSettings(3 * time.Second)
 	cfg.PartSize = 2
 	lister := New(cfg, &pimclock.Manual{}, nil)
-	lister.ReadSucceeded(0)
+	lister.ReadSucceeded(lister.clock.Now())
 	is.NoErr(lister.Restore(Snapshot{Revision: 20, Changes: []Change{
 		configChange(5, 3, route(1, time.Second)), hostChange(6, 7), hostChange(22, 8), hostChange(23, 9), hostChange(24, 10),
 	}}))
@@ -154,7 +154,7 @@
 	case 0, 1:
 		p.publishRandomChange(rng)
 	case 2:
-		r.ReadSucceeded(0)
+		r.ReadSucceeded(r.clock.Now())
 		_ = r.Restore(p.snapshot()) // a list older than the view is refused
 	case 3:
 		if b := p.since(r.Revision()); b.From > 0 {
@@ -258,7 +258,7 @@
 // checkAgreement lets one VM read the platform and send its view to the others; all views must then match the platform.
 func checkAgreement(t *testing.T, seed uint64, p *fakePlatform, clock *pimclock.Manual, fleet []*Registry) {
 	t.Helper()
-	fleet[0].ReadSucceeded(0)
+	fleet[0].ReadSucceeded(fleet[0].clock.Now())
 	if err := fleet[0].Restore(p.snapshot()); err != nil {
 		t.Fatalf("seed %d: %v", seed, err)
 	}
@@ -299,7 +299,7 @@
 	cfg := DefaultSettings(3 * time.Second)
 	cfg.PartSize = 2
 	sender, starting := New(cfg, clock, nil), New(cfg, clock, nil)
-	sender.ReadSucceeded(0)
+	sender.ReadSucceeded(sender.clock.Now())
 	is.NoErr(sender.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(9, 1, route(1, time.Second)), hostChange(2, 2), hostChange(3, 3), hostChange(4, 4), hostChange(8, 5),
 	}}))
@@ -372,7 +372,7 @@
 				receiver: {Revision: 10, Changes: []Change{configChange(5, 3, route(1, time.Second)), own, other}},
 				sender:   {Revision: 12, Changes: []Change{configChange(5, 3, route(1, time.Second)), other}},
 			} {
-				r.ReadSucceeded(0)
+				r.ReadSucceeded(r.clock.Now())
 				is.NoErr(r.Restore(list))
 			}
 			is.True(!host(receiver, 7).Unlisted)
--- a/internal/coordination/pimregistry/era_test.go
+++ b/internal/coordination/pimregistry/era_test.go
@@ -37,7 +37,7 @@
 func viewOfEraOne(t testing.TB, clock pimclock.Clock) *Registry {
 	t.Helper()
 	r := newRegistry(clock)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	is.New(t).NoErr(r.Restore(Snapshot{Revision: inEra(1, 23), Changes: []Change{
 		configChange(inEra(1, 22), 11, route(1, time.Second), route(2, time.Second)),
 		reported(inEra(1, 6), 7, 1, false), reported(inEra(1, 23), 8, 2, true),
@@ -88,11 +88,11 @@
 		clock := &pimclock.Manual{}
 		r := viewOfEraOne(t, clock)
 		clock.Advance(time.Minute)
-		r.ReadSucceeded(0)
+		r.ReadSucceeded(r.clock.Now())
 		list := Snapshot{Revision: inEra(2, 5), Changes: []Change{configChange(inEra(2, 5), 11, route(1, time.Second))}}
 		if viaPeer {
 			peer := newRegistry(clock)
-			peer.ReadSucceeded(0)
+			peer.ReadSucceeded(peer.clock.Now())
 			is.NoErr(peer.Restore(list))
 			is.NoErr(r.Merge(peer.Since(r.DeltaRequest())))
 		} else {
@@ -101,7 +101,7 @@
 		is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
 		is.True(!host(r, 8).Gone(clock.Now())) // it was leaving, and has open flows
 		clock.Advance(2 * time.Second)
-		r.ReadSucceeded(0)
+		r.ReadSucceeded(r.clock.Now())
 		apply(t, r, reported(inEra(2, 6), 7, 2, false))
 		clock.Advance(time.Second)
 		is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
@@ -130,7 +130,7 @@
 	clock := &pimclock.Manual{}
 	r := viewOfEraOne(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: inEra(1, 24), ID: 7, Removed: true}, Change{Revision: inEra(1, 25), ID: 8, Removed: true})
 	is.NoErr(r.Restore(Snapshot{Revision: inEra(2, 8), Changes: []Change{
 		reported(inEra(2, 6), 7, 1, false), reported(inEra(2, 7), 8, 1, false),
@@ -138,7 +138,7 @@
 	is.True(host(r, 7).AcceptsNewFlows(clock.Now())) // nothing tells whether it runs
 	is.True(host(r, 8).Gone(clock.Now()))            // it has left
 	clock.Advance(3 * time.Second)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: inEra(2, 9), ID: 7, Removed: true}, Change{Revision: inEra(2, 10), ID: 8, Removed: true})
 	is.True(host(r, 7).Gone(clock.Now()))
 	is.True(host(r, 8).Gone(clock.Now()))
@@ -151,7 +151,7 @@
 	clock := &pimclock.Manual{}
 	r := viewOfEraOne(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, reported(inEra(1, 24), 7, 2, false))
 	apply(t, r, Change{Revision: inEra(1, 25), ID: 7, Removed: true})
 	is.NoErr(r.Restore(Snapshot{Revision: inEra(2, 8), Changes: []Change{reported(inEra(2, 6), 7, 1, false)}}))
@@ -316,7 +316,7 @@
 
 // read lets a VM watch the platform, or list it if the platform does not have the revision of the VM.
 func (p *restoringPlatform) read(r *Registry) error {
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	if from := r.Revision(); from.Era() == p.revision.Era() && from > 0 {
 		return r.Apply(p.since(from))
 	}
@@ -423,7 +423,7 @@
 		configChange(inEra(2, 18), 8, route(1, time.Second), route(4, time.Second)), reported(inEra(2, 6), 7, 1, false),
 	}}
 	for _, r := range []*Registry{long, late} {
-		r.ReadSucceeded(0)
+		r.ReadSucceeded(r.clock.Now())
 		is.NoErr(r.Restore(copied))
 	}
 	apply(t, long, reported(inEra(2, 21), 8, 2, true))
--- a/internal/coordination/pimregistry/fuzz_test.go
+++ b/internal/coordination/pimregistry/fuzz_test.go
@@ -43,7 +43,7 @@
 			t.Fatalf("evacuations up to %v, before %v: %q", r.evacuations.asOf, asOf, r.Catalog().Evacuated())
 		}
 		_ = r.Since(DeltaRequest{})
-		r.ReadSucceeded(0)
+		r.ReadSucceeded(r.clock.Now())
 		clock.Advance(time.Second)
 		if err := r.Restore(Snapshot{Revision: max(r.Revision(), inEra(1, 30)), Changes: []Change{configChange(inEra(1, 22), 11, route(1, time.Second))}}); err != nil {
 			t.Fatal(err)
--- a/internal/coordination/pimregistry/reachability.go
+++ b/internal/coordination/pimregistry/reachability.go
@@ -36,15 +36,14 @@
 	r.reachability.reachable = false
 }
 
-// ReadSucceeded records that a read of the platform succeeded, which had answered the time lag before. Call it before the
-// result is applied; the view counts as confirmed once it is, or after ConfirmRead.
-func (r *Registry) ReadSucceeded(lag time.Duration) {
+// ReadSucceeded records that a read of the platform succeeded whose result is complete as of an instant. Call it before the result
+// is applied; the view counts as confirmed once it is, or after ConfirmRead.
+func (r *Registry) ReadSucceeded(asOf pimclock.Instant) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	now := r.clock.Now()
-	r.readAsOf = now.Add(-lag)
+	r.readAsOf = asOf
 	if !r.reachability.reachable {
-		r.endOutage(now)
+		r.endOutage(r.clock.Now())
 	}
 }
 
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -115,7 +115,7 @@
 	// lastOK is the instant as of which the catalog is complete: the platform was read then, by this VM or by one that
 	// confirmed the view. It is set after the catalog, and loaded before it.
 	lastOK atomic.Int64
-	// readAsOf is when the platform answered the last successful read of this VM.
+	// readAsOf is the latest instant at which the platform certainly had nothing newer than the last successful read of this VM.
 	readAsOf pimclock.Instant
 }
 
@@ -332,19 +332,18 @@
 	r.notify(c, decision)
 }
 
-// The margins of the end of a slow start: its rest is published in whole milliseconds, and the clocks of two machines differ in speed
-// by up to one in coldDriftDivisor.
-const (
-	coldRounding     = time.Millisecond
-	coldDriftDivisor = 1000
-)
+// clockDriftDivisor is the inverse of the highest relative difference in speed between the clocks of two machines.
+const clockDriftDivisor = 1000
+
+// coldRounding is the margin of the end of a slow start, whose rest is published in whole milliseconds.
+const coldRounding = time.Millisecond
 
 // coldUntil returns the end of a slow start of which some was left when its entry was published or sent; it is never too early.
 func coldUntil(now pimclock.Instant, rest time.Duration) pimclock.Instant {
 	if rest <= 0 {
 		return now
 	}
-	return now.Add(rest + rest/coldDriftDivisor + coldRounding)
+	return now.Add(rest + rest/clockDriftDivisor + coldRounding)
 }
 
 // storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era.
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -18,7 +18,7 @@
 func startedRegistry(t testing.TB, clock pimclock.Clock) *Registry {
 	t.Helper()
 	r := newRegistry(clock)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	if err := r.Restore(Snapshot{Revision: 10, Changes: []Change{
 		configChange(5, 3, route(1, time.Second)), hostChange(6, 7), hostChange(7, 8),
 	}}); err != nil {
@@ -40,7 +40,7 @@
 
 // readUnchanged reads the platform, which has no changes and had answered the time lag before.
 func readUnchanged(r *Registry, lag time.Duration) {
-	r.ReadSucceeded(lag)
+	r.ReadSucceeded(r.clock.Now().Add(-lag))
 	r.ConfirmRead()
 }
 
@@ -73,7 +73,7 @@
 	clock.Advance(time.Minute)
 	r.ReadFailed()
 	clock.Advance(20 * time.Second)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: 11, ID: 7, Removed: true}, Change{Revision: 12, ID: 8, Removed: true})
 	is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
 	clock.Advance(2 * time.Second)
@@ -101,7 +101,7 @@
 			clock.Advance(time.Minute)
 			r.ReadFailed()
 			clock.Advance(20 * time.Second)
-			r.ReadSucceeded(0)
+			r.ReadSucceeded(r.clock.Now())
 			apply(t, r, Change{Revision: 12, ID: 7, Removed: true}, Change{Revision: 13, ID: 8, Removed: true})
 
 			clock.Advance(time.Second)
@@ -131,7 +131,7 @@
 	r, other := startedRegistry(t, clock), startedRegistry(t, clock)
 	clock.Advance(time.Minute)
 	r.ReadFailed()
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: 11, ID: 7, Removed: true})
 	is.NoErr(other.Merge(r.Since(other.DeltaRequest())))
 	is.True(host(other, 7).Unlisted)
@@ -147,7 +147,7 @@
 	clock := &pimclock.Manual{}
 	r := startedRegistry(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: 11, ID: 7, Removed: true})
 	is.True(host(r, 7).Gone(clock.Now()))
 }
@@ -163,7 +163,7 @@
 	is.True(!host(r, 7).AcceptsNewFlows(clock.Now()))
 	is.True(!host(r, 7).Gone(clock.Now())) // its open flows go on
 	r.ReadFailed()
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	apply(t, r, Change{Revision: 12, ID: 7, Removed: true})
 	is.True(host(r, 7).Gone(clock.Now()))
 }
@@ -213,10 +213,10 @@
 				is := is.New(t)
 				clock := &pimclock.Manual{}
 				r := newRegistry(clock)
-				r.ReadSucceeded(0)
+				r.ReadSucceeded(r.clock.Now())
 				is.NoErr(r.Restore(Snapshot{Revision: 5, Changes: []Change{configChange(5, 3, route(1, time.Second))}}))
 				clock.Advance(time.Minute)
-				r.ReadSucceeded(0)
+				r.ReadSucceeded(r.clock.Now())
 				deliver(t, r)
 				is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
 				is.Equal(host(r, 7).Service, pimcatalog.Service("desk"))
@@ -248,7 +248,7 @@
 	clock := &pimclock.Manual{}
 	r := startedRegistry(t, clock)
 	clock.Advance(time.Minute)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	earlier, next := hostChange(11, 9), hostChange(13, 10)
 	earlier.Host.StartedAt, next.Host.StartedAt = 1000, 2000
 	next.Host.Address = earlier.Host.Address
@@ -351,10 +351,10 @@
 				is := is.New(t)
 				clock := &pimclock.Manual{}
 				r := newRegistry(clock)
-				r.ReadSucceeded(0)
+				r.ReadSucceeded(r.clock.Now())
 				is.NoErr(deliver(r))
 				clock.Advance(time.Minute)
-				r.ReadSucceeded(0)
+				r.ReadSucceeded(r.clock.Now())
 				is.Equal(host(r, 7).Service, pimcatalog.Service("desk"))
 				is.Equal(host(r, 7).Address, own.Host.Address)
 				is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
@@ -455,7 +455,7 @@
 	clock := &pimclock.Manual{}
 	r := startedRegistry(t, clock)
 	clock.Advance(time.Second)
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	is.Equal(r.Age(clock.Now()), time.Second)
 	apply(t, r, hostChange(11, 9))
 	is.Equal(r.Age(clock.Now()), time.Duration(0))
@@ -463,7 +463,7 @@
 	clock.Advance(time.Second)
 	from := r.Revision()
 	is.NoErr(r.Merge(Delta{From: from, To: 14, More: true, Hosts: []HostState{{Host: *hostChange(14, 10).Host}}}))
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	is.NoErr(r.Apply(Batch{From: from, To: 13, Changes: []Change{hostChange(13, 11)}}))
 	is.Equal(r.Age(clock.Now()), time.Second)
 	is.NoErr(r.Apply(Batch{From: 14, To: 15, Changes: []Change{hostChange(15, 12)}}))
--- a/internal/coordination/pimregistry/urgent_test.go
+++ b/internal/coordination/pimregistry/urgent_test.go
@@ -55,12 +55,12 @@
 	r, lister := startedRegistry(t, clock), newRegistry(clock)
 	from := r.Revision()
 	list := []Change{configChange(from+1, 9, route(1, time.Second)), hostChange(6, 7)}
-	lister.ReadSucceeded(0)
+	lister.ReadSucceeded(lister.clock.Now())
 	is.NoErr(lister.Restore(Snapshot{Revision: from + 1, Changes: list}))
 	clock.Advance(time.Minute) // entries that lapse now have ended
 	is.True(r.ApplyUrgent(Batch{From: from, To: from + 2, Changes: []Change{hostChange(from+2, 9)}}))
 	behind := r.SinceUrgent(DeltaRequest{From: from, Urgent: from})
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	is.NoErr(r.Restore(Snapshot{Revision: from + 1, Changes: list}))
 	is.True(host(r, 9).AcceptsNewFlows(clock.Now()))
 
@@ -101,7 +101,7 @@
 	is.Equal(r.DeltaRequest().Urgent, from)
 	is.True(!newRegistry(clock).ApplyUrgent(Batch{From: 0, To: from})) // a VM without a view needs all entries
 
-	r.ReadSucceeded(0)
+	r.ReadSucceeded(r.clock.Now())
 	is.NoErr(r.Restore(Snapshot{Revision: inEra(2, 1)}))
 	is.True(!r.ApplyUrgent(Batch{From: from, To: from + 2}))
 	is.Equal(r.DeltaRequest().Urgent, inEra(2, 1))
@@ -114,7 +114,7 @@
 	clock := &pimclock.Manual{}
 	r, late := startedRegistry(t, clock), newRegistry(clock)
 	from := r.Revision()
-	late.ReadSucceeded(0)
+	late.ReadSucceeded(late.clock.Now())
 	is.NoErr(late.Restore(Snapshot{Revision: from + 5, Changes: []Change{configChange(5, 3)}}))
 	is.Equal(late.SinceUrgent(r.DeltaRequest()), Delta{})
 	is.NoErr(r.Merge(late.SinceUrgent(r.DeltaRequest()))) // changes nothing
@@ -136,7 +136,7 @@
 		p.pending[i] = append(p.pending[i], other.SinceUrgent(r.DeltaRequest()))
 	case 4:
 		if s, ok := lists[i]; ok {
-			r.ReadSucceeded(0)
+			r.ReadSucceeded(r.clock.Now())
 			_ = r.Restore(s) // a list older than the view is refused
 			delete(lists, i)
 		} else {
@@ -228,7 +228,7 @@
 	cfg.PartSize = 2
 	sender, slower, r := New(cfg, clock, nil), newRegistry(clock), newRegistry(clock)
 	for _, v := range []*Registry{sender, slower, r} {
-		v.ReadSucceeded(0)
+		v.ReadSucceeded(v.clock.Now())
 		is.NoErr(v.Restore(Snapshot{Revision: 4, Changes: []Change{configChange(1, 3, route(1, time.Second)), hostChange(2, 7)}}))
 	}
 	for _, v := range []*Registry{sender, slower} {
@@ -260,10 +260,10 @@
 	cfg.PartSize = 1
 	lister, earlier, r := New(cfg, clock, nil), newRegistry(clock), newRegistry(clock)
 	config, ended := configChange(1, 3, route(1, time.Second)), hostChange(7, 9)
-	earlier.ReadSucceeded(0)
+	earlier.ReadSucceeded(earlier.clock.Now())
 	is.NoErr(earlier.Restore(Snapshot{Revision: 6, Changes: []Change{config, hostChange(5, 7), hostChange(6, 8)}}))
 	apply(t, earlier, ended)
-	lister.ReadSucceeded(0)
+	lister.ReadSucceeded(lister.clock.Now())
 	is.NoErr(lister.Restore(Snapshot{Revision: 10, Changes: []Change{config, hostChange(5, 7), hostChange(6, 8)}}))
 	is.NoErr(r.Merge(lister.Since(r.DeltaRequest())))
 	is.Equal(r.Revision(), pimid.Revision(5))
--- a/internal/coordination/pimsteer/behind_test.go
+++ b/internal/coordination/pimsteer/behind_test.go
@@ -35,7 +35,7 @@
 // list reads the complete list of the platform.
 func (v *vm) list(t *testing.T, revision pimid.Revision, changes ...pimregistry.Change) {
 	t.Helper()
-	v.registry.ReadSucceeded(0)
+	v.registry.ReadSucceeded(v.clock.Now())
 	if err := v.registry.Restore(pimregistry.Snapshot{Revision: revision, Changes: changes}); err != nil {
 		t.Fatal(err)
 	}
@@ -85,7 +85,7 @@
 			behind, ahead := newVM(clock), newVM(clock)
 			behind.list(t, 10, configuration(), desk(6, restarted))
 			clock.Advance(5 * time.Second)
-			behind.registry.ReadSucceeded(0)
+			behind.registry.ReadSucceeded(clock.Now())
 			is.NoErr(behind.registry.Apply(pimregistry.Batch{From: 10, To: 11, Changes: []pimregistry.Change{{Revision: 11, ID: restarted, Removed: true}}}))
 
 			clock.Advance(500 * time.Millisecond)
--- a/internal/pimentry/explain_test.go
+++ b/internal/pimentry/explain_test.go
@@ -50,7 +50,7 @@
 	n.cfg.Node = pimsettings.EntryNode{Name: "vm-1", DataCentre: "ikeja"}
 	n.registry = pimregistry.New(pimregistry.DefaultSettings(3*time.Second), x.clock, nil)
 	obs := &observer{table: pimflow.New(pimflow.DefaultSettings()), remote: map[pimgossip.RemoteService]pimgossip.RemoteLoad{}}
-	n.registry.ReadSucceeded(0)
+	n.registry.ReadSucceeded(n.clock.Now())
 	if err := n.registry.Restore(pimregistry.Snapshot{Revision: 1}); err != nil {
 		panic(err)
 	}
@@ -66,7 +66,7 @@
 			RunningFor: time.Hour, Members: []pimgossip.Member{{Name: "vm-2", KnownFor: time.Hour}},
 		})
 	}
-	n.registry.ReadSucceeded(0)
+	n.registry.ReadSucceeded(n.clock.Now())
 	n.registry.ConfirmRead()
 	x.clock.Advance(250 * time.Millisecond)
 	if len(shares) == 0 {
--- a/internal/pimentry/node.go
+++ b/internal/pimentry/node.go
@@ -217,14 +217,14 @@
 	}
 }
 
-// recordRead records the result of a read of the platform, and the lag of its response, in the mesh and the registry.
-func (n *Node) recordRead(lag time.Duration, err error) {
+// recordRead records the result of a read of the platform, and the instant as of which it is complete, in the mesh and the registry.
+func (n *Node) recordRead(asOf pimclock.Instant, err error) {
 	n.mesh.gossip.SetCanRead(err == nil)
 	if err != nil {
 		n.registry.ReadFailed()
 		return
 	}
-	n.registry.ReadSucceeded(lag)
+	n.registry.ReadSucceeded(asOf)
 }
 
 // viewChanged starts the edge with the first view and announces the changed view to other VMs.
--- a/internal/pimentry/oldview_test.go
+++ b/internal/pimentry/oldview_test.go
@@ -34,7 +34,7 @@
 	allows := func() bool { return s.AllowsWithin(clock.Now(), h, 2, 0) }
 	run(4 * time.Second)
 	is.True(!allows()) // it has no view
-	n.registry.ReadSucceeded(0)
+	n.registry.ReadSucceeded(n.clock.Now())
 	is.NoErr(n.registry.Restore(pimregistry.Snapshot{Revision: 1}))
 	is.True(allows())
 	run(3 * time.Second)
@@ -44,7 +44,7 @@
 	is.Equal(s.denied.Get(), uint64(0)) // a question alone counts nothing; see RecordDenied
 	s.RecordDenied(2)
 	is.Equal(s.denied.Get(), uint64(2))
-	n.registry.ReadSucceeded(0)
+	n.registry.ReadSucceeded(n.clock.Now())
 	n.registry.ConfirmRead()
 	is.True(allows())
 }
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -252,7 +252,7 @@
 	now, age := v.sim.Now(), v.registry.Age(v.sim.Now())
 	switch {
 	case v.registry.Revision() == 0:
-		v.list("", pimregistry.Snapshot{}, 0)
+		v.list("", pimregistry.Snapshot{})
 	case v.mesh.ShouldRead(now, age):
 		v.watch(v.registry.Revision(), v.mesh.WatchTimeout(age))
 	default:
@@ -283,33 +283,36 @@
 	return true
 }
 
-// list reads the pages after a name; the first page was answered at listedAt.
-func (v *vm) list(after string, snap pimregistry.Snapshot, listedAt pimclock.Instant) {
+// list reads the pages after a name.
+func (v *vm) list(after string, snap pimregistry.Snapshot) {
+	if after == "" {
+		snap.SentAt = v.sim.Now()
+	}
 	v.after(callTime, func() {
 		if v.isTurnedAway() {
 			return
 		}
 		page, more := v.sim.store.page(after)
 		if after == "" {
-			snap.Revision, listedAt = v.sim.store.revision, v.sim.Now()
+			snap.Revision = v.sim.store.revision
 		}
 		for _, e := range page {
 			snap.Changes = append(snap.Changes, e.change)
 		}
 		if more {
-			v.list(page[len(page)-1].name, snap, listedAt)
+			v.list(page[len(page)-1].name, snap)
 			return
 		}
 		v.after(callTime, func() {
-			v.readSucceeded(v.sim.Now().Sub(listedAt), func() error { return v.registry.Restore(snap) })
+			v.readSucceeded(snap.AsOf(), func() error { return v.registry.Restore(snap) })
 		})
 	})
 }
 
 // readSucceeded stores the result of a read some time after the call has ended.
-func (v *vm) readSucceeded(lag time.Duration, apply func() error) {
+func (v *vm) readSucceeded(asOf pimclock.Instant, apply func() error) {
 	v.mesh.SetCanRead(true)
-	v.registry.ReadSucceeded(lag)
+	v.registry.ReadSucceeded(asOf)
 	v.after(time.Duration(v.sim.Rand.Int64N(int64(applyTime))), func() {
 		if err := apply(); err != nil {
 			v.after(v.backoff.Next(), v.follow)
@@ -323,6 +326,7 @@
 
 // watch waits for changes for at most hold.
 func (v *vm) watch(from pimid.Revision, hold time.Duration) {
+	sentAt := v.sim.Now()
 	v.after(callTime, func() {
 		if v.isTurnedAway() {
 			return
@@ -331,7 +335,7 @@
 		answer := func() {
 			if !isAnswered && v.run == run {
 				isAnswered = true
-				v.answerWatch(from)
+				v.answerWatch(from, sentAt, hold)
 			}
 		}
 		if v.sim.store.revision > from {
@@ -343,34 +347,43 @@
 	})
 }
 
-func (v *vm) answerWatch(from pimid.Revision) {
+// answerWatch lets the store answer a watch. The VM knows when it sent the call and when it handles the header of the response, which may
+// have waited for it, but not when the store answered.
+func (v *vm) answerWatch(from pimid.Revision, sentAt pimclock.Instant, hold time.Duration) {
 	b, ok := v.sim.store.since(from)
-	answered := v.sim.Now()
 	if v.isTurnedAway() {
 		return
 	}
+	b.SentAt, b.Hold = sentAt, hold
 	isRead := false
 	if !v.isEarlier {
 		v.after(urgentAfter, func() { v.watchUrgent(from, &isRead) })
 	}
-	v.after(callTime+v.slowness(b), func() {
-		isRead = true
-		lag := v.sim.Now().Sub(answered)
-		switch {
-		case !ok:
-			v.list("", pimregistry.Snapshot{}, 0)
-		case b.To == from:
-			v.mesh.SetCanRead(true)
-			v.registry.ReadSucceeded(lag)
-			v.registry.ConfirmRead()
-			v.backoff.Reset()
-			v.after(0, v.follow)
-		default:
-			v.readSucceeded(lag, func() error { return v.registry.Apply(b) })
-		}
+	v.after(callTime, func() {
+		b.AnsweredAt = v.sim.Now()
+		v.after(v.slowness(b), func() {
+			isRead = true
+			v.handleWatch(b, ok)
+		})
 	})
 }
 
+// handleWatch handles the complete answer to a watch, or lists the store if it no longer has the changes.
+func (v *vm) handleWatch(b pimregistry.Batch, ok bool) {
+	switch {
+	case !ok:
+		v.list("", pimregistry.Snapshot{})
+	case b.To == b.From:
+		v.mesh.SetCanRead(true)
+		v.registry.ReadSucceeded(b.AsOf())
+		v.registry.ConfirmRead()
+		v.backoff.Reset()
+		v.after(0, v.follow)
+	default:
+		v.readSucceeded(b.AsOf(), func() error { return v.registry.Apply(b) })
+	}
+}
+
 // slowness returns how much longer than usual a response takes to arrive.
 func (v *vm) slowness(b pimregistry.Batch) time.Duration {
 	hasConfig := slices.ContainsFunc(b.Changes, func(c pimregistry.Change) bool { return c.Config != nil })
--- a/internal/transport/pimfollow/follower.go
+++ b/internal/transport/pimfollow/follower.go
@@ -28,8 +28,9 @@
 
 // Response is the result of a call to a source.
 type Response interface {
-	// Lag returns the time from the answer of the source to the end of the call: a large response takes long to arrive.
-	Lag() time.Duration
+	// AsOf returns the latest instant at which the source certainly had nothing newer than the response: it may have taken long to
+	// arrive, and may have waited in the socket of a VM that stood still.
+	AsOf() pimclock.Instant
 }
 
 // Source is a versioned key-value store that can be listed and watched.
@@ -65,9 +66,9 @@
 	Changed func()
 	// Unchanged is called after each watch without changes; nil means no callback.
 	Unchanged func()
-	// Observe is called with the error of each read, or nil and the lag of the response, before the result is applied, but
-	// not with ErrCompacted or ErrTooLarge of a watch; nil means no callback.
-	Observe func(lag time.Duration, err error)
+	// Observe is called with the error of each read, or nil and the instant as of which the response is complete, before the result is
+	// applied, but not with ErrCompacted or ErrTooLarge of a watch; nil means no callback.
+	Observe func(asOf pimclock.Instant, err error)
 	// Backoff gives the delay after a failed read, RetryScale its present scale; nil means 1.
 	Backoff    *Backoff
 	RetryScale func() float64
@@ -109,7 +110,7 @@
 		cfg.Unchanged = func() {}
 	}
 	if cfg.Observe == nil {
-		cfg.Observe = func(time.Duration, error) {}
+		cfg.Observe = func(pimclock.Instant, error) {}
 	}
 	f = &Follower[B, S]{cfg: cfg}
 	ctx, cancel := context.WithCancel(ctx)
@@ -167,7 +168,7 @@
 		f.cfg.Observe(0, err)
 		return false, err
 	}
-	f.cfg.Observe(b.Lag(), nil)
+	f.cfg.Observe(b.AsOf(), nil)
 	if b.End() == from {
 		f.cfg.Unchanged()
 		return false, nil
@@ -189,7 +190,7 @@
 		f.cfg.Observe(0, err)
 		return err
 	}
-	f.cfg.Observe(snap.Lag(), nil)
+	f.cfg.Observe(snap.AsOf(), nil)
 	return f.notifyApplied(f.cfg.Sink.Restore(snap))
 }
 
--- a/internal/transport/pimfollow/urgent_test.go
+++ b/internal/transport/pimfollow/urgent_test.go
@@ -11,6 +11,7 @@
 	"github.com/matryer/is"
 	"github.com/rs/zerolog"
 
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -20,8 +21,8 @@
 // End returns the revision.
 func (r revisions) End() pimid.Revision { return pimid.Revision(r) }
 
-// Lag returns zero.
-func (revisions) Lag() time.Duration { return 0 }
+// AsOf returns zero.
+func (revisions) AsOf() pimclock.Instant { return 0 }
 
 // sink stores the revision.
 type sink struct{ revision atomic.Uint64 }
