fix: a heartbeat counts as of the earliest instant at which it can have been sent

Callers would see a change in force too late: if all heartbeats of the VM that reads the platform have come over a slow link since it started, or another VM was paused twice, its neighbours take their views for younger than they are, and take over too late when it fails.

Cause: the transit time was counted from the fastest heartbeat of the sender, whose own transit time does not show in heartbeats of one direction. It was assumed to be below 20 ms.

Change: a heartbeat carries an echo, how far the clock of the sender is ahead of that of the receiver at most, from the heartbeats that it has received. The age of the view, claims, loads and signs of life count from the instant that follows. Heartbeats of VMs of earlier versions count as before.

TestDelayedHeartbeatsDoNotConfirmView now removes the echo, so that it still covers earlier versions.

--- a/internal/coordination/pimgossip/load.go
+++ b/internal/coordination/pimgossip/load.go
@@ -47,12 +47,13 @@
 	at               pimclock.Instant
 }
 
-// recordLoads replaces the loads of a VM, and adds the speeds that they contain. Damaged loads are ignored: a negative one would attract
-// all flows, or make the backend server look alive later than it was.
-func (p *peer) recordLoads(now pimclock.Instant, loads []pimmesh.HostLoad) {
+// recordLoads replaces the loads of a VM, which it sent at the given instant, and adds the speeds that they contain. Damaged loads are
+// ignored: a negative one would attract all flows, or make the backend server look alive later than it was.
+func (p *peer) recordLoads(sentAt pimclock.Instant, loads []pimmesh.HostLoad) {
+	p.reportedAt = sentAt
 	p.loads = make(map[pimcatalog.HostID]pimmesh.HostLoad, len(loads))
 	for id, s := range p.speeds {
-		if now.Sub(s.at) > speedTTL {
+		if sentAt.Sub(s.at) > speedTTL {
 			delete(p.speeds, id)
 		}
 	}
@@ -69,7 +70,7 @@
 		}
 		p.speeds[l.ID] = speedReport{
 			slowness: min(max(float64(l.Slowness)*slownessUnit, -maxSlowness), maxSlowness),
-			weight:   float64(min(l.Weight, maxWeight)), at: now,
+			weight:   float64(min(l.Weight, maxWeight)), at: sentAt,
 		}
 	}
 }
@@ -100,7 +101,7 @@
 		}
 		running++
 		p.addSpeeds(now, loads)
-		if now.Sub(p.receivedAt) > m.cfg.LoadTTL {
+		if now.Sub(p.reportedAt) > m.cfg.LoadTTL {
 			continue
 		}
 		recent++
@@ -108,10 +109,10 @@
 			l := loads[id]
 			l.Busy += float64(reported.Busy) * busyUnit
 			l.Open += float64(reported.Open)
-			l.AliveAt = max(l.AliveAt, p.receivedAt.Add(-reported.SilentFor-transitAllowance))
+			l.AliveAt = max(l.AliveAt, p.reportedAt.Add(-reported.SilentFor-transitAllowance))
 			if reported.Misses > 0 && reported.MissedFor >= 0 {
 				l.Misses += min(reported.Misses, maxMisses)
-				l.MissedAt = max(l.MissedAt, p.receivedAt.Add(-reported.MissedFor))
+				l.MissedAt = max(l.MissedAt, p.reportedAt.Add(-reported.MissedFor))
 			}
 			loads[id] = l
 		}
@@ -133,7 +134,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	for _, p := range m.peers {
-		if m.isRunning(now, p) && now.Sub(p.receivedAt) > m.cfg.LoadTTL {
+		if m.isRunning(now, p) && now.Sub(p.reportedAt) > m.cfg.LoadTTL {
 			return false
 		}
 	}
--- a/internal/coordination/pimgossip/membership.go
+++ b/internal/coordination/pimgossip/membership.go
@@ -91,15 +91,8 @@
 
 // hasHeard reports whether a VM of any data centre is known that has been heard from.
 func (m *Mesh) hasHeard(a netip.AddrPort) bool {
-	if p := m.peers[a]; p != nil && p.receivedAt != 0 {
-		return true
-	}
-	for _, of := range m.remotePeers {
-		if p := of[a]; p != nil && p.receivedAt != 0 {
-			return true
-		}
-	}
-	return false
+	p := m.known(a)
+	return p != nil && p.receivedAt != 0
 }
 
 // lacksPeers reports whether another VM knew more VMs than this one when it was last heard from. Heartbeats name running VMs only,
--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -60,8 +60,15 @@
 	offsetAt      pimclock.Instant
 	isOffsetKnown bool
 	compared      *sample
-	loads         map[pimcatalog.HostID]pimmesh.HostLoad
-	speeds        map[pimcatalog.HostID]speedReport
+	// lead is the most by which the clock of this VM can be ahead of the local one, as its echoes say, as of leadAt; isLeadKnown is
+	// set once one has arrived.
+	lead        time.Duration
+	leadAt      pimclock.Instant
+	isLeadKnown bool
+	// reportedAt is when its last loads were sent, as far as known.
+	reportedAt pimclock.Instant
+	loads      map[pimcatalog.HostID]pimmesh.HostLoad
+	speeds     map[pimcatalog.HostID]speedReport
 }
 
 // Mesh holds what a VM knows about the other VMs; it is safe for concurrent use.
@@ -157,7 +164,7 @@
 	running := m.running(now)
 	m.rng.Shuffle(len(running), func(i, j int) { running[i], running[j] = running[j], running[i] })
 	for _, p := range running[:min(len(running), m.cfg.Fanout)] {
-		out = append(out, Outgoing{To: p.address, Message: m.heartbeat(now, v, m.sample(running))})
+		out = append(out, Outgoing{To: p.address, Message: m.heartbeat(now, v, p, m.sample(running))})
 	}
 	if len(out) > 0 {
 		// One receiver in Fanout is enough for what changes slowly.
@@ -191,18 +198,32 @@
 		if to == m.cfg.Address {
 			continue
 		}
-		msg := m.heartbeat(now, v, nil)
+		msg := m.heartbeat(now, v, m.known(to), nil)
 		msg.Heartbeat.Hello = true
 		out = append(out, Outgoing{To: to, Message: msg})
 	}
 	return out
 }
 
-func (m *Mesh) heartbeat(now pimclock.Instant, v View, peers []pimmesh.PeerAddress) pimmesh.Message {
+// known returns what is known about the VM at an address, or nil.
+func (m *Mesh) known(address netip.AddrPort) *peer {
+	if p := m.peers[address]; p != nil {
+		return p
+	}
+	for _, of := range m.remotePeers {
+		if p := of[address]; p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+// heartbeat returns a heartbeat for a VM, or for one that is not known if to is nil.
+func (m *Mesh) heartbeat(now pimclock.Instant, v View, to *peer, peers []pimmesh.PeerAddress) pimmesh.Message {
 	return pimmesh.Message{Heartbeat: &pimmesh.Heartbeat{
 		Name: m.cfg.Name, DataCentre: m.cfg.DataCentre, Address: m.cfg.Address,
 		Revision: v.Revision, Age: v.Age, Claim: m.claimToSend(now, v.Age), Loads: v.Loads, Peers: peers,
-		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Known: m.knownToReport(now), Urgent: v.urgent(),
+		SentAt: time.Duration(now), Incarnation: m.incarnation, Base: v.Base, Known: m.knownToReport(now), Urgent: v.urgent(), Echo: to.echo(now),
 	}}
 }
 
--- a/internal/coordination/pimgossip/mesh_test.go
+++ b/internal/coordination/pimgossip/mesh_test.go
@@ -536,6 +536,7 @@
 	deliverDelayed := func(at pimclock.Instant, delay time.Duration) HeartbeatResult {
 		out := sender.Announce(at.Add(clockOffset-delay), view, false)
 		is.Equal(len(out), 1)
+		out[0].Message.Heartbeat.Echo = nil // as of an earlier version
 		return receiver.Receive(at, out[0].Message.Heartbeat, view)
 	}
 
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -12,7 +12,7 @@
 type HeartbeatResult struct {
 	// Out are the messages to send.
 	Out []Outgoing
-	// Confirms is set if the sender has the same revision, and the platform had nothing newer at AsOf.
+	// Confirms is set if the sender has the same revision, and the platform certainly had nothing newer at AsOf.
 	Confirms bool
 	AsOf     pimclock.Instant
 	// Delay is how much longer this heartbeat was in transit than the fastest one of the same sender.
@@ -25,17 +25,17 @@
 
 // delay records a heartbeat and returns how much longer it was in transit than the fastest one of the same incarnation:
 // it may have waited in a queue while this VM was paused. The smallest offset is raised over time, since the clocks
-// drift apart. isKnown is unset until the smallest offset is that of a heartbeat that did not wait.
-func (p *peer) delay(now pimclock.Instant, b *pimmesh.Heartbeat) (d time.Duration, isKnown bool) {
+// drift apart.
+func (p *peer) delay(now pimclock.Instant, b *pimmesh.Heartbeat) time.Duration {
 	offset := time.Duration(now) - b.SentAt
 	if p.incarnation != b.Incarnation || p.compared == nil {
-		p.incarnation, p.offset, p.offsetAt = b.Incarnation, offset, now
+		p.incarnation, p.offset, p.offsetAt, p.isLeadKnown = b.Incarnation, offset, now, false
 		p.compared, p.isOffsetKnown = &sample{sentAt: b.SentAt, offset: offset}, false
 	}
 	p.offset = min(p.offset+now.Sub(p.offsetAt)/driftDivisor, offset)
 	p.offsetAt = now
 	p.compare(sample{sentAt: b.SentAt, offset: offset})
-	return offset - p.offset, p.isOffsetKnown
+	return offset - p.offset
 }
 
 // sample is the offset of a heartbeat and the sender's clock when it was sent.
@@ -55,7 +55,42 @@
 	*p.compared = s
 }
 
-// transitAllowance is the assumed transit time of a heartbeat. It is added to the age of the view and of the signs of
+// echo returns what tells a VM when a heartbeat was sent by its own clock; p is nil if the VM is not known.
+func (p *peer) echo(now pimclock.Instant) *pimmesh.Echo {
+	if p == nil || p.compared == nil {
+		return &pimmesh.Echo{}
+	}
+	return &pimmesh.Echo{Incarnation: p.incarnation, Offset: p.offset + now.Sub(p.offsetAt)/driftDivisor}
+}
+
+// recordEcho records the echo of a heartbeat for this process run.
+func (p *peer) recordEcho(now pimclock.Instant, e *pimmesh.Echo, incarnation uint64) {
+	if e == nil || e.Incarnation != incarnation {
+		return
+	}
+	lead := e.Offset
+	if p.isLeadKnown {
+		lead = min(lead, p.lead+now.Sub(p.leadAt)/driftDivisor)
+	}
+	p.lead, p.leadAt, p.isLeadKnown = lead, now, true
+}
+
+// sentAt returns the instant at which a heartbeat was sent, or an earlier one; isKnown is unset if it may have been earlier still. The
+// delay is that beyond the fastest heartbeat of the sender. How long that one was in transit does not show in those that arrive: all may
+// have come over a slow link, or may have waited. The echo bounds it by what the sender has received from this VM; the delay serves
+// for senders of earlier versions.
+func (p *peer) sentAt(now pimclock.Instant, b *pimmesh.Heartbeat, delay time.Duration) (at pimclock.Instant, isKnown bool) {
+	switch {
+	case b.Echo == nil:
+		return now.Add(-delay), p.isOffsetKnown
+	case !p.isLeadKnown:
+		return now.Add(-delay), false
+	default:
+		return min(now, pimclock.Instant(b.SentAt-p.lead-now.Sub(p.leadAt)/driftDivisor)), true
+	}
+}
+
+// transitAllowance is the assumed transit time of a heartbeat without an echo. It is added to the age of the view and of the signs of
 // life that a heartbeat reports, so that they look older than they are, never younger.
 const transitAllowance = 20 * time.Millisecond
 
@@ -67,17 +102,19 @@
 		return h
 	}
 	p, isNew := m.recordSender(now, b)
-	delay, isDelayKnown := p.delay(now, b)
-	h.Delay = delay
-	if isDelayKnown {
-		m.lastReceived = max(m.lastReceived, now.Add(-delay))
+	h.Delay = p.delay(now, b)
+	p.recordEcho(now, b.Echo, m.incarnation)
+	sentAt, isSentAtKnown := p.sentAt(now, b, h.Delay)
+	p.recordLoads(sentAt, b.Loads)
+	if isSentAtKnown {
+		m.lastReceived = max(m.lastReceived, sentAt)
 	}
-	if b.DataCentre == m.cfg.DataCentre && isDelayKnown {
-		m.mergeClaim(now.Add(-delay), b.Claim)
-		m.recordKnown(p, now.Add(-delay), b.Known)
+	if b.DataCentre == m.cfg.DataCentre && isSentAtKnown {
+		m.mergeClaim(sentAt, b.Claim)
+		m.recordKnown(p, sentAt, b.Known)
 	}
 	if b.DataCentre == m.cfg.DataCentre {
-		m.mergeRemote(now.Add(-delay-transitAllowance), b.Remote)
+		m.mergeRemote(sentAt.Add(-transitAllowance), b.Remote)
 	}
 	m.addRemoteNamed(now, b.RemotePeers)
 	// A heartbeat names VMs of the receiver's data centre.
@@ -97,8 +134,8 @@
 		h.Out = append(h.Out, pullUrgent(b.Address, v))
 	}
 	h.Out = append(h.Out, m.retryTransfers(now, v)...)
-	if b.Revision == v.Revision && b.Age >= 0 && isDelayKnown {
-		h.Confirms, h.AsOf = true, now.Add(-b.Age-delay-transitAllowance)
+	if b.Revision == v.Revision && b.Age >= 0 && isSentAtKnown {
+		h.Confirms, h.AsOf = true, sentAt.Add(-b.Age-transitAllowance)
 	}
 	return h
 }
@@ -108,10 +145,10 @@
 func (m *Mesh) helloReply(now pimclock.Instant, b *pimmesh.Heartbeat, v View) Outgoing {
 	if b.DataCentre == m.cfg.DataCentre {
 		running := func(p *peer) bool { return m.isRunning(now, p) && p.address != b.Address }
-		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.sample(m.chosen(m.peers, running)))}
+		return Outgoing{To: b.Address, Message: m.heartbeat(now, v, m.known(b.Address), m.sample(m.chosen(m.peers, running)))}
 	}
 	others := func(p *peer) bool { return p.receivedAt != 0 && !p.leaving && p.address != b.Address }
-	msg := m.heartbeat(now, v, m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))
+	msg := m.heartbeat(now, v, m.known(b.Address), m.sample(m.chosen(m.remotePeers[b.DataCentre], others)))
 	msg.Heartbeat.RemotePeers = m.remotePeerToSend(now, b.DataCentre)
 	return Outgoing{To: b.Address, Message: msg}
 }
@@ -135,7 +172,6 @@
 		p.heardSince = now
 	}
 	p.name, p.address, p.receivedAt, p.leaving = b.Name, b.Address, now, b.Leaving
-	p.recordLoads(now, b.Loads)
 	return p, isNew
 }
 
--- a/internal/pimentry/heartbeat_test.go
+++ b/internal/pimentry/heartbeat_test.go
@@ -39,6 +39,7 @@
 			Loads:       loads(reports),
 			RemotePeers: []pimmesh.RemotePeer{{DataCentre: "apapa", Name: "apapa-vm-0001", Address: netip.MustParseAddrPort("10.2.2.3:7720"), SilentS: 9}},
 		}
+		hb.Echo = &pimmesh.Echo{Incarnation: rng.Uint64(), Offset: time.Duration(rng.Int64())}
 		for range 6 {
 			hb.Peers = append(hb.Peers, pimmesh.PeerAddress{Name: "ikeja-vm-0002", Address: netip.MustParseAddrPort("10.1.2.4:7720")})
 		}
--- a/internal/protocol/pimmesh/message.go
+++ b/internal/protocol/pimmesh/message.go
@@ -57,6 +57,17 @@
 	// Urgent is the revision up to which the sender knows the changes of backend servers, which may be after Revision. It is zero if
 	// the sender cannot send these alone.
 	Urgent pimid.Revision `cbor:"15,keyasint,omitempty"`
+	// Echo tells the receiver when the heartbeat was sent by its own clock; nil in heartbeats of earlier versions.
+	Echo *Echo `cbor:"21,keyasint,omitempty"`
+}
+
+// Echo says how far the clock of the sender of a message is ahead of that of its receiver, at most.
+type Echo struct {
+	// Incarnation identifies the process run of the receiver, zero if the sender has not heard from it.
+	Incarnation uint64 `cbor:"1,keyasint,omitempty"`
+	// Offset is the smallest difference between the clock of the sender when a message of that run arrived and the clock of the
+	// receiver when it sent the message. It contains the transit time of that message.
+	Offset time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // RemotePeer is a VM of another data centre.
--- a/internal/scenario/pimviews/vm.go
+++ b/internal/scenario/pimviews/vm.go
@@ -152,7 +152,7 @@
 		delay += 4 * time.Millisecond
 	}
 	if v.isEarlier || to.isEarlier {
-		msg = withoutUrgent(msg)
+		msg = withoutNewFields(msg)
 	}
 	deliver := func() {
 		if to.running && !to.cutOff {
@@ -165,11 +165,11 @@
 	}
 }
 
-// withoutUrgent returns a message as a VM of an earlier release sends or reads it.
-func withoutUrgent(msg pimmesh.Message) pimmesh.Message {
+// withoutNewFields returns a message as a VM of an earlier release sends or reads it.
+func withoutNewFields(msg pimmesh.Message) pimmesh.Message {
 	if msg.Heartbeat != nil {
 		b := *msg.Heartbeat
-		b.Urgent, msg.Heartbeat = 0, &b
+		b.Urgent, b.Echo, msg.Heartbeat = 0, nil, &b
 	}
 	if msg.Pull != nil {
 		p := *msg.Pull
