fix: a lapse that another VM learns late does not extend the time to return

A VM in touch would send new flows to a backend server that has ended, 6.5 s after its entry had lapsed.

Cause: a VM that could not read for a while gives a lapsed entry 2.5 s from then, and its state, which has a higher revision, replaced the earlier deadline of the VMs that had learned in time.

Ruled out: an outage on the VM that sent the flow; it had none.

Evidence: TestLapseIsNotExtendedByAVMThatLearnsOfItLater failed before (GoneAt 20 s late); holds.

--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -360,9 +360,6 @@
 	if h.Unlisted {
 		h.GoneAt = now.Add(s.GoneIn)
 	}
-	if s.GoneIn > 0 {
-		r.lapsed[h.ID] = h.GoneAt
-	}
 	c := Change{Revision: h.Revision, ID: h.ID, Name: h.Name, Host: &h, Removed: h.Unlisted}
 	switch {
 	case r.isForeign(&c):
@@ -378,10 +375,24 @@
 		return
 	}
 	delete(r.removed, h.ID)
+	if r.hasLapsedBefore(&h) {
+		h.GoneAt = r.hosts[h.ID].GoneAt
+	} else if s.GoneIn > 0 {
+		r.lapsed[h.ID] = h.GoneAt
+	}
 	r.hosts[h.ID] = &h
 	r.notify(c, Relayed)
 }
 
+// hasLapsedBefore reports whether the entry of a backend server is known to have disappeared before it did by the state of another VM.
+// That VM may have learned of it only when it could read the platform again, and then counts the time to return from there. A backend
+// server that has returned since has published a later report.
+func (r *Registry) hasLapsedBefore(h *pimcatalog.Host) bool {
+	old := r.hosts[h.ID]
+	return h.Unlisted && old != nil && old.Unlisted && old.GoneAt.Before(h.GoneAt) &&
+		old.StartedAt == h.StartedAt && old.Sequence == h.Sequence
+}
+
 // removeMissing removes the entries that are not in a complete list of a revision. One whose last change is later is not missing:
 // it arrived ahead of other changes, or was listed while it changed. After the first list of an era, all entries have revisions of
 // that era.
--- a/internal/coordination/pimregistry/registry_test.go
+++ b/internal/coordination/pimregistry/registry_test.go
@@ -141,6 +141,37 @@
 	is.True(!host(other, 7).Gone(clock.Now()))
 }
 
+// Guards against new flows to a backend server that has ended, since a VM that could not read the platform learns of the lapse late and
+// passes on more time to return.
+func TestLapseIsNotExtendedByAVMThatLearnsOfItLater(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r, late := startedRegistry(t, clock), startedRegistry(t, clock)
+	clock.Advance(time.Minute)
+	r.ReadFailed()
+	r.ReadSucceeded(clock.Now())
+	apply(t, r, Change{Revision: 11, ID: 7, Removed: true})
+	goneAt := host(r, 7).GoneAt
+	late.ReadFailed()
+	clock.Advance(20 * time.Second)
+	late.ReadSucceeded(clock.Now())
+	is.NoErr(late.Restore(Snapshot{Revision: 12, Changes: []Change{configChange(2, 3), hostChange(4, 8)}, SentAt: clock.Now()}))
+	is.True(!host(late, 7).Gone(clock.Now()))
+	is.NoErr(r.Merge(late.Since(r.DeltaRequest())))
+	is.Equal(r.Revision(), pimid.Revision(12))
+	is.Equal(host(r, 7).GoneAt, goneAt)
+
+	// One that has returned and lapsed again has more time.
+	returned := hostChange(13, 7)
+	returned.Host.Sequence++
+	apply(t, late, returned)
+	late.ReadFailed()
+	late.ReadSucceeded(clock.Now())
+	apply(t, late, Change{Revision: 14, ID: 7, Removed: true})
+	is.NoErr(r.Merge(late.Since(r.DeltaRequest())))
+	is.True(!host(r, 7).Gone(clock.Now()))
+}
+
 // Guards against new flows to a backend server whose entry has expired although the platform is reachable.
 func TestEntryThatExpiresWhileThePlatformIsReachableHasEnded(t *testing.T) {
 	is := is.New(t)
