fix: a connection to another VM is used again only if it still works

Relayed requests and requests for slots hung until their deadline, call after call, once a connection to another VM had gone silent.

Cause: the pool kept unused connections for 30 s, and took back those whose last call had had no answer, since a soft cancel leaves them usable.

Ruled out: a shorter time in the pool; it would cost a handshake for each call to a VM that is called rarely.

Change: a connection from which nothing has arrived for a second is used again only once a ping is answered on it, within 250 ms, and replaced otherwise.

Evidence: TestConnectionThatWentSilentIsReplacedBeforeACall and TestSilentConnectionIsNotUsedForCallAfterCall fail without the ping (deadline exceeded); TestConnectionThatWorksIsKept guards against the opposite.

--- a/internal/pimnode/peerserver.go
+++ b/internal/pimnode/peerserver.go
@@ -142,6 +142,11 @@
 	return s.n.quota.Borrow(s.n.clock.Now(), req), nil
 }
 
+// Ping answers at once.
+func (s *peerServer) Ping(context.Context, *pimpb.PingRequest) (*pimpb.PingReply, error) {
+	return &pimpb.PingReply{}, nil
+}
+
 // PullConfig returns the part of this VM's configuration that the request asks for.
 func (s *peerServer) PullConfig(_ context.Context, req *pimpb.PullConfigRequest) (*pimpb.PullConfigReply, error) {
 	return s.n.pullServer.Pull(s.n.clock.Now(), s.n.rng, req), nil
--- a/internal/transport/pimpeer/pool.go
+++ b/internal/transport/pimpeer/pool.go
@@ -2,16 +2,13 @@
 
 import (
 	"context"
-	"crypto/tls"
-	"net"
 	"net/netip"
 	"time"
 
-	"storj.io/drpc/drpcconn"
-	"storj.io/drpc/drpcmanager"
 	"storj.io/drpc/drpcpool"
 
 	"github.com/pimentoyard/pimentoyard/internal/protocol/pimpb"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -33,11 +30,13 @@
 type Pool struct {
 	creds *Credentials
 	conns *drpcpool.Pool[poolKey, drpcpool.Conn]
+	// clock also advances while the VM is suspended.
+	clock pimclock.Clock
 }
 
 // NewPool returns a pool; cleanup closes the idle connections.
 func NewPool(creds *Credentials) (p *Pool, cleanup func()) {
-	p = &Pool{creds: creds, conns: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
+	p = &Pool{creds: creds, clock: pimclock.Boot{}, conns: drpcpool.New[poolKey, drpcpool.Conn](drpcpool.Options{
 		Expiration: idleTimeout, Capacity: idleConns, KeyCapacity: idleConnsPerPeer,
 	})}
 	return p, func() { _ = p.conns.Close() }
@@ -50,21 +49,9 @@
 }
 
 func (p *Pool) dial(ctx context.Context, key poolKey) (drpcpool.Conn, error) {
-	d := tls.Dialer{
-		NetDialer: &net.Dialer{Timeout: dialTimeout},
-		Config:    p.creds.clientConfig(key.node),
-	}
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
-	defer cancel()
-	conn, err := d.DialContext(ctx, "tcp", key.address.String())
-	if err != nil {
+	c := &conn{pool: p, key: key}
+	if err := c.dial(ctx); err != nil {
 		return nil, err
 	}
-	// A soft cancel keeps the connection usable; a hard cancel would cost a handshake for each cancelled call.
-	return drpcconn.NewWithOptions(conn, drpcconn.Options{
-		Manager: drpcmanager.Options{SoftCancel: true, SoftCancelGrace: softCancelGrace},
-	}), nil
+	return c, nil
 }
-
-// softCancelGrace limits the wait of a soft cancel for a message that is being sent.
-const softCancelGrace = 5 * time.Millisecond
