fix: idle connections to backend servers are closed after a second

A POST that was sent on a connection that had gone silent while it was idle ended with an unknown outcome.

Cause: up to 16 idle connections for each backend server were kept for 30 s. A silent one shows only after a request was sent on it, and a POST cannot be sent again.

Change: idle connections are closed after a second, so that only requests within a second of the silence can meet a silent one.

--- a/internal/transport/pimhttp/client.go
+++ b/internal/transport/pimhttp/client.go
@@ -28,7 +28,8 @@
 	ProbeTimeout time.Duration
 	// IdlePerHost is the number of idle connections kept per backend server.
 	IdlePerHost int
-	// IdleTimeout is the time after which an idle connection is closed.
+	// IdleTimeout is the time after which an idle connection is closed. A connection may go silent while it is idle, which shows only
+	// after a request was sent on it, and a POST cannot be sent again.
 	IdleTimeout time.Duration
 }
 
@@ -37,7 +38,7 @@
 	defaultStallTimeout = 2 * time.Second
 	defaultProbeTimeout = time.Second
 	defaultIdlePerHost  = 16
-	defaultIdleTimeout  = 30 * time.Second
+	defaultIdleTimeout  = time.Second
 	// maxHeaderBytes limits the header of a response.
 	maxHeaderBytes = 64 << 10
 )
