fix: the kernel probes the connections on which pimentoyard waits for the platform

A change of the configuration was not in force for up to 30 s, with a bound of 15 s, after the connections of the readers to the platform had gone silent.

Cause: the platform holds a watch for 20 s, and nothing but the time limit of the poll showed that its connection was silent.

Ruled out: a shorter poll, which would multiply the calls.

Change: the kernel probes such a connection every 2 s (the time limit of a call) and closes it after three probes without an answer, or after 8 s if data is not acknowledged.

--- a/internal/transport/pimfetch/client.go
+++ b/internal/transport/pimfetch/client.go
@@ -9,7 +9,10 @@
 	"net/http/httptrace"
 	"net/netip"
 	"net/url"
+	"syscall"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // ErrTooLarge means that the body of a response is larger than Request.MaxBytes.
@@ -27,6 +30,10 @@
 	// without a reset, which shows only once a call on it has timed out. With MaxIdle up to Timeout, no connection that was idle when
 	// that call began is used after it.
 	MaxIdle time.Duration
+	// KeepAlive is the time without a received byte after which the kernel probes a connection, and the time between two probes; it
+	// closes the connection after maxMissedProbes of them. Nothing else shows that a connection has gone silent while the server holds
+	// a response back for long. Zero means the default of the net package, which takes minutes.
+	KeepAlive time.Duration
 	// SourceAddress is the local address of the connections; the zero value lets the operating system choose.
 	SourceAddress netip.Addr
 	// Dial opens a connection; nil means a TCP connection from SourceAddress.
@@ -63,6 +70,9 @@
 // maxIdleConnections is the number of unused connections that are kept open.
 const maxIdleConnections = 4
 
+// maxMissedProbes is the number of keep-alive probes without an answer after which the kernel closes a connection.
+const maxMissedProbes = 3
+
 // Client calls one server; it is safe for concurrent use.
 type Client struct {
 	cfg  Settings
@@ -78,11 +88,7 @@
 		cfg.MaxIdle = cfg.Timeout
 	}
 	if cfg.Dial == nil {
-		dialer := &net.Dialer{Timeout: cfg.Timeout}
-		if cfg.SourceAddress.IsValid() {
-			dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.SourceAddress, 0))
-		}
-		cfg.Dial = dialer.DialContext
+		cfg.Dial = newDialer(&cfg).DialContext
 	}
 	transport := &http.Transport{
 		DialContext: cfg.Dial, MaxIdleConnsPerHost: maxIdleConnections, IdleConnTimeout: cfg.MaxIdle,
@@ -90,6 +96,28 @@
 	return &Client{cfg: cfg, http: &http.Client{Transport: transport}}, transport.CloseIdleConnections
 }
 
+func newDialer(cfg *Settings) *net.Dialer {
+	d := &net.Dialer{Timeout: cfg.Timeout}
+	if cfg.SourceAddress.IsValid() {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(cfg.SourceAddress, 0))
+	}
+	if cfg.KeepAlive > 0 {
+		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: cfg.KeepAlive, Interval: cfg.KeepAlive, Count: maxMissedProbes}
+		d.Control = cfg.limitUnacknowledged
+	}
+	return d
+}
+
+// limitUnacknowledged lets the kernel close a socket whose data the server has not acknowledged for as long as it waits for answers to
+// its probes: it sends none while data is unacknowledged.
+func (cfg *Settings) limitUnacknowledged(_, _ string, c syscall.RawConn) (err error) {
+	limit := (1 + maxMissedProbes) * cfg.KeepAlive
+	controlErr := c.Control(func(fd uintptr) {
+		err = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(limit.Milliseconds()))
+	})
+	return errors.Join(controlErr, err)
+}
+
 // Get makes a call and passes the response to read, which need not close its body. It returns the error of the call or that of
 // read. A call that makes no progress ends with ErrStalled, and one with too large a body with ErrTooLarge.
 // A call that makes progress may take as long as the size of the response requires: started again, it would transfer the
--- a/internal/transport/pimplatform/client.go
+++ b/internal/transport/pimplatform/client.go
@@ -34,7 +34,8 @@
 type Settings struct {
 	// Address is the base URL, for example http://127.0.0.1:7000.
 	Address string
-	// Timeout limits the time without progress of each call other than Watch.
+	// Timeout limits the time without progress of each call other than Watch. It is also the interval at which the kernel probes the
+	// connection of a Watch, whose answer may take longer than a change may take to be in force.
 	Timeout time.Duration
 	// WatchTimeout limits the time until a long poll is answered; it must exceed the time for which the platform holds a
 	// watch.
@@ -77,7 +78,7 @@
 	if cfg.MaxBytes == 0 {
 		cfg.MaxBytes = DefaultMaxBytes
 	}
-	fetch, cleanup := pimfetch.New(pimfetch.Settings{Timeout: cfg.Timeout})
+	fetch, cleanup := pimfetch.New(pimfetch.Settings{Timeout: cfg.Timeout, KeepAlive: cfg.Timeout})
 	return &Client{cfg: cfg, base: base, fetch: fetch}, cleanup, nil
 }
 
