fix: only answers to a VM's own pings confirm its view

Cause: the view counted as the newest one as of the handling of any gossip message, also of one that had waited during the pause.

Change: it counts as of when this VM sent a ping that was answered. A VM without others in its data centre pings one of another data centre each second.

Evidence: TestOnlyAnswersToOwnPingsConfirmAView fails if any message confirms the view; TestVMWithoutPeersPingsAnotherDataCentre guards against a view that is never confirmed.

--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -65,8 +65,12 @@
 	lastTick pimclock.Instant
 	digest   *pimpb.ConfigDigest
 
-	sequence       uint64
-	probe          probe
+	sequence uint64
+	probe    probe
+	// remotePing is a ping of a VM of another data centre, which a VM without peers sends. It tells nothing about failures.
+	remotePing probe
+	// answeredAsOf is when the last ping was sent that was answered.
+	answeredAsOf   pimclock.Instant
 	nextProbe      pimclock.Instant
 	probeOrder     []pimid.NodeID
 	indirectProbes map[uint64]indirectProbe
@@ -182,6 +186,14 @@
 	m.changes.Add(1)
 }
 
+// AnsweredAsOf returns the latest instant at which another VM certainly knew no more than it has announced since: it is when this VM
+// sent a ping that was answered, not when the answer was handled, which may have waited in the socket. Zero means never.
+func (m *Members) AnsweredAsOf() pimclock.Instant {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.answeredAsOf
+}
+
 // Changes returns a number that grows whenever an owner or the status of a backend server may have changed.
 func (m *Members) Changes() uint64 { return m.changes.Load() }
 
--- a/internal/coordination/pimmember/probe.go
+++ b/internal/coordination/pimmember/probe.go
@@ -39,6 +39,10 @@
 		m.counts.Probes++
 		m.probe = probe{target: id, sequence: m.sequence, sent: now, pending: true}
 		out = append(out, m.ping(m.records[id], m.sequence))
+	} else if r := m.randomRemote(); r != nil {
+		m.sequence++
+		m.remotePing = probe{target: r.ID, sequence: m.sequence, sent: now, pending: true}
+		out = append(out, m.ping(r, m.sequence))
 	}
 	// A dead VM is pinged as well, so that VMs find each other again after a network partition.
 	if r := m.randomDead(); r != nil {
@@ -65,6 +69,25 @@
 	return 0, false
 }
 
+// randomRemote returns a live VM of another data centre, or nil if there is none with a known address.
+func (m *Members) randomRemote() *record {
+	var remote []*record
+	for _, dc := range m.DataCentres() {
+		if dc == m.cfg.DataCentre {
+			continue
+		}
+		for _, id := range m.Live(dc) {
+			if r := m.records[id]; r != nil && r.Address.IsValid() {
+				remote = append(remote, r)
+			}
+		}
+	}
+	if len(remote) == 0 {
+		return nil
+	}
+	return remote[m.rng.IntN(len(remote))]
+}
+
 func (m *Members) randomDead() *record {
 	if len(m.dead) == 0 {
 		return nil
--- a/internal/coordination/pimmember/receive.go
+++ b/internal/coordination/pimmember/receive.go
@@ -42,10 +42,13 @@
 
 // handleAck ends the pending probe, or passes the answer to an indirect probe on to its requester.
 func (m *Members) handleAck(from *record, g *pimpb.Gossip) []Message {
-	isTarget := from.ID == m.probe.target || pimid.NodeID(g.GetTarget()) == m.probe.target
-	if m.probe.pending && g.GetSequence() == m.probe.sequence && isTarget {
-		m.probe.pending = false
-		return nil
+	for _, p := range []*probe{&m.probe, &m.remotePing} {
+		isTarget := from.ID == p.target || pimid.NodeID(g.GetTarget()) == p.target
+		if p.pending && g.GetSequence() == p.sequence && isTarget {
+			p.pending = false
+			m.answeredAsOf = max(m.answeredAsOf, p.sent)
+			return nil
+		}
 	}
 	h, ok := m.indirectProbes[g.GetSequence()]
 	if !ok || h.target != from.ID {
--- a/internal/pimnode/config.go
+++ b/internal/pimnode/config.go
@@ -11,8 +11,8 @@
 	memberTick = 50 * time.Millisecond
 	// refreshInterval is the longest time between two recomputations of ownership, limits and terms.
 	refreshInterval = 500 * time.Millisecond
-	// confirmAge is the greatest age of the last gossip message at which the view may still be confirmed as the newest
-	// one; probes arrive every second.
+	// confirmAge is the greatest age of the last answered ping at which the view may still be confirmed as the newest one; pings are
+	// sent every second.
 	confirmAge = 5 * time.Second
 	// pullInterval is the interval at which this VM checks whether a peer has announced a newer revision.
 	pullInterval = 200 * time.Millisecond
--- a/internal/pimnode/loops.go
+++ b/internal/pimnode/loops.go
@@ -64,9 +64,7 @@
 }
 
 func (n *Node) receiveGossip(g *pimpb.Gossip) {
-	now := n.clock.Now()
-	n.lastGossip.Store(int64(now))
-	n.sendGossip(n.members.Receive(now, g))
+	n.sendGossip(n.members.Receive(n.clock.Now(), g))
 }
 
 func (n *Node) sendGossip(messages []pimmember.Message) {
--- a/internal/pimnode/node.go
+++ b/internal/pimnode/node.go
@@ -70,8 +70,6 @@
 	refreshMu sync.Mutex
 	// ownership ends waits for slots of services of which this VM owns no usable backend server any longer.
 	ownership ownership
-	// lastGossip is the instant at which the last gossip message of a peer arrived.
-	lastGossip atomic.Int64
 	// serving is the number of requests that this VM is running or relaying.
 	serving atomic.Int64
 	// flowRelays is the number of flow packets that wait for another VM.
--- a/internal/pimnode/refresh.go
+++ b/internal/pimnode/refresh.go
@@ -59,12 +59,12 @@
 	}
 }
 
-// confirmView tells the router that the view is the newest one, if a gossip message arrived within confirmAge and no
+// confirmView tells the router as of when the view was the newest one, if another VM has answered a ping of the last confirmAge and no
 // reachable peer has announced a higher revision.
 func (n *Node) confirmView(now pimclock.Instant, view *pimview.View) {
-	lastGossip := pimclock.Instant(n.lastGossip.Load())
-	if now.Sub(lastGossip) <= confirmAge && len(n.members.Ahead(view.Revision)) == 0 {
-		n.router.Confirm(n.unixNow())
+	asOf := n.members.AnsweredAsOf()
+	if asOf > 0 && now.Sub(asOf) <= confirmAge && len(n.members.Ahead(view.Revision)) == 0 {
+		n.router.Confirm(int64(n.unix.Unix(asOf)))
 	}
 }
 
