test: the soak lets all connections to the platform go silent

The fault silent_connections makes all open connections between the VMs and the platform silent without a reset, while new ones work. None of the faults before did: the platform was silent on all connections or on none.

--- a/internal/soak/pimsoak/faults.go
+++ b/internal/soak/pimsoak/faults.go
@@ -120,6 +120,13 @@
 		r.parts.touch(linkPart+v.address.String(), time.Now())
 		return nil
 	},
+	"silent_connections": func(r *run, _ *rand.Rand) func() {
+		for _, v := range r.vms {
+			v.proxy.silence()
+			r.parts.touch(linkPart+v.address.String(), time.Now())
+		}
+		return nil
+	},
 	"host_crash": func(r *run, rng *rand.Rand) func() {
 		h := r.randomHost(rng)
 		if h == nil {
--- a/internal/soak/pimsoak/proxy.go
+++ b/internal/soak/pimsoak/proxy.go
@@ -28,7 +28,9 @@
 	mu         sync.Mutex
 	impairment impairment
 	conns      map[net.Conn]bool
-	wg         sync.WaitGroup
+	// opened is the number of connections so far, and those up to silent have gone silent.
+	opened, silent int
+	wg             sync.WaitGroup
 }
 
 // newProxy starts a proxy on a free port of the given address; cleanup stops it and closes all connections.
@@ -62,6 +64,19 @@
 	return p.impairment
 }
 
+// silence lets all open connections go silent for good, without a reset. New ones work.
+func (p *proxy) silence() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.silent = p.opened
+}
+
+func (p *proxy) isSilent(number int) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return number <= p.silent
+}
+
 // reset closes all open connections with a TCP reset.
 func (p *proxy) reset() {
 	p.mu.Lock()
@@ -101,14 +116,16 @@
 	defer p.closeConn(up)
 	p.mu.Lock()
 	p.conns[down], p.conns[up] = true, true
+	p.opened++
+	number := p.opened
 	p.mu.Unlock()
 	done := make(chan struct{})
 	go func() {
 		defer close(done)
-		p.copy(up, down, func(imp impairment) bool { return imp.DropUp })
+		p.copy(up, down, func(imp impairment) bool { return imp.DropUp || p.isSilent(number) })
 		_ = up.Close() // ends the other copy call
 	}()
-	p.copy(down, up, func(imp impairment) bool { return imp.DropDown })
+	p.copy(down, up, func(imp impairment) bool { return imp.DropDown || p.isSilent(number) })
 	_ = down.Close() // ends the other copy call
 	<-done
 }
