fix: an answer to a poll that waited while the VM stood still is ignored

After a pause, a VM of pimentoyard announced that a backend server does not drain, although its next owner had announced that it does: new work went there until the next poll.

Cause: the status counted as of the handling of the answer, with the next version after what the VM knew.

Change: an answer that is handled later than the time limit of a poll after the poll was sent is ignored.

Evidence: TestAnswerToAPollThatWaitedIsIgnored fails without the check.

--- a/internal/pimnode/polls.go
+++ b/internal/pimnode/polls.go
@@ -78,9 +78,12 @@
 	_ = g.Wait()
 }
 
+// pollHost polls the load of one backend server. An answer that has waited while this VM stood still is ignored: another VM may have
+// announced a later status meanwhile.
 func (n *Node) pollHost(ctx context.Context, b pimview.Backend) {
+	sentAt := n.clock.Now()
 	load, err := n.backends.Load(ctx, b)
-	if ctx.Err() != nil && err != nil {
+	if ctx.Err() != nil && err != nil || n.clock.Now().Sub(sentAt) > callTimeout {
 		return
 	}
 	failures := n.polls.update(b.ID, int(load.InFlight), err == nil)
