--- a/internal/coordination/pimgossip/mesh.go
+++ b/internal/coordination/pimgossip/mesh.go
@@ -205,7 +205,7 @@
 	return out
 }
 
-// known returns what is known about the VM at an address, or nil.
+// known returns what is known about the VM at an address, in any data centre, or nil.
 func (m *Mesh) known(address netip.AddrPort) *peer {
 	if p := m.peers[address]; p != nil {
 		return p
--- a/internal/coordination/pimgossip/receive.go
+++ b/internal/coordination/pimgossip/receive.go
@@ -90,8 +90,8 @@
 	}
 }
 
-// transitAllowance is the assumed transit time of a heartbeat without an echo. It is added to the age of the view and of the signs of
-// life that a heartbeat reports, so that they look older than they are, never younger.
+// transitAllowance is the assumed transit time of a heartbeat without an echo, and a margin for one with an echo. It is added to the age
+// of the view and of the signs of life that a heartbeat reports, so that they look older than they are, never younger.
 const transitAllowance = 20 * time.Millisecond
 
 // Receive handles a heartbeat of another VM.
--- a/internal/coordination/pimmember/members.go
+++ b/internal/coordination/pimmember/members.go
@@ -186,8 +186,8 @@
 	m.changes.Add(1)
 }
 
-// AnsweredAsOf returns the latest instant at which another VM certainly knew no more than it has announced since: it is when this VM
-// sent a ping that was answered, not when the answer was handled, which may have waited in the socket. Zero means never.
+// AnsweredAsOf returns when the last ping was sent that another VM has answered, with the revision that it knew then or later. When the
+// answer was handled says nothing, since it may have waited in the socket. Zero means never.
 func (m *Members) AnsweredAsOf() pimclock.Instant {
 	m.mu.Lock()
 	defer m.mu.Unlock()
