--- a/review/standin-3/host.go
+++ b/review/standin-3/host.go
@@ -125,17 +125,17 @@
 func (h *host) loop() {
 	buf := make([]byte, 2048)
 	for {
-		n, _, err := h.conn.ReadFromUDPAddrPort(buf)
+		n, from, err := h.conn.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err == nil && n > idBytes {
-			h.handle(binary.BigEndian.Uint64(buf), buf[idBytes:n])
+			h.handle(binary.BigEndian.Uint64(buf), from.Addr().Unmap(), buf[idBytes:n])
 		}
 	}
 }
 
-func (h *host) handle(id uint64, b []byte) {
+func (h *host) handle(id uint64, vm netip.Addr, b []byte) {
 	p, ok := decode(b)
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -151,7 +151,7 @@
 			f.sent = f.isn + 1
 			h.flows[p.src] = f
 			h.opening = append(h.opening, opening{at: time.Now(), flow: p.src})
-			h.rec.logf("host %s takes the opening packet of %s", h.name(), p.src)
+			h.rec.logf("host %s takes the opening packet of %s from VM %s", h.name(), p.src, vm)
 		}
 		f.echo = p.echo
 		h.send(p.src, &packet{flags: flagSYN | flagACK, echo: f.echo, seq: f.isn, ack: f.received, src: p.dst, dst: p.src})
