--- a/review/standin-3/deployment.go
+++ b/review/standin-3/deployment.go
@@ -34,10 +34,12 @@
 	warmupS, warmupPerS float64
 	// backends share the new flows of the route to matchroom; nil means that matchroom gets all of them.
 	backends []map[string]any
-	store    *store
-	fabric   *fabric
-	vms      []*vm
-	dir      string
+	// extra are the addresses of further routes to matchroom.
+	extra  []netip.AddrPort
+	store  *store
+	fabric *fabric
+	vms    []*vm
+	dir    string
 
 	mu      sync.Mutex
 	callers int
@@ -96,7 +98,7 @@
 
 // addVM adds a VM to a zone, which is a number from 1; its seeds are set later.
 func (d *deployment) addVM(zone, n byte) *vm {
-	v := &vm{name: fmt.Sprintf("frontend-%s-%d", zoneName(zone), n), zone: zoneName(zone), ip: d.address(zone, n), dir: d.dir, d: d}
+	v := &vm{name: fmt.Sprintf("frontend-%s-%d", zoneName(zone), n), zone: zoneName(zone), ip: d.address(zone, n), dir: d.dir, d: d, storeAddress: d.storeAddress}
 	d.vms = append(d.vms, v)
 	d.fabric.mu.Lock()
 	d.fabric.vms = append(d.fabric.vms, v)
@@ -146,6 +148,12 @@
 		}
 		routes = append(routes, route)
 	}
+	for _, a := range d.extra {
+		routes = append(routes, map[string]any{
+			"name": "r-" + a.Addr().String(), "host": a.Addr().String(), "prefix": fmt.Sprintf("/%d/", a.Port()), "type": "idempotent",
+			"timeout_ms": 1500, "target_latency_ms": 150, "priority": 2, "service": matchroom, "attempts": 2,
+		})
+	}
 	for _, b := range d.backends {
 		if name := b["service"].(string); !slices.Contains(names, name) {
 			names = append(names, name)
--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -19,7 +19,9 @@
 // scenario plays a case; it reports whether the rule was broken.
 type scenario func(d *deployment, hasTrouble bool) (isBroken bool, err error)
 
-var scenarios = map[string]scenario{"agents": agents, "overwritten": overwritten, "canary": canary, "seeds": seeds}
+var scenarios = map[string]scenario{
+	"agents": agents, "overwritten": overwritten, "canary": canary, "seeds": seeds, "opening": openingPacket,
+}
 
 func main() { os.Exit(run()) }
 
--- a/review/standin-3/store.go
+++ b/review/standin-3/store.go
@@ -31,6 +31,9 @@
 	lease      = 3 * heartbeat
 )
 
+// minWatch is the shortest hold in milliseconds of a watch that is reported.
+const minWatch = 500
+
 // store is the platform's metadata store.
 type store struct {
 	rec *recorder
@@ -42,6 +45,8 @@
 	changed  chan struct{}
 	// isDown is set while the store answers nobody.
 	isDown bool
+	// unchanged are waiting for the next watch that ends without changes.
+	unchanged []chan *vm
 }
 
 func newStore(rec *recorder) *store {
@@ -205,6 +210,9 @@
 				return
 			}
 			respond(w, map[string]any{"events": events, "store_revision": revision})
+			if v, ok := r.Context().Value(vmKey{}).(*vm); ok && wait >= minWatch {
+				s.reportUnchanged(v)
+			}
 			return
 		case <-r.Context().Done():
 			return
--- a/review/standin-3/vm.go
+++ b/review/standin-3/vm.go
@@ -26,6 +26,8 @@
 	seeds      []netip.Addr
 	dir        string
 	d          *deployment
+	// storeAddress is that of the deployment, unless the VM has its own.
+	storeAddress string
 
 	mu   sync.Mutex
 	cmd  *exec.Cmd
@@ -56,7 +58,7 @@
 address = "%s:%d"
 seeds = [%s]
 
-`, v.name, v.zone, v.ip, p.packet, v.ip, p.ready, v.d.storeAddress, v.d.configApply.Milliseconds(), v.ip, p.peer, strings.Join(seeds, ","))
+`, v.name, v.zone, v.ip, p.packet, v.ip, p.ready, v.storeAddress, v.d.configApply.Milliseconds(), v.ip, p.peer, strings.Join(seeds, ","))
 	if v.d.slowStart {
 		text += "[slow_start]\noverage = 1.5\nslack = 5\n"
 	}
