--- a/review/standin-3/main.go
+++ b/review/standin-3/main.go
@@ -43,7 +43,9 @@
 	}
 	defer cleanup()
 	stopped := make(chan os.Signal, 1)
-	signal.Notify(stopped, syscall.SIGTERM, os.Interrupt)
+	signal.Notify(stopped, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt)
+	// A reader of the output that has gone must not end this process without the clean-up.
+	signal.Ignore(syscall.SIGPIPE)
 	go func() {
 		<-stopped
 		cleanup()
--- a/review/standin-3/vm.go
+++ b/review/standin-3/vm.go
@@ -86,6 +86,7 @@
 	}
 	cmd := exec.Command("target/pimentry", "run", "--settings", file)
 	cmd.Stdout, cmd.Stderr = v.log, v.log
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
 		return err
 	}
