--- a/internal/coordination/pimplace/cost.go
+++ b/internal/coordination/pimplace/cost.go
@@ -171,7 +171,7 @@
 // Summarise returns the load of each service at the backend servers of this VM's data centre.
 func (p *Placer) Summarise(now pimclock.Instant, c *pimcatalog.Catalog) map[pimcatalog.Service]Demand {
 	demands, slots := map[pimcatalog.Service]Demand{}, map[pimcatalog.Service]int{}
-	for _, h := range c.Hosts() {
+	for _, h := range c.Published() {
 		if h.DataCentre != p.home || !h.AcceptsNewFlows(now) {
 			continue
 		}
--- a/internal/coordination/pimregistry/entries.go
+++ b/internal/coordination/pimregistry/entries.go
@@ -110,12 +110,12 @@
 }
 
 // compareOwners orders two entries with the same id; the lower one stands for the id. An entry of another writer lacks a published
-// service or, unlike that of the backend server, a start. Of two entries that lack neither, one of a backend server that has not ended
+// service, also in earlier configurations, or, unlike that of the backend server, a start. Of two entries that lack neither, one of a backend server that has not ended
 // comes first, then the one that appeared first.
 func (r *Registry) compareOwners(now pimclock.Instant, a, b *pimcatalog.Host) int {
 	return cmp.Or(
 		compareBool(r.isPublished(b), r.isPublished(a)),
-		compareBool(r.retired[keyOf(b)], r.retired[keyOf(a)]),
+		compareBool(r.everPublished[b.Service], r.everPublished[a.Service]),
 		compareBool(b.StartedAt != 0, a.StartedAt != 0),
 		compareBool(a.Gone(now), b.Gone(now)),
 		cmp.Compare(a.Created, b.Created),
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -105,8 +105,8 @@
 	// lapsed holds the instants by which entries that have lapsed must return; see endOutage. An entry that has returned or ended
 	// may still be in it.
 	lapsed map[entryKey]pimclock.Instant
-	// retired holds the entries whose service was dropped by a later configuration; the open flows of their backend servers go on.
-	retired map[entryKey]bool
+	// everPublished holds the services that a configuration of this run has named. It only tells entries with the same id apart.
+	everPublished map[pimcatalog.Service]bool
 	// foreign holds the entries that do not stand for their ids in the catalog.
 	foreign map[entryKey]bool
 	// superseded holds the backend servers of the catalog that have ended because their addresses have later owners.
@@ -130,7 +130,7 @@
 	r := &Registry{
 		cfg: cfg, clock: clock, notify: notify,
 		entries: entries{},
-		removed: map[entryKey]pimid.Revision{}, retired: map[entryKey]bool{},
+		removed: map[entryKey]pimid.Revision{}, everPublished: map[pimcatalog.Service]bool{},
 		lapsed:      map[entryKey]pimclock.Instant{},
 		evacuations: evacuations{published: map[pimid.DataCentre]pimid.Revision{}},
 
@@ -276,13 +276,10 @@
 func (r *Registry) setConfig(cfg *pimcatalog.Config) {
 	r.recordRouteChanges(cfg)
 	r.config, r.wantsWholeConfig = cfg, false
-	routes := pimcatalog.NewRouteTable(cfg)
-	for h := range r.entries.all() {
-		if r.isPublished(h) && !routes.HasService(h.Service) {
-			r.retired[keyOf(h)] = true
-		}
+	r.routes = pimcatalog.NewRouteTable(cfg)
+	for _, service := range cfg.Services {
+		r.everPublished[service] = true
 	}
-	r.routes = routes
 }
 
 // recordRouteChanges records the version for each route that a new configuration changes or removes.
@@ -353,8 +350,8 @@
 	r.notify(c, Unreadable)
 }
 
-// publish derives the catalog from the entries and the configuration in force. An entry of a service that no configuration has named
-// yet is left out: it may come from another writer.
+// publish derives the catalog from the entries and the configuration in force. One of a service that the configuration does not name is
+// kept for packets of open flows: an earlier configuration may have named it, which a VM that has started since cannot know.
 func (r *Registry) publish() {
 	now := r.clock.Now()
 	r.removeEnded(now)
@@ -362,9 +359,7 @@
 	foreign := map[entryKey]bool{}
 	for _, n := range r.entries {
 		owner := r.owner(now, n)
-		if r.routes == nil || r.isPublished(owner) || r.retired[keyOf(owner)] {
-			hosts = append(hosts, owner)
-		}
+		hosts = append(hosts, owner)
 		if len(n.others) > 0 {
 			r.recordForeign(foreign, n, owner)
 		}
--- a/internal/coordination/pimregistry/removal.go
+++ b/internal/coordination/pimregistry/removal.go
@@ -55,9 +55,7 @@
 		}
 	}
 	for _, h := range ended {
-		key := keyOf(h)
-		r.removed[key] = h.Revision
-		r.entries.remove(key)
-		delete(r.retired, key)
+		r.removed[keyOf(h)] = h.Revision
+		r.entries.remove(keyOf(h))
 	}
 }
--- a/internal/coordination/pimsteer/behind_test.go
+++ b/internal/coordination/pimsteer/behind_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -119,3 +120,54 @@
 	v.registry.Confirm(10, clock.Now())
 	is.Equal(v.steer(ended.Tag()).Action, pimsteer.Reset)
 }
+
+// Guards against resets of flows at the backend servers of a service that a configuration has dropped, whose route stays, by a VM that
+// starts after that configuration and learns of it from the platform or from another VM, also beside the entry of another writer.
+func TestVMThatStartsLaterResetsNoFlowOfADroppedService(t *testing.T) {
+	const id pimcatalog.HostID = 7
+	trial := func(revision pimid.Revision) pimregistry.Change {
+		c := desk(revision, id)
+		c.Host.Service, c.Host.StartedAt = "trial", 1000
+		return c
+	}
+	agent := trial(8)
+	agent.Name, agent.Host.Name = "agent-7", "agent-7"
+	agent.Host.Service, agent.Host.Address = "agent", netip.MustParseAddrPort("10.1.64.1:9100")
+	both, one := configuration(), configuration()
+	both.Config.Services = append(both.Config.Services, "trial")
+	one.Revision, one.Config.Version = 9, 2
+	learn := map[string]func(t *testing.T, v *vm, entries []pimregistry.Change){
+		"list": func(t *testing.T, v *vm, entries []pimregistry.Change) { v.list(t, 10, append(entries, one)...) },
+		"other VM": func(t *testing.T, v *vm, entries []pimregistry.Change) {
+			other := newVM(v.clock)
+			other.list(t, 8, append(entries, both)...)
+			is := is.New(t)
+			is.NoErr(other.registry.Apply(pimregistry.Batch{From: 8, To: 10, Changes: []pimregistry.Change{one}}))
+			is.Equal(other.steer(id.Tag()).Action, pimsteer.Forward)
+			is.NoErr(v.registry.Merge(other.registry.Since(v.registry.DeltaRequest())))
+		},
+		"configuration last": func(t *testing.T, v *vm, entries []pimregistry.Change) {
+			v.list(t, 8, entries...)
+			is.New(t).NoErr(v.registry.Apply(pimregistry.Batch{From: 8, To: 10, Changes: []pimregistry.Change{one}}))
+		},
+	}
+	for name, entries := range map[string][]pimregistry.Change{"alone": {trial(6)}, "beside an agent": {trial(6), agent}} {
+		for path, learn := range learn {
+			t.Run(name+", "+path, func(t *testing.T) {
+				is := is.New(t)
+				clock := &pimclock.Manual{}
+				clock.Advance(time.Hour)
+				v := newVM(clock)
+				learn(t, v, slices.Clone(entries))
+				v.registry.Confirm(10, clock.Now())
+				clock.Advance(pimregistry.DefaultSettings(3 * time.Second).ReturnWithin)
+				v.registry.Confirm(10, clock.Now())
+				is.True(v.registry.Settled(clock.Now()))
+				verdict := v.steer(id.Tag())
+				is.Equal(verdict.Action, pimsteer.Forward)
+				is.Equal(verdict.Host.Address, trial(6).Host.Address)
+				is.Equal(len(v.registry.Catalog().Service("trial")), 0)
+			})
+		}
+	}
+}
--- a/internal/pimentry/edge.go
+++ b/internal/pimentry/edge.go
@@ -79,7 +79,7 @@
 func (e *edge) start() {
 	e.once.Do(func() {
 		c := e.node.registry.Catalog()
-		withRevision(e.node.log.Info(), c.Revision).Int("hosts", len(c.Hosts())).Msg("first view")
+		withRevision(e.node.log.Info(), c.Revision).Int("hosts", len(c.Published())).Int("unpublished", len(c.Unpublished())).Msg("first view")
 		e.wg.Go(e.loop)
 	})
 }
--- a/internal/pimentry/metrics.go
+++ b/internal/pimentry/metrics.go
@@ -35,7 +35,8 @@
 	gauge("pimentoyard_view_age_seconds", func() float64 { return n.registry.Age(n.clock.Now()).Seconds() })
 	gauge("pimentoyard_peer_deltas_discarded_total", func() float64 { return float64(n.mesh.gossip.DiscardedTransfers()) })
 	gauge("pimentoyard_evacuated_data_centres", func() float64 { return float64(len(n.registry.Catalog().Evacuated())) })
-	gauge("pimentoyard_view_hosts", func() float64 { return float64(len(n.registry.Catalog().Hosts())) })
+	gauge("pimentoyard_view_hosts", func() float64 { return float64(len(n.registry.Catalog().Published())) })
+	gauge("pimentoyard_view_unpublished_hosts", func() float64 { return float64(len(n.registry.Catalog().Unpublished())) })
 }
 
 func (n *Node) writeMetrics(w io.Writer) {
--- a/internal/pimentry/slowstart.go
+++ b/internal/pimentry/slowstart.go
@@ -59,7 +59,7 @@
 		return nil
 	}
 	names = []string{}
-	for _, h := range c.Hosts() {
+	for _, h := range c.Published() {
 		if isLimited(now, c, h) && h.AcceptsNewFlows(now) && s.limiter.Owns(now, h) {
 			names = append(names, h.Name)
 		}
--- a/internal/pimentry/status.go
+++ b/internal/pimentry/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimid"
 )
 
@@ -27,6 +28,8 @@
 	// SlowStart are the names of the backend servers in slow start to which only this VM sends new flows; nil if there is no limit.
 	SlowStart []string     `json:"slow_start,omitempty"`
 	Hosts     []HostStatus `json:"hosts"`
+	// Unpublished are those whose service the configuration does not name: only their open flows go on.
+	Unpublished []HostStatus `json:"unpublished_hosts,omitempty"`
 	// Admission lists the services with routes of different priorities that have had new flows since the last change of the view.
 	Admission []AdmissionStatus `json:"admission,omitempty"`
 }
@@ -65,12 +68,7 @@
 		s.Version, s.Routes = c.Routes.Version, c.Routes.Len()
 	}
 	s.SlowStart = n.edge.slowStart.owned(now, c)
-	for _, h := range c.Hosts() {
-		s.Hosts = append(s.Hosts, HostStatus{
-			Name: h.Name, Tag: h.Tag(), Service: h.Service, Address: h.Address.String(), DataCentre: h.DataCentre,
-			Leaving: h.Leaving, Gone: h.Gone(now), ColdMs: h.ColdFor(now).Milliseconds(),
-		})
-	}
+	s.Hosts, s.Unpublished = hostStatuses(now, c.Published()), hostStatuses(now, c.Unpublished())
 	if shares := n.edge.shares.Load(); shares != nil {
 		for _, share := range *shares {
 			s.Admission = append(s.Admission, AdmissionStatus{Service: share.Service, Places: float64(share.Places), Filled: share.Filled})
@@ -78,3 +76,13 @@
 	}
 	return s
 }
+
+func hostStatuses(now pimclock.Instant, hosts []*pimcatalog.Host) (statuses []HostStatus) {
+	for _, h := range hosts {
+		statuses = append(statuses, HostStatus{
+			Name: h.Name, Tag: h.Tag(), Service: h.Service, Address: h.Address.String(), DataCentre: h.DataCentre,
+			Leaving: h.Leaving, Gone: h.Gone(now), ColdMs: h.ColdFor(now).Milliseconds(),
+		})
+	}
+	return statuses
+}
--- a/internal/state/pimcatalog/catalog.go
+++ b/internal/state/pimcatalog/catalog.go
@@ -73,31 +73,43 @@
 type Catalog struct {
 	Revision pimid.Revision
 	// Routes is nil until a configuration was read.
-	Routes    *RouteTable
+	Routes *RouteTable
+	// hosts begins with those of published services.
 	hosts     []*Host
+	published int
 	byTag     map[Tag]*Host
 	byService map[Service][]*Host
 	// evacuated is sorted.
 	evacuated []pimid.DataCentre
 }
 
-// NewCatalog indexes the backend servers. If two have the same tag, the one that was published first keeps it and the
-// other one gets no new flows, so that a tag never moves to another backend server while flows use it. The data centres that
-// are evacuated follow.
+// NewCatalog indexes the backend servers. If two have the same tag, one of a published service keeps it before one of another service,
+// and then the one that was published first; the other one gets no new flows, so that a tag never moves to another backend server
+// while flows use it. The data centres that are evacuated follow.
 func NewCatalog(revision pimid.Revision, routes *RouteTable, hosts []*Host, evacuated ...pimid.DataCentre) *Catalog {
-	hosts = slices.Clone(hosts)
-	slices.SortFunc(hosts, compareCreated)
 	c := &Catalog{
-		Revision: revision, Routes: routes, hosts: hosts,
+		Revision: revision, Routes: routes, hosts: make([]*Host, 0, len(hosts)),
 		byTag: make(map[Tag]*Host, len(hosts)), byService: map[Service][]*Host{},
 		evacuated: slices.Sorted(slices.Values(evacuated)),
 	}
+	var others []*Host
 	for _, h := range hosts {
+		if routes == nil || routes.HasService(h.Service) {
+			c.hosts = append(c.hosts, h)
+		} else {
+			others = append(others, h)
+		}
+	}
+	c.published = len(c.hosts)
+	slices.SortFunc(c.hosts, compareCreated)
+	slices.SortFunc(others, compareCreated)
+	c.hosts = append(c.hosts, others...)
+	for i, h := range c.hosts {
 		if c.byTag[h.Tag()] != nil {
 			continue
 		}
 		c.byTag[h.Tag()] = h
-		if routes == nil || routes.HasService(h.Service) {
+		if i < c.published {
 			c.byService[h.Service] = append(c.byService[h.Service], h)
 		}
 	}
@@ -123,9 +135,16 @@
 // Host returns the backend server with a tag, or nil.
 func (c *Catalog) Host(t Tag) *Host { return c.byTag[t] }
 
-// Hosts returns all backend servers, which the caller must not change.
+// Hosts returns all backend servers, which the caller must not change. Those of services that are not published get no new flows.
 func (c *Catalog) Hosts() []*Host { return c.hosts }
 
+// Published returns the backend servers of published services, or all until a configuration was read; the caller must not change them.
+func (c *Catalog) Published() []*Host { return c.hosts[:c.published:c.published] }
+
+// Unpublished returns the backend servers of services that the configuration does not name; the caller must not change them. A
+// configuration may have dropped their service while flows are open, or their entries come from another writer.
+func (c *Catalog) Unpublished() []*Host { return c.hosts[c.published:] }
+
 // Service returns the backend servers of a published service that own their tags, or of any service until a configuration
 // was read; the caller must not change them. Those that are leaving or have ended are included.
 func (c *Catalog) Service(s Service) []*Host { return c.byService[s] }
