--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -72,6 +72,10 @@
 	// ColdFor is the rest of the slow start, GoneIn the time until a backend server without an entry counts as ended.
 	ColdFor time.Duration `cbor:"2,keyasint,omitempty"`
 	GoneIn  time.Duration `cbor:"3,keyasint,omitempty"`
+	// Overwritten is the report of the backend server if another writer may have overwritten it, and ReturnIn the time within which it
+	// must be written again.
+	Overwritten *pimcatalog.Host `cbor:"4,keyasint,omitempty"`
+	ReturnIn    time.Duration    `cbor:"5,keyasint,omitempty"`
 }
 
 // RemovedHost is an entry that disappeared at a revision.
@@ -160,7 +164,7 @@
 	}
 	for h := range r.entries.all() {
 		if isInDelta(h.Revision) {
-			d.Hosts = append(d.Hosts, stateOf(h, now))
+			d.Hosts = append(d.Hosts, r.stateOf(h, now))
 		}
 	}
 	for key, revision := range r.removed {
@@ -199,12 +203,17 @@
 }
 
 // stateOf converts the instants of a backend server to durations from now.
-func stateOf(h *pimcatalog.Host, now pimclock.Instant) HostState {
+func (r *Registry) stateOf(h *pimcatalog.Host, now pimclock.Instant) HostState {
 	s := HostState{Host: *h, ColdFor: h.ColdFor(now)}
 	if h.Unlisted {
 		s.GoneIn = max(0, h.GoneAt.Sub(now))
 	}
 	s.Host.ColdUntil, s.Host.GoneAt = 0, 0
+	if kept := r.overwritten[keyOf(h)]; kept.host != nil {
+		report := *kept.host
+		report.ColdUntil = 0
+		s.Overwritten, s.ReturnIn = &report, max(0, kept.until.Sub(now))
+	}
 	return s
 }
 
@@ -394,6 +403,12 @@
 		r.notify(c, Kept)
 		return
 	}
+	if report := s.Overwritten; report != nil {
+		report.ID, report.Name = h.ID, h.Name
+		r.overwritten[key] = overwritten{host: report, until: now.Add(min(s.ReturnIn, r.cfg.ReturnWithin))}
+	} else {
+		r.recordOverwritten(now, &h)
+	}
 	delete(r.removed, key)
 	if r.hasLapsedBefore(&h) {
 		h.GoneAt = r.entries.get(key).GoneAt
--- a/internal/coordination/pimregistry/entries.go
+++ b/internal/coordination/pimregistry/entries.go
@@ -99,30 +99,36 @@
 
 // owner returns the entry that stands for an id, or nil. It follows from the entries and the configuration alone, not from the order
 // in which they were read, so that VMs that know the same agree.
-func (r *Registry) owner(now pimclock.Instant, n namesakes) *pimcatalog.Host {
-	owner := n.first
-	for _, h := range n.others {
-		if r.compareOwners(now, h, owner) < 0 {
+func (r *Registry) owner(now pimclock.Instant, n namesakes) (owner *pimcatalog.Host) {
+	for h := range n.all() {
+		if h = r.stateInForce(h); owner == nil || r.compareOwners(now, h, owner) < 0 {
 			owner = h
 		}
 	}
 	return owner
 }
 
-// compareOwners orders two entries with the same id; the lower one stands for the id. An entry of another writer lacks a published
-// service, also in earlier configurations, or, unlike that of the backend server, a start. Of two entries that lack neither, one of a backend server that has not ended
-// comes first, then the one that appeared first.
+// compareOwners orders two entries with the same id; the lower one stands for the id. Of two that compareClaims does not tell apart, one
+// of a backend server that has not ended comes first, then the one that appeared first.
 func (r *Registry) compareOwners(now pimclock.Instant, a, b *pimcatalog.Host) int {
 	return cmp.Or(
-		compareBool(r.isPublished(b), r.isPublished(a)),
-		compareBool(r.everPublished[b.Service], r.everPublished[a.Service]),
-		compareBool(b.StartedAt != 0, a.StartedAt != 0),
+		r.compareClaims(a, b),
 		compareBool(a.Gone(now), b.Gone(now)),
 		cmp.Compare(a.Created, b.Created),
 		cmp.Compare(a.Name, b.Name),
 	)
 }
 
+// compareClaims orders two reports under the same id; the lower one is that of the backend server. One of another writer lacks a
+// published service, also in earlier configurations, or, unlike the other one, a start.
+func (r *Registry) compareClaims(a, b *pimcatalog.Host) int {
+	return cmp.Or(
+		compareBool(r.isPublished(b), r.isPublished(a)),
+		compareBool(r.everPublished[b.Service], r.everPublished[a.Service]),
+		compareBool(b.StartedAt != 0, a.StartedAt != 0),
+	)
+}
+
 // compareBool orders false before true.
 func compareBool(a, b bool) int {
 	switch {
--- a/internal/coordination/pimregistry/reachability.go
+++ b/internal/coordination/pimregistry/reachability.go
@@ -52,6 +52,7 @@
 func (r *Registry) endOutage(now pimclock.Instant) {
 	r.reachability = reachability{reachable: true, since: now}
 	deadline, isExtended := r.reachability.returnDeadline(now, r.cfg.ReturnWithin), false
+	r.extendOverwritten(deadline)
 	for key, goneAt := range r.lapsed {
 		old := r.entries.get(key)
 		if old == nil || !old.Unlisted || old.GoneAt != goneAt || goneAt <= pimclock.Instant(r.lastOK.Load()) {
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -105,6 +105,8 @@
 	// lapsed holds the instants by which entries that have lapsed must return; see endOutage. An entry that has returned or ended
 	// may still be in it.
 	lapsed map[entryKey]pimclock.Instant
+	// overwritten holds the reports of backend servers whose entries may have been overwritten by another writer.
+	overwritten map[entryKey]overwritten
 	// everPublished holds the services that a configuration of this run has named. It only tells entries with the same id apart.
 	everPublished map[pimcatalog.Service]bool
 	// foreign holds the entries that do not stand for their ids in the catalog.
@@ -131,7 +133,7 @@
 		cfg: cfg, clock: clock, notify: notify,
 		entries: entries{},
 		removed: map[entryKey]pimid.Revision{}, everPublished: map[pimcatalog.Service]bool{},
-		lapsed:      map[entryKey]pimclock.Instant{},
+		lapsed: map[entryKey]pimclock.Instant{}, overwritten: map[entryKey]overwritten{},
 		evacuations: evacuations{published: map[pimid.DataCentre]pimid.Revision{}},
 
 		routeVersions: map[netip.AddrPort]pimcatalog.Version{}, droppedRoutes: map[netip.AddrPort]pimcatalog.Version{},
@@ -309,7 +311,7 @@
 	h := *c.Host
 	h.ColdUntil = coldUntil(now, h.Warmup)
 	h.Revision, h.Created = c.Revision, c.Created
-	decision := r.storeHost(&h)
+	decision := r.storeHost(now, &h)
 	if r.isFirstList && decision == Applied {
 		decision = Listed
 	}
@@ -331,10 +333,11 @@
 }
 
 // storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era.
-func (r *Registry) storeHost(h *pimcatalog.Host) Decision {
+func (r *Registry) storeHost(now pimclock.Instant, h *pimcatalog.Host) Decision {
 	if r.keepReport(h) {
 		return Kept
 	}
+	r.recordOverwritten(now, h)
 	delete(r.removed, keyOf(h))
 	r.entries.put(h)
 	return Applied
@@ -355,6 +358,7 @@
 func (r *Registry) publish() {
 	now := r.clock.Now()
 	r.removeEnded(now)
+	r.removeOverwritten()
 	hosts := make([]*pimcatalog.Host, 0, len(r.entries))
 	foreign := map[entryKey]bool{}
 	for _, n := range r.entries {
@@ -376,7 +380,7 @@
 		return
 	}
 	for h := range n.all() {
-		if h == owner || h.Unlisted {
+		if h.Name == owner.Name || h.Unlisted {
 			continue
 		}
 		key := keyOf(h)
--- a/internal/coordination/pimregistry/removal.go
+++ b/internal/coordination/pimregistry/removal.go
@@ -57,5 +57,6 @@
 	for _, h := range ended {
 		r.removed[keyOf(h)] = h.Revision
 		r.entries.remove(keyOf(h))
+		delete(r.overwritten, keyOf(h))
 	}
 }
