--- a/internal/coordination/pimregistry/bench_test.go
+++ b/internal/coordination/pimregistry/bench_test.go
@@ -74,7 +74,7 @@
 }
 
 // BenchmarkFirstConfiguration measures a list of n backend servers with n entries of another writer, and the first configuration after
-// it: each entry has an id of a backend server, or all have that of one.
+// it: each entry has an id of a backend server, or all have that of one. It reports the memory of the view in MB.
 func BenchmarkFirstConfiguration(b *testing.B) {
 	for _, n := range benchSizes {
 		for name, idOf := range map[string]func(i int) pimcatalog.HostID{
@@ -89,8 +89,12 @@
 				s.Changes = append(s.Changes, startedHost(pimid.Revision(2*i+1), pimcatalog.HostID(i+1)), agent)
 			}
 			b.Run(fmt.Sprint("hosts=", n, "/", name), func(b *testing.B) {
+				var before, after runtime.MemStats
+				runtime.GC()
+				runtime.ReadMemStats(&before)
+				var r *Registry
 				for b.Loop() {
-					r := newRegistry(&pimclock.Manual{})
+					r = newRegistry(&pimclock.Manual{})
 					if err := r.Restore(s); err != nil {
 						b.Fatal(err)
 					}
@@ -98,6 +102,10 @@
 						b.Fatal(err)
 					}
 				}
+				runtime.GC()
+				runtime.ReadMemStats(&after)
+				b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/1e6, "MB")
+				runtime.KeepAlive(r)
 			})
 		}
 	}
--- a/internal/coordination/pimregistry/delta.go
+++ b/internal/coordination/pimregistry/delta.go
@@ -72,10 +72,10 @@
 	// ColdFor is the rest of the slow start, GoneIn the time until a backend server without an entry counts as ended.
 	ColdFor time.Duration `cbor:"2,keyasint,omitempty"`
 	GoneIn  time.Duration `cbor:"3,keyasint,omitempty"`
-	// Overwritten is the report of the backend server if another writer may have overwritten it, and ReturnIn the time within which it
-	// must be written again.
-	Overwritten *pimcatalog.Host `cbor:"4,keyasint,omitempty"`
-	ReturnIn    time.Duration    `cbor:"5,keyasint,omitempty"`
+	// Overwritten are the reports that the present one has replaced, if either may come from another writer, and Since is the revision at
+	// which the service of the present one first appeared under the name.
+	Overwritten []OverwrittenState `cbor:"4,keyasint,omitempty"`
+	Since       pimid.Revision     `cbor:"5,keyasint,omitempty"`
 }
 
 // RemovedHost is an entry that disappeared at a revision.
@@ -209,11 +209,7 @@
 		s.GoneIn = max(0, h.GoneAt.Sub(now))
 	}
 	s.Host.ColdUntil, s.Host.GoneAt = 0, 0
-	if kept := r.overwritten[keyOf(h)]; kept.host != nil {
-		report := *kept.host
-		report.ColdUntil = 0
-		s.Overwritten, s.ReturnIn = &report, max(0, kept.until.Sub(now))
-	}
+	s.Since, s.Overwritten = r.overwrittenStates(now, keyOf(h))
 	return s
 }
 
@@ -399,16 +395,11 @@
 		return
 	}
 	c := Change{Revision: h.Revision, ID: h.ID, Name: h.Name, Host: &h, Removed: h.Unlisted}
-	if r.keepReport(&h) {
+	if r.keepReport(now, &h) {
 		r.notify(c, Kept)
 		return
 	}
-	if report := s.Overwritten; report != nil {
-		report.ID, report.Name = h.ID, h.Name
-		r.overwritten[key] = overwritten{host: report, until: now.Add(min(s.ReturnIn, r.cfg.ReturnWithin))}
-	} else {
-		r.recordOverwritten(now, &h)
-	}
+	r.mergeOverwritten(now, &s)
 	delete(r.removed, key)
 	if r.hasLapsedBefore(&h) {
 		h.GoneAt = r.entries.get(key).GoneAt
--- a/internal/coordination/pimregistry/entries.go
+++ b/internal/coordination/pimregistry/entries.go
@@ -21,49 +21,50 @@
 // entries with that id and from the configuration in force.
 type entries map[pimcatalog.HostID]namesakes
 
-// namesakes are the entries with one id. Most ids have one entry, which needs no map of its own.
+// namesakes are the entries with one id. Most ids have one entry, or a second one, which need no map of their own.
 type namesakes struct {
-	first  *pimcatalog.Host
-	others map[string]*pimcatalog.Host
+	few  [2]*pimcatalog.Host
+	many map[string]*pimcatalog.Host
 }
 
 // get returns the state of an entry, or nil.
 func (e entries) get(key entryKey) *pimcatalog.Host {
 	n := e[key.id]
-	if n.first != nil && n.first.Name == key.name {
-		return n.first
+	for _, h := range n.few {
+		if h != nil && h.Name == key.name {
+			return h
+		}
 	}
-	return n.others[key.name]
+	return n.many[key.name]
 }
 
 // put sets the state of an entry.
 func (e entries) put(h *pimcatalog.Host) {
-	n := e[h.ID]
-	switch {
-	case n.first == nil || n.first.Name == h.Name:
-		n.first = h
-	case n.others == nil:
-		n.others = map[string]*pimcatalog.Host{h.Name: h}
-	default:
-		n.others[h.Name] = h
+	n, isKnown := e[h.ID], e.get(keyOf(h)) != nil
+	for i, present := range n.few {
+		if present != nil && present.Name == h.Name || present == nil && !isKnown {
+			n.few[i] = h
+			e[h.ID] = n
+			return
+		}
+	}
+	if n.many == nil {
+		n.many = map[string]*pimcatalog.Host{}
 	}
+	n.many[h.Name] = h
 	e[h.ID] = n
 }
 
 // remove forgets an entry.
 func (e entries) remove(key entryKey) {
 	n := e[key.id]
-	if n.first == nil || n.first.Name != key.name {
-		delete(n.others, key.name)
-		return
-	}
-	n.first = nil
-	for name, h := range n.others {
-		n.first = h
-		delete(n.others, name)
-		break
+	delete(n.many, key.name)
+	for i, h := range n.few {
+		if h != nil && h.Name == key.name {
+			n.few[i] = nil
+		}
 	}
-	if n.first == nil {
+	if n.few == [2]*pimcatalog.Host{} && len(n.many) == 0 {
 		delete(e, key.id)
 		return
 	}
@@ -86,10 +87,12 @@
 // all returns the states of the entries with one id.
 func (n namesakes) all() iter.Seq[*pimcatalog.Host] {
 	return func(yield func(*pimcatalog.Host) bool) {
-		if n.first == nil || !yield(n.first) {
-			return
+		for _, h := range n.few {
+			if h != nil && !yield(h) {
+				return
+			}
 		}
-		for _, h := range n.others {
+		for _, h := range n.many {
 			if !yield(h) {
 				return
 			}
@@ -97,6 +100,9 @@
 	}
 }
 
+// isShared reports whether several entries have the id.
+func (n namesakes) isShared() bool { return n.few[0] != nil && n.few[1] != nil || len(n.many) > 0 }
+
 // owner returns the entry that stands for an id, or nil. It follows from the entries and the configuration alone, not from the order
 // in which they were read, so that VMs that know the same agree.
 func (r *Registry) owner(now pimclock.Instant, n namesakes) (owner *pimcatalog.Host) {
--- a/internal/coordination/pimregistry/era.go
+++ b/internal/coordination/pimregistry/era.go
@@ -18,11 +18,11 @@
 	r.endOutage(now)
 }
 
-// isReportOutdated reports whether a later state holds an older report of a backend server than the known state. The copy that
-// the platform was restored from may hold one, and so may the end of an entry, for which a VM has its last known report.
-// Otherwise, the revisions of an era order the reports.
-func isReportOutdated(h, known *pimcatalog.Host) bool {
-	if h.Revision.Era() == known.Revision.Era() && !h.Unlisted {
+// isReportOutdated reports whether a later state holds an older report of a backend server than the known state, the last change of whose
+// entry was in an era. The copy that the platform was restored from may hold one, and so may the end of an entry, for which a VM has its
+// last known report. Otherwise, the revisions of an era order the reports.
+func isReportOutdated(h, known *pimcatalog.Host, era pimid.Era) bool {
+	if h.Revision.Era() == era && !h.Unlisted {
 		return false
 	}
 	if h.StartedAt != known.StartedAt {
@@ -31,17 +31,33 @@
 	return h.Sequence < known.Sequence
 }
 
-// keepReport keeps the known report of a backend server at the revision of h, and returns true, if that of h is outdated.
-func (r *Registry) keepReport(h *pimcatalog.Host) bool {
+// keepReport keeps the known report of a backend server at the revision of h, and returns true, if that of h is outdated. Reports with
+// different claims may be of different writers, whose starts say nothing about each other.
+func (r *Registry) keepReport(now pimclock.Instant, h *pimcatalog.Host) bool {
 	old := r.entries.get(keyOf(h))
-	if old == nil || !isReportOutdated(h, old) {
+	known := r.lastReport(old, h)
+	if known == nil || !isReportOutdated(h, known, old.Revision.Era()) {
 		return false
 	}
-	kept := *old
-	kept.Revision, kept.Created = h.Revision, h.Created
+	kept := *known
+	kept.Revision, kept.Created, kept.Unlisted, kept.GoneAt = h.Revision, h.Created, old.Unlisted, old.GoneAt
 	if h.Unlisted && !old.Unlisted {
 		kept.Unlisted, kept.GoneAt = true, h.GoneAt
 	}
+	r.recordOverwritten(now, &kept)
 	r.entries.put(&kept)
 	return true
 }
+
+// lastReport returns the last known report with the claim of h: the present one, or one that it has replaced. It may be nil.
+func (r *Registry) lastReport(present, h *pimcatalog.Host) *pimcatalog.Host {
+	if present == nil || hasSameClaim(present, h) {
+		return present
+	}
+	for _, kept := range r.overwritten[keyOf(h)].reports {
+		if hasSameClaim(kept.host, h) {
+			return kept.host
+		}
+	}
+	return nil
+}
--- a/internal/coordination/pimregistry/overwritten_test.go
+++ b/internal/coordination/pimregistry/overwritten_test.go
@@ -66,13 +66,99 @@
 					own.Created = 6
 					apply(t, r, own, naming(21, 3, "desk"))
 					is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
-					is.Equal(len(r.overwritten), 0)
+					is.Equal(host(r, 7).Address, own.Host.Address)
+
+					// Once more, soon after.
+					again := second
+					again.Revision = 22
+					apply(t, r, again)
+					is.Equal(host(r, 7).Address, own.Host.Address)
+					is.True(!host(r, 7).Gone(clock.Now()))
 				})
 			}
 		}
 	}
 }
 
+// Guards against packets that go elsewhere, since the entry of a backend server was overwritten before it was first read, and again after it
+// was written.
+func TestEntryOverwrittenBeforeItWasReadAndAfterwards(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := newRegistry(clock)
+	r.ReadSucceeded(clock.Now())
+	odd := overwriting(8, func(*pimcatalog.Host) {})
+	is.NoErr(r.Restore(Snapshot{Revision: 10, Changes: []Change{naming(5, 1, "desk"), odd}}))
+	odd.Revision = 12
+	apply(t, r, startedHost(11, 7), odd)
+	is.Equal(host(r, 7).Address, startedHost(6, 7).Host.Address)
+}
+
+// Guards against reports that are kept for ever, and against memory that grows with what other writers write.
+func TestOverwrittenReportsAreBounded(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := newRegistry(clock)
+	r.ReadSucceeded(clock.Now())
+	is.NoErr(r.Restore(Snapshot{Revision: 10, Changes: []Change{naming(5, 1, "desk"), startedHost(6, 7)}}))
+	for revision := uint64(11); revision < 30; revision++ {
+		apply(t, r, overwriting(revision, func(h *pimcatalog.Host) { h.Service = pimcatalog.Service(fmt.Sprint(revision)) }))
+	}
+	is.Equal(len(r.overwritten[entryKey{7, "i-7"}].reports), maxOverwritten)
+	is.Equal(host(r, 7).Address, startedHost(6, 7).Host.Address)
+	clock.Advance(r.cfg.ReturnWithin)
+	readUnchanged(r, 0)
+	apply(t, r, startedHost(30, 7))
+	clock.Advance(r.cfg.ReturnWithin)
+	readUnchanged(r, 0)
+	apply(t, r, naming(31, 2, "desk"))
+	is.Equal(len(r.overwritten), 0)
+}
+
+// Guards against resets of the flows of a backend server at a VM that knows only the entry that another writer has written under its
+// name, since a later backend server has the address of that entry.
+func TestAddressOfAnUnpublishedEntryEndsNoBackendServer(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := newRegistry(clock)
+	r.ReadSucceeded(clock.Now())
+	later := startedHost(12, 8)
+	odd := overwriting(11, func(h *pimcatalog.Host) { h.Address, h.StartedAt = later.Host.Address, 500 })
+	is.NoErr(r.Restore(Snapshot{Revision: 13, Changes: []Change{naming(5, 1, "desk"), odd, later}}))
+	is.True(!host(r, 7).Gone(clock.Now()))
+	is.True(host(r, 8).AcceptsNewFlows(clock.Now()))
+}
+
+// Guards against a backend server that gets no flows any more after the platform was restored from a copy, since its own entry counts as
+// older than the one that had overwritten it, and against one that is used for its former service then.
+func TestOverwrittenEntryInARestoredCopy(t *testing.T) {
+	is := is.New(t)
+	clock := &pimclock.Manual{}
+	r := newRegistry(clock)
+	r.ReadSucceeded(clock.Now())
+	list := Snapshot{Revision: inEra(1, 10), Changes: []Change{naming(inEra(1, 5), 1, "desk", "video"), startedHost(inEra(1, 6), 7)}}
+	is.NoErr(r.Restore(list))
+	odd := overwriting(11, func(*pimcatalog.Host) {})
+	odd.Revision = inEra(1, 11)
+	apply(t, r, odd)
+	list.Revision, list.Changes = inEra(2, 10), []Change{naming(inEra(2, 5), 1, "desk", "video"), startedHost(inEra(2, 6), 7)}
+	is.NoErr(r.Restore(list))
+	is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
+	is.Equal(host(r, 7).Address, startedHost(6, 7).Host.Address)
+
+	next := overwriting(12, func(h *pimcatalog.Host) { h.Service = "video" })
+	next.Revision = inEra(2, 12)
+	apply(t, r, next)
+	is.Equal(len(r.Catalog().Service("video")), 1)
+	list.Revision, list.Changes = inEra(3, 10), []Change{naming(inEra(3, 5), 1, "desk", "video"), startedHost(inEra(3, 6), 7)}
+	is.NoErr(r.Restore(list))
+	is.Equal(host(r, 7).Service, pimcatalog.Service("video"))
+	is.True(!host(r, 7).AcceptsNewFlows(clock.Now())) // until it writes its entry again
+	next.Revision = inEra(3, 12)
+	apply(t, r, next)
+	is.True(host(r, 7).AcceptsNewFlows(clock.Now()))
+}
+
 // Guards against a backend server that is kept although it has not written its entry again, and against one that has no time to do so since
 // the platform was away.
 func TestOverwrittenEntryThatIsNotWrittenAgain(t *testing.T) {
--- a/internal/coordination/pimregistry/owner.go
+++ b/internal/coordination/pimregistry/owner.go
@@ -28,15 +28,16 @@
 	return r.routes != nil && r.routes.HasService(h.Service)
 }
 
-// endEarlierOwners replaces each backend server whose address has a later owner by one that has ended. This follows from the
-// present entries alone, whatever their order was, so that VMs with the same entries agree.
+// endEarlierOwners replaces each backend server of a published service whose address has a later owner by one that has ended. This follows
+// from the present entries alone, whatever their order was, so that VMs with the same entries agree. An entry of another service may
+// come from another writer under the id of a backend server with open flows.
 func (r *Registry) endEarlierOwners(hosts []*pimcatalog.Host) {
 	superseded := map[pimcatalog.HostID]bool{}
 	for _, sharing := range sharedAddresses(hosts) {
 		for _, i := range sharing {
 			h := hosts[i]
 			successor := r.laterOwner(hosts, sharing, h)
-			if successor == nil {
+			if successor == nil || !r.isPublished(h) {
 				continue
 			}
 			gone := *h
--- a/internal/coordination/pimregistry/registry.go
+++ b/internal/coordination/pimregistry/registry.go
@@ -334,7 +334,7 @@
 
 // storeHost stores the state of a backend server, unless this VM knows a later report of it from an earlier era.
 func (r *Registry) storeHost(now pimclock.Instant, h *pimcatalog.Host) Decision {
-	if r.keepReport(h) {
+	if r.keepReport(now, h) {
 		return Kept
 	}
 	r.recordOverwritten(now, h)
@@ -364,7 +364,7 @@
 	for _, n := range r.entries {
 		owner := r.owner(now, n)
 		hosts = append(hosts, owner)
-		if len(n.others) > 0 {
+		if n.isShared() {
 			r.recordForeign(foreign, n, owner)
 		}
 	}
