--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -19,6 +19,7 @@
 
 	"github.com/pimentoyard/pimentoyard/internal/pimentry"
 	"github.com/pimentoyard/pimentoyard/internal/pimsettings"
+	"github.com/pimentoyard/pimentoyard/internal/state/pimcatalog"
 	"github.com/pimentoyard/pimentoyard/internal/state/pimclock"
 	"github.com/pimentoyard/pimentoyard/pkg/pimcontract"
 	"github.com/pimentoyard/pimentoyard/platform"
@@ -396,6 +397,33 @@
 	is.True(!slices.ContainsFunc(f.nodes[1].Status().Hosts, isLeaving))
 }
 
+// Guards against VMs that refuse every request, since they have read the entries of another writer with the ids of the backend servers
+// before the first configuration.
+func TestVMsThatReadOddEntriesBeforeTheConfigurationServe(t *testing.T) {
+	is := is.New(t)
+	f := newFleet(t, 84, 0)
+	f.Store.Delete("op/config")
+	for _, h := range f.Hosts() {
+		for key, value := range platformtest.OddEntries(h) {
+			f.Store.Put(key, value)
+		}
+	}
+	for i := 1; i <= 2; i++ {
+		f.start(i)
+		f.await(fmt.Sprintf("VM %d has listed the platform", i), func() bool { return f.nodes[i].Status().Revision > 0 })
+		is.Equal(f.nodes[i].Status().Version, pimcatalog.Version(0))
+	}
+	routes := []platformtest.RouteConfig{{Address: deskAddress, Service: "desk"}, {Address: videoAddress, Service: "video"}}
+	is.NoErr(f.Configure(routes...))
+	for i := 1; i <= 2; i++ {
+		f.await(fmt.Sprintf("VM %d has the configuration", i), func() bool { return f.nodes[i].Status().Routes == len(routes) })
+		is.Equal(len(f.nodes[i].Status().Hosts), len(f.Hosts()))
+		f.SetVMs(f.VMAddress(i))
+		is.Equal(f.request(f.open(deskAddress), "x"), "desk x")
+		is.Equal(f.request(f.open(videoAddress), "x"), "video x")
+	}
+}
+
 // Guards against a change that never arrives, and against a VM that goes back, after the platform was restored from a copy and
 // has given out its latest revisions again.
 func TestChangesArriveAfterThePlatformIsRestored(t *testing.T) {
