--- a/internal/pimentry/node_test.go
+++ b/internal/pimentry/node_test.go
@@ -388,6 +388,8 @@
 	for i := range f.nodes {
 		f.await(fmt.Sprintf("VM %d follows the platform", i), func() bool { return f.nodes[i].Status().Routes == len(routes) })
 		is.Equal(len(f.nodes[i].Status().Hosts), len(f.Hosts()))
+		is.Equal(len(f.nodes[i].Status().Unpublished), 1)
+		is.Equal(f.nodes[i].Status().Unpublished[0].Name, "i-0000e00d")
 		f.SetVMs(f.VMAddress(i))
 		for range 8 {
 			is.Equal(f.request(f.open(otherAddress), "x"), "desk x")
